Serve a request end to end through separate processes

A configuration published to the log service reaches three nodes; a caller asks a node for addresses, streams a model response and executes a service call. The log service, the platform, engines and plain services are small test doubles of this program.

The integration test starts every part as a process of its own. Not yet there: at-most-once execution per key, backup copies, membership, admission and rollouts.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,2 @@
+//! Benches.
+fn main() {}
--- /dev/null
+++ b/src/cli/command.rs
@@ -0,0 +1,80 @@
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use super::{call, dev, publish, serve};
+
+/// Exit code of a command that failed.
+const FAILED: u8 = 1;
+
+/// Returns the command line's definition.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("almondpath")
+        .about("Serves model and application traffic on reclaimable hosts")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("log-format")
+                .long("log-format")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .global(true)
+                .help("Format of the log on the standard error"),
+        )
+        .subcommand(serve::command())
+        .subcommand(publish::command())
+        .subcommand(call::command())
+        .subcommand(dev::command())
+}
+
+/// Runs the program with these arguments and returns its exit code.
+///
+/// 0 is success, 1 failure, 2 wrong usage.
+pub fn run<I, T>(args: I) -> ExitCode
+where
+    I: IntoIterator<Item = T>,
+    T: Into<OsString> + Clone,
+{
+    let matches = command().get_matches_from(args);
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("error: starting the runtime: {error}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    runtime
+        .block_on(dispatch(&matches))
+        .unwrap_or_else(|error| {
+            eprintln!("error: {error:#}");
+            ExitCode::from(FAILED)
+        })
+}
+
+async fn dispatch(matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    let json = matches
+        .get_one::<String>("log-format")
+        .is_some_and(|f| f == "json");
+    match matches.subcommand() {
+        Some(("serve", args)) => serve::run(args, json).await,
+        Some(("publish", args)) => publish::run(args).await,
+        Some(("call", args)) => call::run(args).await,
+        Some(("dev", args)) => dev::run(args, json).await,
+        _ => unreachable!("clap accepts only the subcommands above"),
+    }
+}
+
+/// Returns the required argument `FILE`.
+pub(super) fn file_arg(help: &'static str) -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(std::path::PathBuf))
+        .help(help)
+}
--- /dev/null
+++ b/src/cli/dev.rs
@@ -0,0 +1,143 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::WrapErr;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::Config;
+use crate::endpoint::{Host, State};
+use crate::node::Node;
+use crate::standin;
+use crate::{log, settings, transport};
+
+use super::logger::logger;
+use super::publish::publish;
+use super::serve::cancel_on_signal;
+
+const CONFIG: &str = include_str!("../../examples/dev/config.yaml");
+const TOKENS: &str = "examples/dev/tokens.yaml";
+
+const LISTEN: &str = "127.0.0.1:7001";
+const ADMIN: &str = "127.0.0.1:7101";
+const PEER: &str = "127.0.0.1:7201";
+const LOG: &str = "127.0.0.1:7300";
+const PLATFORM: &str = "127.0.0.1:7301";
+const ENGINE: &str = "127.0.0.1:7401";
+const PLAIN: &str = "127.0.0.1:7501";
+
+pub(super) fn command() -> Command {
+    Command::new("dev")
+        .about("Runs one node and test doubles of the platform in this process")
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .value_parser(["log", "platform", "engine", "plain"])
+                .requires("listen")
+                .help("Runs a single test double and no node"),
+        )
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("ADDRESS")
+                .value_parser(value_parser!(SocketAddr))
+                .requires("only")
+                .help("Address of the single test double"),
+        )
+        .arg(
+            Arg::new("version-name")
+                .long("version-name")
+                .value_name("VERSION")
+                .default_value("v1")
+                .help("Version that an engine or a plain service reports"),
+        )
+        .arg(
+            Arg::new("token-file")
+                .long("token-file")
+                .value_name("FILE")
+                .default_value(TOKENS)
+                .value_parser(value_parser!(PathBuf))
+                .help("Tokens of client accounts and operators"),
+        )
+        .after_help("Example:\n  almondpath dev")
+}
+
+pub(super) async fn run(args: &ArgMatches, json: bool) -> eyre::Result<ExitCode> {
+    let token = CancellationToken::new();
+    cancel_on_signal(token.clone())?;
+    let version = args
+        .get_one::<String>("version-name")
+        .expect("has a default");
+    if let Some(kind) = args.get_one::<String>("only") {
+        let address = *args
+            .get_one::<SocketAddr>("listen")
+            .expect("required by clap");
+        double(kind, address, version, Vec::new(), token)
+            .await?
+            .await?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    let hosts = vec![
+        host("engine-1", "text", ENGINE)?,
+        host("plain-1", "ledger", PLAIN)?,
+    ];
+    for (kind, address) in [("log", LOG), ("engine", ENGINE), ("plain", PLAIN)] {
+        double(kind, address.parse()?, version, Vec::new(), token.clone()).await?;
+    }
+    double("platform", PLATFORM.parse()?, version, hosts, token.clone()).await?;
+    let file = args
+        .get_one::<PathBuf>("token-file")
+        .expect("has a default");
+    let node = Node::new(node_settings(file.clone())?, logger(json), token)?;
+    let serving = tokio::spawn(node.run());
+    let config: Config =
+        serde_saphyr::from_str(CONFIG).wrap_err("in the built-in configuration")?;
+    publish(&log::Client::new(LOG.parse()?), "dev", config).await?;
+    serving.await??;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Binds the address and serves one test double on it in a task.
+async fn double(
+    kind: &str,
+    address: SocketAddr,
+    version: &str,
+    hosts: Vec<Host>,
+    token: CancellationToken,
+) -> eyre::Result<JoinHandle<()>> {
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("binding {address}"))?;
+    let server = transport::Server::new(listener);
+    Ok(match kind {
+        "log" => tokio::spawn(server.run(standin::Log::new().filter(), token)),
+        "platform" => tokio::spawn(server.run(standin::Platform::new(hosts).filter(), token)),
+        "engine" => tokio::spawn(server.run(standin::Engine::new(version.into()).filter(), token)),
+        _ => tokio::spawn(server.run(standin::Plain::new(version.into()).filter(), token)),
+    })
+}
+
+fn host(name: &str, service: &str, address: &str) -> eyre::Result<Host> {
+    Ok(Host {
+        host: name.into(),
+        address: address.parse()?,
+        domain: "a".into(),
+        service: service.into(),
+        version: "v1".into(),
+        state: State::Live,
+        price: 1.0,
+    })
+}
+
+fn node_settings(token_file: PathBuf) -> eyre::Result<settings::Node> {
+    let text = format!(
+        "name: dev\nfailure_domain: a\nlisten: {LISTEN}\nadmin: {ADMIN}\npeer: {PEER}\n\
+         log_service: {LOG}\nplatform: {PLATFORM}\ntoken_file: \"\"\n"
+    );
+    let mut settings: settings::Node = serde_saphyr::from_str(&text)?;
+    settings.token_file = token_file;
+    Ok(settings)
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,10 @@
+//! The command line.
+
+mod call;
+mod command;
+mod dev;
+mod logger;
+mod publish;
+mod serve;
+
+pub use self::command::{command, run};
--- /dev/null
+++ b/src/cli/serve.rs
@@ -0,0 +1,42 @@
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+use crate::settings;
+
+use super::command::file_arg;
+use super::logger::logger;
+
+pub(super) fn command() -> Command {
+    Command::new("serve")
+        .about("Runs a node")
+        .arg(file_arg("Settings of the node (YAML)"))
+        .after_help("Example:\n  almondpath serve node1.yaml")
+}
+
+pub(super) async fn run(args: &ArgMatches, json: bool) -> eyre::Result<ExitCode> {
+    let file = args.get_one::<PathBuf>("file").expect("required by clap");
+    let settings = settings::Node::load(file)?;
+    let token = CancellationToken::new();
+    cancel_on_signal(token.clone())?;
+    Node::new(settings, logger(json), token)?.run().await?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Cancels the token on SIGTERM or SIGINT.
+pub(super) fn cancel_on_signal(token: CancellationToken) -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        token.cancel();
+    });
+    Ok(())
+}
--- /dev/null
+++ b/src/control/fold.rs
@@ -0,0 +1,92 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::{Config, FORMAT};
+use crate::log::Offset;
+
+use super::Record;
+
+/// The active configuration and its version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Active {
+    /// Offset of the record that published it.
+    pub version: Offset,
+    /// Who published it.
+    pub operator: Arc<str>,
+    /// The configuration.
+    pub config: Arc<Config>,
+}
+
+/// What became of one record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The record's precondition held and it took effect.
+    Applied,
+    /// The record has no effect.
+    Rejected(String),
+}
+
+/// State of the `control` stream up to an offset.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    next: Offset,
+    active: Option<Active>,
+}
+
+impl Fold {
+    /// Returns the offset of the next record to apply.
+    #[must_use]
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the active configuration, if one was published.
+    #[must_use]
+    pub fn active(&self) -> Option<&Active> {
+        self.active.as_ref()
+    }
+
+    /// Applies the record at `offset`; an offset that was applied before has no effect.
+    pub fn apply(&mut self, offset: Offset, text: &str) -> Outcome {
+        if offset < self.next {
+            return Outcome::Rejected("applied before".to_owned());
+        }
+        self.next = offset.next();
+        match serde_json::from_str(text) {
+            Ok(Record::Publish {
+                base,
+                operator,
+                config,
+                ..
+            }) => self.publish(offset, base, operator, *config),
+            Err(error) => Outcome::Rejected(format!("not a control record: {error}")),
+        }
+    }
+
+    fn publish(
+        &mut self,
+        offset: Offset,
+        base: Option<Offset>,
+        operator: Arc<str>,
+        config: Config,
+    ) -> Outcome {
+        let current = self.active.as_ref().map(|active| active.version);
+        if base != current {
+            let winner = self.active.as_ref().map_or("nobody", |a| &*a.operator);
+            return Outcome::Rejected(format!("{winner} published another version first"));
+        }
+        if config.format > FORMAT {
+            return Outcome::Rejected(format!(
+                "format {} is newer than {FORMAT}, the newest this program reads",
+                config.format
+            ));
+        }
+        self.active = Some(Active {
+            version: offset,
+            operator,
+            config: Arc::new(config),
+        });
+        Outcome::Applied
+    }
+}
--- /dev/null
+++ b/src/control/record.rs
@@ -0,0 +1,23 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Config;
+use crate::log::Offset;
+
+/// A record of the `control` stream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Record {
+    /// Publishes a configuration that was made from the version `base`.
+    Publish {
+        /// Unique id of the attempt, so that its writer recognizes the record.
+        id: uuid::Uuid,
+        /// Version that was active when the configuration was made; none for the first one.
+        base: Option<Offset>,
+        /// Who published it.
+        operator: Arc<str>,
+        /// The configuration.
+        config: Box<Config>,
+    },
+}
--- /dev/null
+++ b/src/endpoint/mod.rs
@@ -0,0 +1,9 @@
+//! The endpoints of all services, and the protocol spoken with model engines.
+
+mod endpoint;
+mod generate;
+mod table;
+
+pub use self::endpoint::{Endpoint, Host, Load, State};
+pub use self::generate::{Done, Generate, Start, Token};
+pub use self::table::{Key, Table};
--- /dev/null
+++ b/src/error/error_kind.rs
@@ -0,0 +1,90 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// The reason for an [`Error`](super::Error).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The request can't be parsed or lacks a field.
+    Malformed,
+    /// The token is missing or unknown.
+    Unauthorized,
+    /// The route, request or resource does not exist for this client account.
+    NotFound,
+    /// A non-idempotent route was called without an idempotency key.
+    KeyMissing,
+    /// The idempotency key lies outside the retry window.
+    KeyExpired,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// The idempotency key was refused before and can't be used again.
+    KeyVoid,
+    /// The body or the headers exceed a limit.
+    TooLarge,
+    /// A limit of the node or of the client account is reached.
+    Overloaded,
+    /// The deadline has passed or can't be met.
+    DeadlineExceeded,
+    /// No endpoint can serve the request now.
+    Unavailable,
+    /// The log service does not answer.
+    LogUnavailable,
+    /// The endpoint failed or its answer was lost.
+    EndpointFailed,
+    /// The node is shutting down.
+    Leaving,
+    /// Another writer won.
+    Conflict,
+    /// A fault of the program.
+    Internal,
+}
+
+impl ErrorKind {
+    /// Returns the name used in bodies, metrics and logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::Unauthorized => "unauthorized",
+            Self::NotFound => "not_found",
+            Self::KeyMissing => "key_missing",
+            Self::KeyExpired => "key_expired",
+            Self::KeyReused => "key_reused",
+            Self::KeyVoid => "key_void",
+            Self::TooLarge => "too_large",
+            Self::Overloaded => "overloaded",
+            Self::DeadlineExceeded => "deadline_exceeded",
+            Self::Unavailable => "unavailable",
+            Self::LogUnavailable => "log_unavailable",
+            Self::EndpointFailed => "endpoint_failed",
+            Self::Leaving => "leaving",
+            Self::Conflict => "conflict",
+            Self::Internal => "internal",
+        }
+    }
+
+    /// Returns the HTTP status code of a refusal.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::Malformed | Self::KeyMissing | Self::KeyExpired => 400,
+            Self::Unauthorized => 401,
+            Self::NotFound => 404,
+            Self::KeyReused | Self::KeyVoid | Self::Conflict => 409,
+            Self::TooLarge => 413,
+            Self::Overloaded => 429,
+            Self::Internal => 500,
+            Self::EndpointFailed => 502,
+            Self::Unavailable | Self::LogUnavailable | Self::Leaving => 503,
+            Self::DeadlineExceeded => 504,
+        }
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! almondpath serves model and application traffic on reclaimable hosts.
+//!
+//! The design is described in `docs/design.md`. Decisions are pure functions over explicit state
+//! and an explicit clock; drivers around them do the I/O.
+
+pub mod access;
+pub mod cli;
+pub mod client;
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod endpoint;
+pub mod error;
+pub mod log;
+pub mod node;
+pub mod settings;
+pub mod standin;
+pub mod stream;
+pub mod supervisor;
+pub mod transport;
+pub mod verdict;
--- /dev/null
+++ b/src/log/client.rs
@@ -0,0 +1,61 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+
+use crate::clock::Millis;
+use crate::error::Error;
+use crate::transport;
+
+use super::{Append, Offset, Page, Receipt, Service};
+
+/// Time within which the log service answers an append or a read that does not wait.
+const TIMEOUT: Millis = Millis(2_000);
+
+/// The log service over HTTP.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: transport::Client,
+    address: SocketAddr,
+}
+
+impl Client {
+    /// Creates a client for the service at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            http: transport::Client::new(TIMEOUT),
+            address,
+        }
+    }
+}
+
+#[async_trait]
+impl Service for Client {
+    async fn append(&self, stream: &str, records: Vec<Arc<str>>) -> Result<Offset, Error> {
+        let path = format!("/streams/{stream}/records");
+        let receipt: Receipt = self
+            .http
+            .post_json(self.address, &path, &Append { records })
+            .await?;
+        Ok(receipt.first_offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: usize,
+        wait: Millis,
+    ) -> Result<Page, Error> {
+        let path = format!(
+            "/streams/{stream}/records?from={from}&limit={limit}&wait_ms={}",
+            wait.0
+        );
+        self.http
+            .clone()
+            .with_timeout(TIMEOUT + wait)
+            .get_json(self.address, &path)
+            .await
+    }
+}
--- /dev/null
+++ b/src/log/mod.rs
@@ -0,0 +1,12 @@
+//! Client of the platform's log service: append-only streams of records with offsets.
+//!
+//! The log is the only durable state of the system and the only total order. An append whose
+//! response is lost may still have taken effect; only reading the stream tells.
+
+mod client;
+mod page;
+mod service;
+
+pub use self::client::Client;
+pub use self::page::{Append, Entry, Offset, Page, Receipt};
+pub use self::service::Service;
--- /dev/null
+++ b/src/node/background.rs
@@ -0,0 +1,111 @@
+use std::sync::Arc;
+
+use slog::info;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+use crate::control::{self, Fold, Outcome};
+use crate::endpoint::{Host, Load};
+use crate::log::Service as _;
+use crate::supervisor::Supervisor;
+
+use super::Node;
+
+/// Time between two reads of the host list and of the endpoints' load.
+const POLL_INTERVAL: Millis = Millis(500);
+
+/// Longest time that one read of the `control` stream waits for a record.
+const TAIL_WAIT: Millis = Millis(1_000);
+
+const TAIL_LIMIT: usize = 256;
+
+/// Starts the node's background tasks.
+pub(super) fn spawn(node: &Arc<Node>, supervisor: &mut Supervisor) {
+    let this = Arc::clone(node);
+    supervisor.spawn("control", move |token| {
+        tail_control(Arc::clone(&this), token)
+    });
+    let this = Arc::clone(node);
+    supervisor.spawn("hosts", move |token| poll_hosts(Arc::clone(&this), token));
+    let this = Arc::clone(node);
+    supervisor.spawn("load", move |token| poll_load(Arc::clone(&this), token));
+}
+
+async fn tail_control(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let mut fold = Fold::default();
+    while !token.is_cancelled() {
+        let page = node
+            .log_service
+            .read(control::STREAM, fold.next(), TAIL_LIMIT, TAIL_WAIT);
+        let page = tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            page = page => page,
+        };
+        let Ok(page) = page else {
+            metrics::counter!("almondpath_log_read_failures_total").increment(1);
+            tokio::time::sleep(POLL_INTERVAL.into()).await;
+            continue;
+        };
+        for entry in page.records {
+            if fold.apply(entry.offset, &entry.data) == Outcome::Applied {
+                node.activate(&fold);
+            }
+        }
+    }
+    Ok(())
+}
+
+impl Node {
+    fn activate(&self, fold: &Fold) {
+        if let Some(active) = fold.active() {
+            info!(self.log, "configuration active"; "version" => active.version.0);
+            self.active.store(Some(Arc::new(active.clone())));
+        }
+    }
+}
+
+async fn poll_hosts(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    while !token.is_cancelled() {
+        let hosts = node
+            .http
+            .get_json::<Vec<Host>>(node.settings.platform, "/hosts");
+        if let Ok(hosts) = hosts.await {
+            node.endpoints.lock().expect("endpoints lock").update(hosts);
+        }
+        pause(&token).await;
+    }
+    Ok(())
+}
+
+async fn poll_load(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    while !token.is_cancelled() {
+        let targets: Vec<_> = {
+            let endpoints = node.endpoints.lock().expect("endpoints lock");
+            endpoints
+                .iter()
+                .map(|(key, e)| (key, e.host.address))
+                .collect()
+        };
+        let reads = targets.into_iter().map(|(key, address)| {
+            let node = Arc::clone(&node);
+            async move {
+                let load = node.http.get_json::<Load>(address, "/load").await;
+                if let Ok(load) = load {
+                    let now = node.clock.now();
+                    let mut endpoints = node.endpoints.lock().expect("endpoints lock");
+                    endpoints.report(key, load, now);
+                }
+            }
+        });
+        futures::future::join_all(reads).await;
+        pause(&token).await;
+    }
+    Ok(())
+}
+
+async fn pause(token: &CancellationToken) {
+    tokio::select! {
+        () = token.cancelled() => {}
+        () = tokio::time::sleep(POLL_INTERVAL.into()) => {}
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,12 @@
+//! The `serve` process: accepts requests, routes them to endpoints and streams the responses.
+
+mod admin;
+mod api;
+mod background;
+mod model;
+mod node;
+mod plain;
+mod refusal;
+mod request;
+
+pub use self::node::Node;
--- /dev/null
+++ b/src/node/node.rs
@@ -0,0 +1,101 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwapOption;
+use eyre::WrapErr;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use slog::{Logger, info, o};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use crate::access::Access;
+use crate::clock::{Clock, Millis};
+use crate::control::Active;
+use crate::endpoint::Table;
+use crate::log;
+use crate::settings;
+use crate::stream::Store;
+use crate::supervisor::Supervisor;
+use crate::transport;
+
+use super::{admin, api, background};
+
+/// Time within which an endpoint has to send its response headers.
+const ENDPOINT_TIMEOUT: Millis = Millis(10_000);
+
+/// The state that the tasks of one node process share.
+#[derive(Debug)]
+pub struct Node {
+    pub(super) settings: settings::Node,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) access: Access,
+    pub(super) active: ArcSwapOption<Active>,
+    pub(super) endpoints: Mutex<Table>,
+    pub(super) streams: Store,
+    pub(super) permits: Arc<Semaphore>,
+    pub(super) http: transport::Client,
+    pub(super) log_service: log::Client,
+    pub(super) metrics: PrometheusHandle,
+    pub(super) token: CancellationToken,
+}
+
+impl Node {
+    /// Creates a node from its settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the token file can't be read or the metrics recorder can't be installed.
+    pub fn new(
+        settings: settings::Node,
+        log: Logger,
+        token: CancellationToken,
+    ) -> eyre::Result<Arc<Self>> {
+        let access = Access::load(&settings.token_file)?;
+        let metrics = PrometheusBuilder::new()
+            .install_recorder()
+            .wrap_err("installing the metrics recorder")?;
+        Ok(Arc::new(Self {
+            clock: Clock::system(),
+            log: log.new(o!("node" => settings.name.to_string())),
+            access,
+            active: ArcSwapOption::empty(),
+            endpoints: Mutex::default(),
+            streams: Store::default(),
+            permits: Arc::new(Semaphore::new(settings.request_limit)),
+            http: transport::Client::new(ENDPOINT_TIMEOUT),
+            log_service: log::Client::new(settings.log_service),
+            metrics,
+            token,
+            settings,
+        }))
+    }
+
+    /// Serves until the node's token is cancelled and open requests are answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
+        let callers = bind(self.settings.listen).await?;
+        let operators = bind(self.settings.admin).await?;
+        let mut supervisor =
+            Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
+        background::spawn(&self, &mut supervisor);
+        info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
+        let admin = transport::Server::new(operators)
+            .run(admin::filter(Arc::clone(&self)), self.token.clone());
+        let api =
+            transport::Server::new(callers).run(api::filter(Arc::clone(&self)), self.token.clone());
+        tokio::join!(admin, api, supervisor.join());
+        info!(self.log, "stopped");
+        Ok(())
+    }
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("binding {address}"))
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of one node process, read from a YAML file at start.
+
+mod node;
+
+pub use self::node::Node;
--- /dev/null
+++ b/src/standin/log.rs
@@ -0,0 +1,215 @@
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use warp::http::StatusCode;
+use warp::{Filter, Reply};
+
+use crate::clock::Millis;
+use crate::log::{Append, Entry, Offset, Page, Receipt};
+
+use super::reply;
+
+/// Faults of the log service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFaults {
+    /// Refuses every request.
+    pub down: bool,
+    /// Time that every request takes.
+    pub delay_ms: Millis,
+    /// Number of appends that take effect but whose response is lost.
+    pub lose_responses: u32,
+    /// Time after which an append takes effect although it was answered with an error; 0 is off.
+    pub late_ms: Millis,
+    /// Number of appends that take effect twice.
+    pub duplicate: u32,
+    /// Records kept per stream; 0 keeps all.
+    pub keep: usize,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    earliest: u64,
+    records: Vec<Arc<str>>,
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.earliest + self.records.len() as u64
+    }
+
+    fn append(&mut self, records: &[Arc<str>], keep: usize) -> Offset {
+        let first = Offset(self.end());
+        self.records.extend(records.iter().cloned());
+        let excess = self.records.len().saturating_sub(keep);
+        if keep > 0 && excess > 0 {
+            self.records.drain(..excess);
+            self.earliest += excess as u64;
+        }
+        first
+    }
+
+    fn page(&self, from: Offset, limit: usize) -> Page {
+        let start = from.0.clamp(self.earliest, self.end());
+        let skip = usize::try_from(start - self.earliest).unwrap_or(usize::MAX);
+        let records = self.records.iter().skip(skip).take(limit);
+        Page {
+            earliest: Offset(self.earliest),
+            end: Offset(self.end()),
+            records: (start..)
+                .zip(records)
+                .map(|(offset, data)| Entry {
+                    offset: Offset(offset),
+                    data: Arc::clone(data),
+                })
+                .collect(),
+        }
+    }
+}
+
+/// An in-memory log service.
+#[derive(Clone, Debug)]
+pub struct Log {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    streams: Mutex<HashMap<String, Stream>>,
+    faults: Mutex<LogFaults>,
+    appended: watch::Sender<u64>,
+}
+
+#[derive(Deserialize)]
+struct Query {
+    from: Offset,
+    limit: usize,
+    wait_ms: Millis,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Log {
+    /// Creates a service without streams.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                streams: Mutex::default(),
+                faults: Mutex::default(),
+                appended: watch::Sender::new(0),
+            }),
+        }
+    }
+
+    /// Returns the HTTP interface.
+    pub fn filter(
+        &self,
+    ) -> impl Filter<Extract = (impl Reply + use<>,), Error = Infallible>
+    + Clone
+    + Send
+    + Sync
+    + 'static
+    + use<> {
+        let this = self.clone();
+        let with = warp::any().map(move || this.clone());
+        let append = warp::path!("streams" / String / "records")
+            .and(warp::post())
+            .and(warp::body::json())
+            .and(with.clone())
+            .then(
+                |stream, body: Append, this: Self| async move { this.append(stream, body).await },
+            );
+        let read = warp::path!("streams" / String / "records")
+            .and(warp::get())
+            .and(warp::query())
+            .and(with.clone())
+            .then(|stream, query: Query, this: Self| async move { this.read(stream, query).await });
+        let faults = warp::path!("faults")
+            .and(warp::post())
+            .and(warp::body::json())
+            .and(with)
+            .map(|faults: LogFaults, this: Self| {
+                *this.inner.faults.lock().expect("faults lock") = faults;
+                reply(StatusCode::OK, &serde_json::json!({}))
+            });
+        append
+            .or(read)
+            .unify()
+            .or(faults)
+            .unify()
+            .recover(super::recover)
+            .unify()
+    }
+
+    async fn enter(&self) -> Option<LogFaults> {
+        let faults = self.inner.faults.lock().expect("faults lock").clone();
+        tokio::time::sleep(faults.delay_ms.into()).await;
+        if faults.down { None } else { Some(faults) }
+    }
+
+    async fn append(self, stream: String, body: Append) -> Result<super::Answer, Infallible> {
+        let Some(faults) = self.enter().await else {
+            return super::unavailable();
+        };
+        if faults.late_ms > Millis::ZERO {
+            tokio::spawn(async move {
+                tokio::time::sleep(faults.late_ms.into()).await;
+                self.commit(&stream, &body, &faults);
+            });
+            return super::unavailable();
+        }
+        let first_offset = self.commit(&stream, &body, &faults);
+        if faults.duplicate > 0 {
+            self.commit(&stream, &body, &faults);
+            self.inner.faults.lock().expect("faults lock").duplicate -= 1;
+        }
+        if faults.lose_responses > 0 {
+            self.inner
+                .faults
+                .lock()
+                .expect("faults lock")
+                .lose_responses -= 1;
+            return super::unavailable();
+        }
+        reply(StatusCode::OK, &Receipt { first_offset })
+    }
+
+    fn commit(&self, stream: &str, body: &Append, faults: &LogFaults) -> Offset {
+        let mut streams = self.inner.streams.lock().expect("streams lock");
+        let stream = streams.entry(stream.to_owned()).or_default();
+        let first = stream.append(&body.records, faults.keep);
+        drop(streams);
+        self.inner.appended.send_modify(|count| *count += 1);
+        first
+    }
+
+    async fn read(self, stream: String, query: Query) -> Result<super::Answer, Infallible> {
+        if self.enter().await.is_none() {
+            return super::unavailable();
+        }
+        let mut appended = self.inner.appended.subscribe();
+        let deadline = tokio::time::Instant::now() + query.wait_ms.into();
+        loop {
+            let page = {
+                let mut streams = self.inner.streams.lock().expect("streams lock");
+                let stream = streams.entry(stream.clone()).or_default();
+                stream.page(query.from, query.limit)
+            };
+            if !page.records.is_empty() {
+                return reply(StatusCode::OK, &page);
+            }
+            let changed = tokio::time::timeout_at(deadline, appended.changed()).await;
+            if changed.is_err() {
+                return reply(StatusCode::OK, &page);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,225 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
+
+/// Longest time that a pooled connection stays unused; an older one may have been dropped
+/// silently by something between the two ends.
+const IDLE_TIMEOUT: Millis = Millis(5_000);
+
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// An HTTP/1.1 client for addresses given by IP number.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pool: legacy::Client<HttpConnector, Full<Bytes>>,
+    timeout: Millis,
+}
+
+/// Construction.
+impl Client {
+    /// Creates a client whose requests are answered within `timeout`, headers included.
+    #[must_use]
+    pub fn new(timeout: Millis) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT.into()));
+        connector.set_nodelay(true);
+        let pool = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from(IDLE_TIMEOUT))
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool, timeout }
+    }
+
+    /// Replaces the time within which the response headers have to arrive.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: Millis) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+/// Requests.
+impl Client {
+    /// Sends a request over a pooled connection.
+    ///
+    /// # Errors
+    ///
+    /// `NotRun` when no connection could be made, `MayHaveRun` for every later failure.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        let target = request.uri().clone();
+        match timeout(self.timeout.into(), self.pool.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(Error::not_run(
+                ErrorKind::Unavailable,
+                format!("connecting to {target} failed: {error}"),
+            )),
+            Ok(Err(error)) => Err(Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                format!("request to {target} failed: {error}"),
+            )),
+            Err(_) => Err(Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                format!("no answer from {target} within {}", self.timeout),
+            )),
+        }
+    }
+
+    /// Sends a request over a new connection that is used once.
+    ///
+    /// Non-idempotent calls use this, because a pooled connection can be closed by the endpoint
+    /// while the request is on its way, which leaves it unknown whether the request ran.
+    ///
+    /// # Errors
+    ///
+    /// `NotRun` when no connection could be made, `MayHaveRun` for every later failure.
+    pub async fn send_once(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let refused = |reason: String| {
+            Error::not_run(
+                ErrorKind::Unavailable,
+                format!("connecting to {address} failed: {reason}"),
+            )
+        };
+        let stream = timeout(CONNECT_TIMEOUT.into(), TcpStream::connect(address))
+            .await
+            .map_err(|_| refused(format!("no answer within {CONNECT_TIMEOUT}")))?
+            .map_err(|error| refused(error.to_string()))?;
+        // Nagle's algorithm only adds delay to a single small request; a failure to switch it
+        // off does not matter.
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| refused(error.to_string()))?;
+        tokio::spawn(connection);
+        let lost = |reason: String| {
+            Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                format!("request to {address} failed: {reason}"),
+            )
+        };
+        timeout(self.timeout.into(), sender.send_request(request))
+            .await
+            .map_err(|_| lost(format!("no answer within {}", self.timeout)))?
+            .map_err(|error| lost(error.to_string()))
+    }
+
+    /// Reads a JSON document from `http://{address}{path}`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`], and `EndpointFailed` for a status other than success or for a body
+    /// that does not match `T`.
+    pub async fn get_json<T>(&self, address: SocketAddr, path: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let request = self.request(Method::GET, address, path, Bytes::new())?;
+        self.json(request).await
+    }
+
+    /// Posts a JSON document and reads one back.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get_json`].
+    pub async fn post_json<B, T>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &B,
+    ) -> Result<T, Error>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body)
+            .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))?;
+        let request = self.request(Method::POST, address, path, body.into())?;
+        self.json(request).await
+    }
+
+    /// Builds a request with a JSON body to `http://{address}{path}`.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` when `path` is not a valid path.
+    pub fn request(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, Error> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("host", address.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .map_err(|error| Error::not_run(ErrorKind::Malformed, error.to_string()))
+    }
+
+    /// Reads a whole response body of at most 8 MiB within the client's timeout.
+    ///
+    /// # Errors
+    ///
+    /// `MayHaveRun` when the body is cut off, too large or late.
+    pub async fn body(&self, response: Response<Incoming>) -> Result<Bytes, Error> {
+        let lost = |reason: String| {
+            Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                format!("the answer was cut off: {reason}"),
+            )
+        };
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
+        timeout(self.timeout.into(), body.collect())
+            .await
+            .map_err(|_| lost(format!("not complete within {}", self.timeout)))?
+            .map(http_body_util::Collected::to_bytes)
+            .map_err(|error| lost(error.to_string()))
+    }
+
+    async fn json<T>(&self, request: Request<Full<Bytes>>) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let target = request.uri().clone();
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = self.body(response).await?;
+        if !status.is_success() {
+            return Err(serde_json::from_slice(&body).unwrap_or_else(|_| {
+                Error::may_have_run(
+                    ErrorKind::EndpointFailed,
+                    format!("{target} answered {status}"),
+                )
+            }));
+        }
+        serde_json::from_slice(&body).map_err(|error| {
+            Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                format!("{target} sent an unexpected document: {error}"),
+            )
+        })
+    }
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,12 @@
+//! HTTP client and server with the limits that the system needs, on `hyper` and `warp`.
+//!
+//! The client never repeats a request by itself, and its errors say whether the request may have
+//! run. The server bounds connections, header sizes and the time a sender may take.
+
+mod client;
+mod event;
+mod server;
+
+pub use self::client::Client;
+pub use self::event::{Event, events};
+pub use self::server::Server;
--- /dev/null
+++ b/src/verdict/mod.rs
@@ -0,0 +1,5 @@
+//! Whether a request may have run.
+
+mod verdict;
+
+pub use self::verdict::Verdict;
--- /dev/null
+++ b/tests/integration/end_to_end.rs
@@ -0,0 +1,34 @@
+//! The whole path through separate processes.
+
+use almondpath::client::Reply;
+use uuid::Uuid;
+
+use crate::harness::Cluster;
+
+/// Guards against a part of the path that works only inside one process.
+#[tokio::test(flavor = "multi_thread")]
+async fn three_nodes_stream_a_review_and_run_an_activation() {
+    let cluster = Cluster::start(3, 2, 1).await;
+    for node in 0..3 {
+        let caller = cluster.caller(&[node]);
+        let body = r#"{"prompt": "Summarise the dossier.", "max_tokens": 20}"#;
+        let mut pieces = 0;
+        let reply = caller
+            .call("summary", None, body.into(), |_| pieces += 1)
+            .await
+            .expect("the review is answered");
+        let Reply::Text(text) = reply else {
+            panic!("a model route streams text");
+        };
+        assert_eq!(pieces, 20);
+        assert!(text.starts_with("w0.") && text.contains("w19."));
+
+        let key = Uuid::now_v7().to_string();
+        let reply = caller
+            .call("contribution", Some(&key), "{}".into(), |_| ())
+            .await
+            .expect("the contribution is executed");
+        assert!(matches!(reply, Reply::Body(_)));
+        assert_eq!(cluster.executions(&key).await, 1);
+    }
+}
--- /dev/null
+++ b/tests/integration/harness.rs
@@ -0,0 +1,297 @@
+//! Starts nodes and test doubles as separate processes and talks to them over HTTP.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use almondpath::client::Client;
+use almondpath::clock::Millis;
+use almondpath::endpoint::{Host, State};
+use almondpath::transport;
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::Value;
+use tempfile::TempDir;
+
+/// Longest wait for a condition that a test expects to come true.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Token of the account `demo` in the clusters' token file.
+pub(crate) const ACCOUNT_TOKEN: &str = "demo-token";
+
+/// Token of the operator `dev` in the clusters' token file.
+pub(crate) const OPERATOR_TOKEN: &str = "dev-operator-token";
+
+/// A child process that is killed when dropped.
+pub(crate) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program with these arguments.
+    pub(crate) fn start(args: &[&str]) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_almondpath"))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(if std::env::var_os("ALMONDPATH_TEST_LOG").is_some() {
+                Stdio::inherit()
+            } else {
+                Stdio::null()
+            })
+            .spawn()
+            .expect("the program starts");
+        Self { child }
+    }
+
+    /// Sends a signal, for example `libc::SIGSTOP`.
+    pub(crate) fn signal(&self, signal: i32) {
+        let pid = i32::try_from(self.child.id()).expect("process ids fit an i32");
+        // SAFETY: `kill` has no memory effects; the child has not been waited for, so that its
+        // id can't belong to another process.
+        assert_eq!(unsafe { libc::kill(pid, signal) }, 0);
+    }
+
+    /// Kills the process without a warning.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process can be waited for");
+    }
+
+    /// Waits until the process has ended by itself and returns whether it succeeded.
+    pub(crate) async fn ended(&mut self) -> bool {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for")
+            {
+                return status.success();
+            }
+            assert!(started.elapsed() < WAIT, "the process did not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Either fails only when the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A node process and its addresses.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) listen: SocketAddr,
+    pub(crate) admin: SocketAddr,
+    pub(crate) peer: SocketAddr,
+    pub(crate) settings: PathBuf,
+    pub(crate) process: Process,
+}
+
+/// A test double process.
+pub(crate) struct Double {
+    pub(crate) address: SocketAddr,
+    pub(crate) process: Process,
+}
+
+/// Nodes, engines, plain services and a platform, each in a process of its own.
+pub(crate) struct Cluster {
+    pub(crate) directory: TempDir,
+    pub(crate) log: Double,
+    pub(crate) platform: Double,
+    pub(crate) engines: Vec<Double>,
+    pub(crate) plains: Vec<Double>,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) http: transport::Client,
+}
+
+impl Cluster {
+    /// Starts a cluster with the `dev` configuration and waits until all nodes are ready.
+    pub(crate) async fn start(nodes: usize, engines: usize, plains: usize) -> Self {
+        let doubles = |kind: &str, count: usize| (0..count).map(|_| double(kind)).collect();
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        let mut cluster = Self {
+            log: double("log"),
+            platform: double("platform"),
+            engines: doubles("engine", engines),
+            plains: doubles("plain", plains),
+            nodes: Vec::new(),
+            http: transport::Client::new(Millis(5_000)),
+            directory,
+        };
+        cluster.await_doubles().await;
+        cluster.put_hosts(&cluster.hosts()).await;
+        cluster.start_nodes(nodes);
+        cluster.publish("examples/dev/config.yaml").await;
+        for node in &cluster.nodes {
+            cluster.await_ready(node).await;
+        }
+        cluster
+    }
+
+    /// Returns the host list with all endpoints alive, spread over three failure domains.
+    pub(crate) fn hosts(&self) -> Vec<Host> {
+        let engines = self.engines.iter().map(|double| ("text", double));
+        let plains = self.plains.iter().map(|double| ("ledger", double));
+        engines
+            .chain(plains)
+            .enumerate()
+            .map(|(index, (service, double))| Host {
+                host: format!("host-{index}").into(),
+                address: double.address,
+                domain: domain(index).into(),
+                service: service.into(),
+                version: "v1".into(),
+                state: State::Live,
+                price: 1.0,
+            })
+            .collect()
+    }
+
+    /// Replaces the platform's host list.
+    pub(crate) async fn put_hosts(&self, hosts: &[Host]) {
+        let body = serde_json::to_vec(hosts).expect("hosts serialize");
+        let request = self
+            .http
+            .request(Method::PUT, self.platform.address, "/hosts", body.into())
+            .expect("a valid request");
+        let response = self.http.send(request).await.expect("the platform answers");
+        assert!(response.status().is_success());
+    }
+
+    /// Sets the faults of a test double; `faults` replaces all earlier ones.
+    pub(crate) async fn set_faults(&self, address: SocketAddr, faults: Value) {
+        self.http
+            .post_json::<_, Value>(address, "/faults", &faults)
+            .await
+            .expect("the test double accepts the faults");
+    }
+
+    /// Returns how often a plain service has executed a key.
+    pub(crate) async fn executions(&self, key: &str) -> u64 {
+        let mut total = 0;
+        for plain in &self.plains {
+            let counts: Value = self
+                .http
+                .get_json(plain.address, "/executions")
+                .await
+                .expect("the service answers");
+            total += counts[key].as_u64().unwrap_or(0);
+        }
+        total
+    }
+
+    /// Publishes a configuration file with the command of the program.
+    pub(crate) async fn publish(&self, file: &str) {
+        let address = self.log.address.to_string();
+        let args = [
+            "publish",
+            file,
+            "--log-service",
+            &address,
+            "--operator",
+            "dev",
+        ];
+        assert!(Process::start(&args).ended().await, "publishing failed");
+    }
+
+    /// Waits until a node reports that it is ready.
+    pub(crate) async fn await_ready(&self, node: &Node) {
+        eventually("the node is ready", async || {
+            let request = self
+                .http
+                .request(Method::GET, node.listen, "/readyz", Bytes::new())
+                .expect("a valid request");
+            self.http
+                .send(request)
+                .await
+                .is_ok_and(|response| response.status().is_success())
+        })
+        .await;
+    }
+
+    /// Returns a caller that knows these nodes.
+    pub(crate) fn caller(&self, nodes: &[usize]) -> Client {
+        let nodes = nodes.iter().map(|&index| self.nodes[index].listen);
+        Client::new(nodes.collect(), ACCOUNT_TOKEN.into())
+    }
+
+    fn start_nodes(&mut self, count: usize) {
+        let ports: Vec<[SocketAddr; 3]> = (0..count)
+            .map(|_| [free_address(), free_address(), free_address()])
+            .collect();
+        let seeds: Vec<String> = ports.iter().map(|p| format!("\"{}\"", p[2])).collect();
+        let tokens = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/dev/tokens.yaml");
+        for (index, [listen, admin, peer]) in ports.into_iter().enumerate() {
+            let name = format!("node-{index}");
+            let text = format!(
+                "name: {name}\nfailure_domain: {}\nlisten: {listen}\nadmin: {admin}\n\
+                 peer: {peer}\nseeds: [{}]\nlog_service: {}\nplatform: {}\ntoken_file: {}\n",
+                domain(index),
+                seeds.join(", "),
+                self.log.address,
+                self.platform.address,
+                tokens.display(),
+            );
+            let settings = self.directory.path().join(format!("{name}.yaml"));
+            std::fs::write(&settings, text).expect("the settings can be written");
+            let process = Process::start(&["serve", settings.to_str().expect("a UTF-8 path")]);
+            self.nodes.push(Node {
+                name,
+                listen,
+                admin,
+                peer,
+                settings,
+                process,
+            });
+        }
+    }
+
+    async fn await_doubles(&self) {
+        let all = [&self.log, &self.platform];
+        for double in all.into_iter().chain(&self.engines).chain(&self.plains) {
+            eventually("a test double listens", async || {
+                tokio::net::TcpStream::connect(double.address).await.is_ok()
+            })
+            .await;
+        }
+    }
+}
+
+/// Starts a test double of this kind on a free address.
+pub(crate) fn double(kind: &str) -> Double {
+    let address = free_address();
+    let listen = address.to_string();
+    let process = Process::start(&["dev", "--only", kind, "--listen", &listen]);
+    Double { address, process }
+}
+
+/// Returns a loopback address whose port was free a moment ago.
+pub(crate) fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn eventually<F>(what: &str, mut condition: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    let started = Instant::now();
+    while !condition().await {
+        assert!(started.elapsed() < WAIT, "timed out waiting until {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn domain(index: usize) -> &'static str {
+    ["a", "b", "c"][index % 3]
+}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,5 @@
+//! Integration tests, one file per feature.
+
+mod end_to_end;
+#[allow(dead_code, reason = "not every feature uses every helper")]
+mod harness;
