--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -36,7 +36,8 @@
     let metrics = warp::path!("metrics")
         .and(warp::get())
         .and(with.clone())
-        .map(|node: Arc<Node>| node.metrics.render().into_response());
+        .map(|node: Arc<Node>| node.metrics.render().into_response())
+        .boxed();
     let dump = warp::path!("admin" / "dump")
         .and(warp::get())
         .and(warp::header::headers_cloned())
@@ -46,7 +47,8 @@
                 Ok(()) => warp::reply::json(&node.dump()).into_response(),
                 Err(error) => refusal(&error),
             },
-        );
+        )
+        .boxed();
     metrics.or(dump).unify().recover(recover).unify()
 }
 
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -50,7 +50,8 @@
     let addresses = warp::path!("v1" / "addresses")
         .and(warp::get())
         .and(with.clone())
-        .map(|node: Arc<Node>| addresses(&node));
+        .map(|node: Arc<Node>| addresses(&node))
+        .boxed();
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
         .and(warp::header::headers_cloned())
@@ -59,7 +60,8 @@
         .and(with.clone())
         .then(|route: String, headers, body, node| async move {
             call(node, &route, headers, body).await
-        });
+        })
+        .boxed();
     let resume = warp::path!("v1" / "requests" / Uuid)
         .and(warp::get())
         .and(warp::query())
@@ -69,14 +71,17 @@
             |id, position: Position, headers: HeaderMap, node: Arc<Node>| {
                 resume(&node, id, position.offset, &headers).unwrap_or_else(|e| refusal(&e))
             },
-        );
+        )
+        .boxed();
     let health = warp::path!("healthz")
         .and(warp::get())
-        .map(|| "ok\n".into_response());
+        .map(|| "ok\n".into_response())
+        .boxed();
     let ready = warp::path!("readyz")
         .and(warp::get())
         .and(with)
-        .map(|node: Arc<Node>| ready(&node));
+        .map(|node: Arc<Node>| ready(&node))
+        .boxed();
     addresses
         .or(route)
         .unify()
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -106,12 +106,14 @@
             .and(warp::post())
             .and(warp::body::json())
             .and(with.clone())
-            .map(|body: Generate, this: Self| this.generate(body));
+            .map(|body: Generate, this: Self| this.generate(body))
+            .boxed();
         let attach = warp::path!("streams" / String)
             .and(warp::get())
             .and(warp::query())
             .and(with.clone())
-            .map(|handle: String, query: Attach, this: Self| this.attach(&handle, query.from));
+            .map(|handle: String, query: Attach, this: Self| this.attach(&handle, query.from))
+            .boxed();
         let cancel = warp::path!("streams" / String)
             .and(warp::delete())
             .and(with.clone())
@@ -122,11 +124,13 @@
                     .expect("streams lock")
                     .remove(&*handle);
                 reply(StatusCode::OK, &serde_json::json!({})).into_response()
-            });
+            })
+            .boxed();
         let load = warp::path!("load")
             .and(warp::get())
             .and(with.clone())
-            .map(|this: Self| reply(StatusCode::OK, &this.load()).into_response());
+            .map(|this: Self| reply(StatusCode::OK, &this.load()).into_response())
+            .boxed();
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
@@ -134,7 +138,8 @@
             .map(|faults: EngineFaults, this: Self| {
                 *this.inner.faults.lock().expect("faults lock") = faults;
                 reply(StatusCode::OK, &serde_json::json!({})).into_response()
-            });
+            })
+            .boxed();
         generate
             .or(attach)
             .unify()
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -124,14 +124,14 @@
             .and(warp::post())
             .and(warp::body::json())
             .and(with.clone())
-            .then(
-                |stream, body: Append, this: Self| async move { this.append(stream, body).await },
-            );
+            .then(|stream, body: Append, this: Self| async move { this.append(stream, body).await })
+            .boxed();
         let read = warp::path!("streams" / String / "records")
             .and(warp::get())
             .and(warp::query())
             .and(with.clone())
-            .then(|stream, query: Query, this: Self| async move { this.read(stream, query).await });
+            .then(|stream, query: Query, this: Self| async move { this.read(stream, query).await })
+            .boxed();
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
@@ -139,7 +139,8 @@
             .map(|faults: LogFaults, this: Self| {
                 *this.inner.faults.lock().expect("faults lock") = faults;
                 reply(StatusCode::OK, &serde_json::json!({}))
-            });
+            })
+            .boxed();
         append
             .or(read)
             .unify()
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -70,18 +70,21 @@
             .and(warp::header::optional("idempotency-key"))
             .and(warp::body::bytes())
             .and(with.clone())
-            .then(|route, key, body, this: Self| async move { this.call(route, key, body).await });
+            .then(|route, key, body, this: Self| async move { this.call(route, key, body).await })
+            .boxed();
         let load = warp::path!("load")
             .and(warp::get())
             .and(with.clone())
-            .map(|this: Self| reply(StatusCode::OK, &this.load()));
+            .map(|this: Self| reply(StatusCode::OK, &this.load()))
+            .boxed();
         let executions = warp::path!("executions")
             .and(warp::get())
             .and(with.clone())
             .map(|this: Self| {
                 let executions = this.inner.executions.lock().expect("executions lock");
                 reply(StatusCode::OK, &*executions)
-            });
+            })
+            .boxed();
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
@@ -89,7 +92,8 @@
             .map(|faults: PlainFaults, this: Self| {
                 *this.inner.faults.lock().expect("faults lock") = faults;
                 reply(StatusCode::OK, &serde_json::json!({}))
-            });
+            })
+            .boxed();
         call.or(load)
             .unify()
             .or(executions)
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -50,7 +50,8 @@
         let list = warp::path!("hosts")
             .and(warp::get())
             .and(with.clone())
-            .map(|this: Self| this.list());
+            .map(|this: Self| this.list())
+            .boxed();
         let replace = warp::path!("hosts")
             .and(warp::put())
             .and(warp::body::json())
@@ -58,7 +59,8 @@
             .map(|hosts: Vec<Host>, this: Self| {
                 *this.hosts.lock().expect("hosts lock") = hosts;
                 reply(StatusCode::OK, &serde_json::json!({}))
-            });
+            })
+            .boxed();
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
@@ -66,7 +68,8 @@
             .map(|faults: PlatformFaults, this: Self| {
                 *this.faults.lock().expect("faults lock") = faults;
                 reply(StatusCode::OK, &serde_json::json!({}))
-            });
+            })
+            .boxed();
         list.or(replace)
             .unify()
             .or(faults)
