Add the protocol between nodes

Nodes need probes, copies of accepted requests, configurations and trips from each other without the log. The schema carries probes as typed structs, because they are sent all the time and have to stay small; the other methods carry one JSON payload each, so that their owners evolve serde structs without touching the schema. Typed structs for all methods were considered and ruled out: each field would need code on both sides of the generated types.

One thread owns all connections, since futures of capnp-rpc are not Send.

The generator is run once by hand (see src/peer/mod.rs); the build needs none.

--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,99 @@
+# Protocol between nodes.
+#
+# Fields and methods are only ever added, never renumbered, so that nodes of neighbouring releases
+# understand each other during a rolling restart.
+
+@0xd2b5a1c07f3e9846;
+
+using Rust = import "/rust.capnp";
+$Rust.parentModule("peer");
+
+interface Peer {
+  # Exchanges state with a node and shows that it responds.
+  probe @0 (message :Probe) -> (message :Probe);
+
+  # Stores a copy of an accepted request.
+  hold @1 (payload :Data) -> (answer :Answer);
+
+  # Adds a batch of generated tokens to stored copies.
+  progress @2 (payload :Data) -> (answer :Answer);
+
+  # Takes over the streams of a node that is leaving.
+  handover @3 (payload :Data) -> (answer :Answer);
+
+  # Looks for a request by its id.
+  find @4 (payload :Data) -> (answer :Answer);
+
+  # Returns the newest configuration.
+  config @5 (payload :Data) -> (answer :Answer);
+
+  # Announces that a version of a service receives no more requests.
+  trip @6 (payload :Data) -> (answer :Answer);
+}
+
+# Payloads are JSON documents; their types are serde structs of the module that owns the method.
+struct Answer {
+  union {
+    payload @0 :Data;
+    # A JSON document with kind, verdict and message.
+    error @1 :Data;
+  }
+}
+
+struct Probe {
+  protocol @0 :UInt16;
+  draining @1 :Bool;
+  # Random number of the sender's process.
+  incarnation @2 :UInt64;
+  # Offset of the active configuration plus one; 0 without one.
+  configVersion @3 :UInt64;
+  # Offset after the newest record of `control` that the sender has read.
+  controlEnd @4 :UInt64;
+  # Weight of the sender in address responses, in 1/255.
+  weight @5 :UInt8;
+  # Highest format number of configurations that the sender reads.
+  format @6 :UInt16;
+  demand @7 :List(Demand);
+  members @8 :List(Member);
+  endpoints @9 :List(Endpoint);
+  loads @10 :List(Load);
+}
+
+# What callers of a client account ask of the sender.
+struct Demand {
+  # Hash of the account's name.
+  account @0 :UInt32;
+  # Cost units per second.
+  rate @1 :Float32;
+}
+
+# A statement about a node, ordered by (incarnation, version).
+struct Member {
+  incarnation @0 :UInt64;
+  version @1 :UInt32;
+  # 0 alive, 1 suspect, 2 leaving, 3 gone.
+  state @2 :UInt8;
+  name @3 :Text;
+  domain @4 :Text;
+  # Addresses for other nodes and for callers, an IP number and a port each.
+  peer @5 :Text;
+  listen @6 :Text;
+}
+
+# A statement that an endpoint is leaving.
+struct Endpoint {
+  # Random number of the endpoint's process; 0 when the signal does not name it.
+  incarnation @0 :UInt64;
+  host @1 :Text;
+}
+
+# A load report of an endpoint.
+struct Load {
+  # Hash of the host's name.
+  host @0 :UInt32;
+  # Low bits of the endpoint's incarnation.
+  incarnation @1 :UInt32;
+  seq @2 :UInt32;
+  running @3 :UInt16;
+  queued @4 :UInt16;
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,36 @@
+//! Protocol between nodes: `schema/peer.capnp` over TCP.
+//!
+//! Futures of `capnp-rpc` are not `Send`, so one thread owns all connections ([`spawn`]). The rest
+//! of the process talks to it through a [`Handle`], and answers through a [`Handler`].
+//!
+//! `peer_capnp.rs` is generated and committed, so that the build needs no generator:
+//! `capnp compile -I <directory of the crate capnpc> -orust:src/peer --src-prefix=schema
+//! schema/peer.capnp`, with `capnpc-rust` of that crate on the path.
+
+mod connection;
+mod handle;
+mod handler;
+mod method;
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    rust_2018_idioms,
+    unreachable_pub,
+    reason = "generated code"
+)]
+#[rustfmt::skip]
+mod peer_capnp;
+mod pool;
+mod server;
+mod thread;
+mod traffic;
+mod wire;
+
+pub use self::handle::Handle;
+pub use self::handler::Handler;
+pub use self::method::Method;
+pub use self::thread::spawn;
+
+/// Version of the protocol that this program speaks.
+pub const PROTOCOL: u16 = 1;
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,147 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle as Runtime;
+use tokio::sync::Semaphore;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+
+use super::peer_capnp::{answer, peer};
+use super::{Handler, connection, wire};
+
+/// Most connections from other nodes; a node at the design size has 369.
+const MAX_CONNECTIONS: usize = 1_024;
+
+/// Most calls of other nodes that are handled at the same time.
+const MAX_CALLS: usize = 1_024;
+
+/// Pause after a failed accept, for example while no file descriptors are left.
+const ACCEPT_PAUSE: Millis = Millis(100);
+
+/// Accepts connections and answers calls until it is dropped.
+pub(super) async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, runtime: Runtime) {
+    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let calls = Arc::new(Semaphore::new(MAX_CALLS));
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(_) => {
+                tokio::time::sleep(ACCEPT_PAUSE.into()).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            metrics::counter!("almondpath_peer_connections_refused_total").increment(1);
+            continue;
+        };
+        let server = Server {
+            handler: Arc::clone(&handler),
+            runtime: runtime.clone(),
+            calls: Arc::clone(&calls),
+            from,
+        };
+        tokio::task::spawn_local(async move {
+            drive(stream, server).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn drive(stream: TcpStream, server: Server) {
+    let client: peer::Client = capnp_rpc::new_client(server);
+    // A connection that ends with an error has no one to tell: its calls have failed already.
+    let _ = connection::system(stream, Side::Server, Some(Rc::new(client))).await;
+}
+
+/// The interface that another node sees on one connection.
+struct Server {
+    handler: Arc<dyn Handler>,
+    runtime: Runtime,
+    calls: Arc<Semaphore>,
+    from: SocketAddr,
+}
+
+impl Server {
+    /// Runs a handler's method as a task of the main runtime.
+    async fn run<F, T>(&self, work: F) -> Result<T, Error>
+    where
+        F: Future<Output = Result<T, Error>> + Send + 'static,
+        T: Send + 'static,
+    {
+        let Ok(permit) = Arc::clone(&self.calls).try_acquire_owned() else {
+            return Err(Error::not_run(
+                ErrorKind::Overloaded,
+                "too many calls of other nodes are being handled",
+            ));
+        };
+        let result = self.runtime.spawn(work).await;
+        drop(permit);
+        result.unwrap_or_else(|error| {
+            Err(Error::may_have_run(ErrorKind::Internal, error.to_string()))
+        })
+    }
+
+    async fn answer<F>(&self, work: F, mut to: answer::Builder<'_>) -> Result<(), capnp::Error>
+    where
+        F: Future<Output = Result<Bytes, Error>> + Send + 'static,
+    {
+        match self.run(work).await {
+            Ok(payload) => to.set_payload(&payload),
+            Err(error) => to.set_error(&serde_json::to_vec(&error).map_err(failed)?),
+        }
+        Ok(())
+    }
+}
+
+fn failed<E>(error: E) -> capnp::Error
+where
+    E: std::fmt::Display,
+{
+    capnp::Error::failed(error.to_string())
+}
+
+/// Implements a method that passes a JSON payload to the handler's method of the same name.
+macro_rules! forward {
+    ($method:ident, $params:ident, $results:ident) => {
+        async fn $method(
+            self: Rc<Self>,
+            params: peer::$params,
+            mut results: peer::$results,
+        ) -> Result<(), capnp::Error> {
+            let payload = Bytes::copy_from_slice(params.get()?.get_payload()?);
+            let handler = Arc::clone(&self.handler);
+            let work = async move { handler.$method(payload).await };
+            self.answer(work, results.get().init_answer()).await
+        }
+    };
+}
+
+impl peer::Server for Server {
+    async fn probe(
+        self: Rc<Self>,
+        params: peer::ProbeParams,
+        mut results: peer::ProbeResults,
+    ) -> Result<(), capnp::Error> {
+        let message = wire::decode(params.get()?.get_message()?)?;
+        let (handler, from) = (Arc::clone(&self.handler), self.from);
+        let answer = self
+            .run(async move { handler.probe(from, message).await })
+            .await
+            .map_err(failed)?;
+        wire::encode(&answer, results.get().init_message());
+        Ok(())
+    }
+
+    forward!(hold, HoldParams, HoldResults);
+    forward!(progress, ProgressParams, ProgressResults);
+    forward!(handover, HandoverParams, HandoverResults);
+    forward!(find, FindParams, FindResults);
+    forward!(config, ConfigParams, ConfigResults);
+    forward!(trip, TripParams, TripResults);
+}
