Keep a pure state of what nodes know about each other

Nodes have to agree about who is alive without a fixed list, at a cost that does not grow with their number. Statements about a process are ordered by (incarnation, version, state) and the greatest one stays. With the order (version, incarnation) the property test failed: version 3 of incarnation 1 won over incarnation 2.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -57,6 +57,8 @@
   members @8 :List(Member);
   endpoints @9 :List(Endpoint);
   loads @10 :List(Load);
+  # The sender has just started and asks for statements about many nodes.
+  joining @11 :Bool;
 }
 
 # What callers of a client account ask of the sender.
@@ -92,8 +94,10 @@
   # Hash of the host's name.
   host @0 :UInt32;
   # Low bits of the endpoint's incarnation.
-  incarnation @1 :UInt32;
-  seq @2 :UInt32;
-  running @3 :UInt16;
-  queued @4 :UInt16;
+  incarnation @1 :UInt8;
+  # Low bits of the number of the report.
+  seq @2 :UInt8;
+  # At most 255 each.
+  running @3 :UInt8;
+  queued @4 :UInt8;
 }
--- /dev/null
+++ b/src/membership/bucket.rs
@@ -0,0 +1,39 @@
+use crate::clock::Millis;
+
+/// A token bucket.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bucket {
+    tokens: f64,
+    burst: f64,
+    per_ms: f64,
+    filled: Millis,
+}
+
+impl Bucket {
+    /// Creates a full bucket that gains `per_second` tokens up to `burst`.
+    pub(super) fn new(burst: f64, per_second: f64) -> Self {
+        Self {
+            tokens: burst,
+            burst,
+            per_ms: per_second / 1_000.0,
+            filled: Millis::ZERO,
+        }
+    }
+
+    /// Returns the tokens available at `now`, at least 0.
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "intervals are far below 2^52 milliseconds"
+    )]
+    pub(super) fn available(&mut self, now: Millis) -> f64 {
+        let passed = now - self.filled;
+        self.filled = self.filled.max(now);
+        self.tokens = (self.tokens + passed.0 as f64 * self.per_ms).min(self.burst);
+        self.tokens.max(0.0)
+    }
+
+    /// Takes tokens; the bucket may go below 0, which delays later takers.
+    pub(super) fn take(&mut self, tokens: f64) {
+        self.tokens -= tokens;
+    }
+}
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -38,6 +38,26 @@
     pub state: State,
 }
 
+impl Member {
+    /// Returns the position in the order of statements: a greater one replaces a smaller one.
+    #[must_use]
+    pub fn order(&self) -> (u64, u32, State) {
+        (self.incarnation, self.version, self.state)
+    }
+
+    /// Returns the bytes that the statement takes in a message: 16 of numbers, 4 pointers of 8 and
+    /// the texts, each padded to a multiple of 8 with its final zero.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let addresses = 2 * padded("255.255.255.255:65535".len());
+        16 + 4 * 8 + padded(self.name.len()) + padded(self.domain.len()) + addresses
+    }
+}
+
+const fn padded(length: usize) -> usize {
+    (length + 1).next_multiple_of(8)
+}
+
 /// A statement that an endpoint is leaving.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 pub struct Notice {
@@ -47,19 +67,32 @@
     pub incarnation: u64,
 }
 
+impl Notice {
+    /// Returns the bytes that the statement takes in a message.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        8 + 8 + padded(self.host.len())
+    }
+}
+
 /// A load report of an endpoint as nodes pass it on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Load {
     /// Hash of the host's name.
     pub host: u32,
     /// Low bits of the endpoint's incarnation.
-    pub incarnation: u32,
-    /// Number of the report at its endpoint.
-    pub seq: u32,
-    /// Requests that are being served.
-    pub running: u16,
-    /// Requests that wait.
-    pub queued: u16,
+    pub incarnation: u8,
+    /// Low bits of the number of the report at its endpoint.
+    pub seq: u8,
+    /// Requests that are being served, at most 255.
+    pub running: u8,
+    /// Requests that wait, at most 255.
+    pub queued: u8,
+}
+
+impl Load {
+    /// Bytes that a report takes in a message.
+    pub const SIZE: usize = 8;
 }
 
 /// Cost units per second that callers of a client account ask of one node.
@@ -88,6 +121,8 @@
     pub weight: u8,
     /// Whether the sender is leaving.
     pub draining: bool,
+    /// Whether the sender has just started and asks for statements about many nodes.
+    pub joining: bool,
     /// Demand per client account at the sender.
     pub demand: Vec<Demand>,
 }
--- /dev/null
+++ b/src/membership/queue.rs
@@ -0,0 +1,78 @@
+use std::collections::{BTreeMap, VecDeque};
+
+/// Updates that wait to be passed on, each a limited number of times.
+///
+/// New updates go first, and among equals the one that waited longest. A full queue drops the
+/// update at its end, which has been passed on most often.
+#[derive(Clone, Debug)]
+pub(super) struct Queue<K, V> {
+    order: VecDeque<K>,
+    items: BTreeMap<K, Item<V>>,
+    limit: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Item<V> {
+    value: V,
+    left: u32,
+}
+
+impl<K, V> Queue<K, V>
+where
+    K: Clone + Ord,
+    V: Clone,
+{
+    pub(super) fn new(limit: usize) -> Self {
+        Self {
+            order: VecDeque::new(),
+            items: BTreeMap::new(),
+            limit,
+        }
+    }
+
+    /// Adds an update that is passed on `times` times; it replaces the one with the same key.
+    pub(super) fn push(&mut self, key: K, value: V, times: u32) {
+        let item = Item { value, left: times };
+        if self.items.insert(key.clone(), item).is_some() {
+            self.order.retain(|other| *other != key);
+        }
+        self.order.push_front(key);
+        if self.order.len() > self.limit
+            && let Some(last) = self.order.pop_back()
+        {
+            self.items.remove(&last);
+        }
+    }
+
+    /// Takes updates until the next one does not fit into `budget` bytes, and returns the rest of
+    /// the budget with them.
+    pub(super) fn take<F>(&mut self, mut budget: usize, size: F) -> (Vec<V>, usize)
+    where
+        F: Fn(&V) -> usize,
+    {
+        let mut taken = Vec::new();
+        for _ in 0..self.order.len() {
+            let Some(key) = self.order.front() else { break };
+            let item = self.items.get_mut(key).expect("a queued key has an item");
+            let bytes = size(&item.value);
+            if bytes > budget {
+                break;
+            }
+            budget -= bytes;
+            item.left -= 1;
+            taken.push(item.value.clone());
+            let done = item.left == 0;
+            let key = self.order.pop_front().expect("a key was just read");
+            if done {
+                self.items.remove(&key);
+            } else {
+                self.order.push_back(key);
+            }
+        }
+        (taken, budget)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.order.len()
+    }
+}
--- /dev/null
+++ b/src/membership/schedule.rs
@@ -0,0 +1,165 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use serde::Serialize;
+
+use crate::clock::Millis;
+
+use super::State;
+use super::bucket::Bucket;
+use super::roster::Roster;
+
+/// Most addresses of possible nodes.
+const MAX_HINTS: usize = 512;
+
+/// Ticks between two probes of an address at which no live node is known. These probes find nodes
+/// again after a partition.
+const HINT_TICKS: u32 = 15;
+
+/// Probes that pass on an urgent update at once, in a burst and in the long run.
+const RELAY_BURST: f64 = 12.0;
+const RELAYS_PER_SECOND: f64 = 1.0;
+
+/// Candidates that are looked at for one in another failure domain than the probe before.
+const DOMAIN_CANDIDATES: usize = 8;
+
+/// A node to probe.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Target {
+    /// Address for other nodes.
+    pub address: SocketAddr,
+    /// Name of the node; none when only an address is known.
+    pub name: Option<Arc<str>>,
+}
+
+/// The order in which other nodes are probed.
+#[derive(Clone, Debug)]
+pub(super) struct Schedule {
+    ring: Vec<Arc<str>>,
+    last_domain: Option<Arc<str>>,
+    hints: Vec<SocketAddr>,
+    ticks: u32,
+    relays: Bucket,
+}
+
+impl Schedule {
+    pub(super) fn new(hints: Vec<SocketAddr>) -> Self {
+        let mut schedule = Self {
+            ring: Vec::new(),
+            last_domain: None,
+            hints: Vec::new(),
+            ticks: 0,
+            relays: Bucket::new(RELAY_BURST, RELAYS_PER_SECOND),
+        };
+        schedule.hint(hints);
+        schedule
+    }
+
+    /// Adds addresses at which nodes may exist.
+    pub(super) fn hint<T>(&mut self, addresses: T)
+    where
+        T: IntoIterator<Item = SocketAddr>,
+    {
+        for address in addresses {
+            if !self.hints.contains(&address) && self.hints.len() < MAX_HINTS {
+                self.hints.push(address);
+            }
+        }
+    }
+
+    /// Returns the node to probe in this tick.
+    pub(super) fn next(&mut self, roster: &Roster, rng: &mut SmallRng) -> Option<Target> {
+        self.ticks = self.ticks.wrapping_add(1);
+        if (roster.live() == 1 || self.ticks.is_multiple_of(HINT_TICKS))
+            && let Some(target) = self.unknown(roster, rng)
+        {
+            return Some(target);
+        }
+        self.known(roster, rng)
+    }
+
+    /// Returns a hint at which no live node is known; a few random picks are enough.
+    fn unknown(&self, roster: &Roster, rng: &mut SmallRng) -> Option<Target> {
+        for _ in 0..DOMAIN_CANDIDATES {
+            let address = *self
+                .hints
+                .get(rng.random_range(0..self.hints.len().max(1)))?;
+            if address != roster.own.peer && !roster.is_live_at(address) {
+                return Some(Target {
+                    address,
+                    name: None,
+                });
+            }
+        }
+        None
+    }
+
+    /// Returns the next node of a round in which each is probed once, preferably in another
+    /// failure domain than the one before.
+    fn known(&mut self, roster: &Roster, rng: &mut SmallRng) -> Option<Target> {
+        for _ in 0..2 {
+            while !self.ring.is_empty() {
+                let from = self.ring.len().saturating_sub(DOMAIN_CANDIDATES);
+                let index = (from..self.ring.len())
+                    .rev()
+                    .find(|&index| {
+                        let peer = roster.get(&self.ring[index]);
+                        peer.is_some_and(|p| Some(&p.member.domain) != self.last_domain.as_ref())
+                    })
+                    .unwrap_or(self.ring.len() - 1);
+                let name = self.ring.swap_remove(index);
+                let Some(peer) = roster.get(&name) else {
+                    continue;
+                };
+                if peer.member.state == State::Gone {
+                    continue;
+                }
+                self.last_domain = Some(Arc::clone(&peer.member.domain));
+                return Some(Target {
+                    address: peer.member.peer,
+                    name: Some(name),
+                });
+            }
+            self.ring = roster.peers().map(|p| Arc::clone(&p.member.name)).collect();
+            self.ring.shuffle(rng);
+        }
+        None
+    }
+
+    /// Returns a random node among those not yet probed in this round.
+    pub(super) fn sample(&self, rng: &mut SmallRng) -> Option<&Arc<str>> {
+        self.ring.get(rng.random_range(0..self.ring.len().max(1)))
+    }
+
+    /// Returns nodes to probe at once: one in the own failure domain, and one relay in each other
+    /// one, as far as the bucket allows.
+    pub(super) fn relays(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        rng: &mut SmallRng,
+    ) -> Vec<Target> {
+        let mut live: Vec<_> = roster.peers().filter(|p| p.is_available()).collect();
+        live.shuffle(rng);
+        let mut domains = Vec::new();
+        let mut targets = Vec::new();
+        for peer in live {
+            if domains.contains(&&peer.member.domain) {
+                continue;
+            }
+            if self.relays.available(now) < 1.0 {
+                break;
+            }
+            self.relays.take(1.0);
+            domains.push(&peer.member.domain);
+            targets.push(Target {
+                address: peer.member.peer,
+                name: Some(Arc::clone(&peer.member.name)),
+            });
+        }
+        targets
+    }
+}
--- /dev/null
+++ b/src/membership/view.rs
@@ -0,0 +1,295 @@
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::clock::Millis;
+
+use super::outbox::Outbox;
+use super::roster::{Merge, Roster};
+use super::schedule::Schedule;
+use super::{Header, Load, Member, Message, Notice, Peer, State, Target};
+
+/// Time between two ticks: three probes a second.
+pub const TICK: Millis = Millis(333);
+
+/// Statements about other nodes in the answer to a node that is joining.
+const JOIN_MEMBERS: usize = 128;
+
+/// Answers after which a node no longer asks for many statements.
+const JOIN_ANSWERS: u32 = 8;
+
+/// What a message from another node changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Received {
+    /// Notices about endpoints that were new here.
+    pub notices: Vec<Notice>,
+    /// Load reports that were newer than the ones known here.
+    pub loads: Vec<Load>,
+    /// Whether something arrived that other nodes have to know at once.
+    pub urgent: bool,
+    /// Address of the sender for other nodes, once it is known.
+    pub sender: Option<SocketAddr>,
+}
+
+/// What one node knows about the others and has to tell them.
+///
+/// Statements about a process are ordered by incarnation, version and state, and the greatest one
+/// stays, so that all nodes agree whatever the order in which statements arrive. Only the process
+/// itself raises the version, to object to a suspicion or to announce that it is leaving.
+///
+/// The cost per tick does not depend on the number of nodes: one target, and messages of bounded
+/// size whose updates follow a token bucket.
+#[derive(Clone, Debug)]
+pub struct View {
+    roster: Roster,
+    outbox: Outbox,
+    schedule: Schedule,
+    answers: u32,
+    rng: SmallRng,
+}
+
+/// Construction.
+impl View {
+    /// Creates the view of a process that knows nothing but addresses to start from.
+    #[must_use]
+    pub fn new(own: Member, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        Self {
+            roster: Roster::new(own),
+            outbox: Outbox::new(),
+            schedule: Schedule::new(seeds),
+            answers: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Adds addresses at which nodes may exist, for example from the host list.
+    pub fn hint<T>(&mut self, addresses: T)
+    where
+        T: IntoIterator<Item = SocketAddr>,
+    {
+        self.schedule.hint(addresses);
+    }
+}
+
+/// What is known.
+impl View {
+    /// Returns the own statement.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        &self.roster.own
+    }
+
+    /// Returns whether a later process has taken the own name at another address.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.roster.superseded
+    }
+
+    /// Returns the other nodes, those that are gone included.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.roster.peers()
+    }
+
+    /// Returns the other nodes that may get new work.
+    pub fn available(&self) -> impl Iterator<Item = &Peer> {
+        self.peers().filter(|peer| peer.is_available())
+    }
+
+    /// Returns a node by its name.
+    #[must_use]
+    pub fn peer(&self, name: &str) -> Option<&Peer> {
+        self.roster.get(name)
+    }
+
+    /// Returns the number of nodes that are not gone, this one included.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        self.roster.live()
+    }
+
+    /// Returns the number of updates that wait to be passed on.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.outbox.len()
+    }
+}
+
+/// Changes that this node makes.
+impl View {
+    /// Announces that this process is leaving; this is never taken back.
+    pub fn leave(&mut self) {
+        if self.roster.own.state != State::Leaving {
+            self.roster.own.state = State::Leaving;
+            self.roster.own.version += 1;
+            self.announce();
+        }
+    }
+
+    /// Passes on that an endpoint is leaving, and returns whether this was new.
+    pub fn notice(&mut self, notice: Notice) -> bool {
+        self.outbox.notice(notice, self.roster.live())
+    }
+
+    /// Sets the endpoints whose load reports are passed on when they come from another node, as
+    /// hashes of their hosts' names.
+    ///
+    /// In a large deployment these are the endpoints of the own failure domain: at 600 endpoints
+    /// the bytes do not suffice for all.
+    pub fn pass_on(&mut self, hosts: HashSet<u32>) {
+        self.outbox.pass_on(hosts);
+    }
+
+    /// Passes on a load report of an endpoint that this node polled, and returns whether it was newer than the one known.
+    pub fn load(&mut self, load: Load) -> bool {
+        self.outbox.load(load, true)
+    }
+
+    fn announce(&mut self) {
+        let own = self.roster.own.clone();
+        self.outbox.member(own, self.roster.live());
+    }
+}
+
+/// Probes.
+impl View {
+    /// Advances the time and returns the node to probe now.
+    pub fn tick(&mut self, now: Millis) -> Option<Target> {
+        for member in self.roster.expire(now) {
+            // The address stays a hint, so that both sides of a partition find each other again.
+            self.schedule.hint([member.peer]);
+            self.outbox.member(member, self.roster.live());
+        }
+        self.schedule.next(&self.roster, &mut self.rng)
+    }
+
+    /// Returns the nodes that have to learn an urgent update at once.
+    pub fn relays(&mut self, now: Millis) -> Vec<Target> {
+        self.schedule.relays(now, &self.roster, &mut self.rng)
+    }
+
+    /// Builds the probe of a node or the answer to one; `to` is its name, if it is known.
+    pub fn message(&mut self, now: Millis, to: Option<&str>, mut header: Header) -> Message {
+        header.incarnation = self.roster.own.incarnation;
+        header.joining = self.answers < JOIN_ANSWERS;
+        header.draining |= self.roster.own.state == State::Leaving;
+        let mut message = Message {
+            header,
+            members: Vec::new(),
+            notices: Vec::new(),
+            loads: Vec::new(),
+        };
+        let left = self.outbox.fill(now, &mut message);
+        self.introduce(to, &mut message);
+        self.refresh(left, &mut message);
+        message
+    }
+
+    /// Adds the own statement unless the receiver has it, and what is said about the receiver.
+    fn introduce(&mut self, to: Option<&str>, message: &mut Message) {
+        let own = self.roster.own.clone();
+        let Some(peer) = to.and_then(|name| self.roster.get_mut(name)) else {
+            message.members.push(own);
+            return;
+        };
+        if peer.told != Some(own.version) {
+            peer.told = Some(own.version);
+            message.members.push(own);
+        }
+        if matches!(peer.member.state, State::Suspect | State::Gone) {
+            // So that it can object.
+            message.members.push(peer.member.clone());
+        }
+    }
+
+    /// Adds a statement about a random node, if there is room, for nodes that missed it.
+    fn refresh(&mut self, left: usize, message: &mut Message) {
+        if !message.members.is_empty() {
+            return;
+        }
+        let peer = self
+            .schedule
+            .sample(&mut self.rng)
+            .and_then(|name| self.roster.get(name))
+            // Repeating that a node is gone would keep all nodes from forgetting it.
+            .filter(|p| p.member.state != State::Gone && p.member.size() <= left);
+        if let Some(peer) = peer {
+            self.outbox.spend(peer.member.size());
+            message.members.push(peer.member.clone());
+        }
+    }
+
+    /// Takes over what a probe or the answer to one says.
+    pub fn receive(&mut self, now: Millis, message: Message) -> Received {
+        let mut received = Received::default();
+        for member in message.members {
+            received.urgent |= self.merge(member, now);
+        }
+        for notice in message.notices {
+            if self.notice(notice.clone()) {
+                received.urgent = true;
+                received.notices.push(notice);
+            }
+        }
+        let outbox = &mut self.outbox;
+        received.loads = message.loads;
+        received.loads.retain(|load| outbox.load(*load, false));
+        let name = self.roster.name(message.header.incarnation).cloned();
+        if let Some(peer) = name.and_then(|name| self.roster.get_mut(&name)) {
+            peer.heard_at = Some(now);
+            peer.header = Some(message.header);
+            received.sender = Some(peer.member.peer);
+        }
+        received
+    }
+
+    /// Takes over what the answer to a probe says.
+    pub fn answered(&mut self, now: Millis, message: Message) -> Received {
+        self.answers = self.answers.saturating_add(1);
+        self.receive(now, message)
+    }
+
+    /// Builds the answer to a probe that was taken over with [`View::receive`].
+    pub fn answer(&mut self, now: Millis, from: u64, joining: bool, header: Header) -> Message {
+        let name = self.roster.name(from).cloned();
+        let mut message = self.message(now, name.as_deref(), header);
+        if joining {
+            let skip = self.rng.random_range(0..self.roster.live());
+            let peers = self.roster.peers().map(|p| &p.member);
+            let peers: Vec<_> = peers.filter(|m| m.state != State::Gone).collect();
+            let members = peers.iter().cycle().skip(skip);
+            let members = members.take(peers.len().min(JOIN_MEMBERS));
+            message.members.extend(members.map(|&m| m.clone()));
+        }
+        message
+    }
+
+    /// Notes that a node did not answer a probe.
+    pub fn failed(&mut self, now: Millis, target: &Target) {
+        let name = target.name.as_deref();
+        if let Some(member) = name.and_then(|name| self.roster.failed(name, now)) {
+            self.outbox.member(member, self.roster.live());
+        }
+    }
+
+    /// Takes a statement over, and returns whether others have to know it at once.
+    fn merge(&mut self, member: Member, now: Millis) -> bool {
+        let leaving = member.state == State::Leaving;
+        let passed_on = member.clone();
+        match self.roster.merge(member, now) {
+            Merge::Old => false,
+            Merge::New => {
+                // A node that is joining learns what the others know already.
+                if self.answers >= JOIN_ANSWERS {
+                    self.outbox.member(passed_on, self.roster.live());
+                }
+                leaving
+            }
+            Merge::Refuted => {
+                self.announce();
+                false
+            }
+        }
+    }
+}
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -3470,6 +3470,10 @@
         pub fn has_loads(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_joining(self) -> bool {
+            self.reader.get_bool_field(17)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3644,6 +3648,14 @@
         pub fn has_loads(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_joining(self) -> bool {
+            self.builder.get_bool_field(17)
+        }
+        #[inline]
+        pub fn set_joining(&mut self, value: bool)  {
+            self.builder.set_bool_field(17, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3655,7 +3667,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 204] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 219] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(140, 13, 253, 158, 252, 7, 87, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -3665,91 +3677,98 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 114, 111, 98, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 114, 111, 116, 111, 99, 111, 108),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
@@ -3860,6 +3879,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 111, 105, 110, 105, 110, 103, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3874,6 +3901,7 @@
                 8 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::endpoint::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::peer::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3887,9 +3915,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,7,1,9,6,2,10,8,0,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,7,1,9,6,2,11,10,8,0,5];
         pub(crate) const TYPE_ID: u64 = 0xb157_07fc_9efd_0d8c;
     }
 }
@@ -4831,26 +4859,26 @@
             self.reader.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn get_incarnation(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
+        pub fn get_incarnation(self) -> u8 {
+            self.reader.get_data_field::<u8>(4)
         }
         #[inline]
-        pub fn get_seq(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+        pub fn get_seq(self) -> u8 {
+            self.reader.get_data_field::<u8>(5)
         }
         #[inline]
-        pub fn get_running(self) -> u16 {
-            self.reader.get_data_field::<u16>(6)
+        pub fn get_running(self) -> u8 {
+            self.reader.get_data_field::<u8>(6)
         }
         #[inline]
-        pub fn get_queued(self) -> u16 {
-            self.reader.get_data_field::<u16>(7)
+        pub fn get_queued(self) -> u8 {
+            self.reader.get_data_field::<u8>(7)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4909,36 +4937,36 @@
             self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
-        pub fn get_incarnation(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
+        pub fn get_incarnation(self) -> u8 {
+            self.builder.get_data_field::<u8>(4)
         }
         #[inline]
-        pub fn set_incarnation(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(1, value);
+        pub fn set_incarnation(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(4, value);
         }
         #[inline]
-        pub fn get_seq(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+        pub fn get_seq(self) -> u8 {
+            self.builder.get_data_field::<u8>(5)
         }
         #[inline]
-        pub fn set_seq(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+        pub fn set_seq(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(5, value);
         }
         #[inline]
-        pub fn get_running(self) -> u16 {
-            self.builder.get_data_field::<u16>(6)
+        pub fn get_running(self) -> u8 {
+            self.builder.get_data_field::<u8>(6)
         }
         #[inline]
-        pub fn set_running(&mut self, value: u16)  {
-            self.builder.set_data_field::<u16>(6, value);
+        pub fn set_running(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(6, value);
         }
         #[inline]
-        pub fn get_queued(self) -> u16 {
-            self.builder.get_data_field::<u16>(7)
+        pub fn get_queued(self) -> u8 {
+            self.builder.get_data_field::<u8>(7)
         }
         #[inline]
-        pub fn set_queued(&mut self, value: u16)  {
-            self.builder.set_data_field::<u16>(7, value);
+        pub fn set_queued(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(7, value);
         }
     }
 
@@ -4954,7 +4982,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 92] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(133, 216, 23, 190, 227, 12, 219, 229),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(70, 152, 62, 127, 192, 161, 181, 210),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4975,14 +5003,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(129, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(137, 0, 0, 0, 34, 0, 0, 0),
@@ -5013,45 +5041,45 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
             ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 101, 113, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(113, 117, 101, 117, 101, 100, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,5 +3,6 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod membership;
 mod peer;
 mod relay;
--- /dev/null
+++ b/tests/integration/membership.rs
@@ -0,0 +1,154 @@
+//! The state that nodes keep about each other.
+
+use std::net::SocketAddr;
+
+use almondpath::clock::Millis;
+use almondpath::log::Offset;
+use almondpath::membership::{Header, Member, Message, State, TICK, View};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const NAMES: [&str; 3] = ["n1", "n2", "n3"];
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn member(name: usize, incarnation: u64, version: u32, state: State) -> Member {
+    let port = 7_000 + u16::try_from(name).expect("a small number");
+    Member {
+        name: NAMES[name].into(),
+        domain: ["a", "b", "c"][name].into(),
+        peer: address(port),
+        listen: address(port + 100),
+        incarnation,
+        version,
+        state,
+    }
+}
+
+/// Returns the order that all nodes have to agree on, independently of the one in the program.
+fn order(member: &Member) -> (u64, u32, usize) {
+    let states = [State::Alive, State::Suspect, State::Leaving, State::Gone];
+    let rank = states.iter().position(|state| *state == member.state);
+    (
+        member.incarnation,
+        member.version,
+        rank.expect("all states"),
+    )
+}
+
+fn header() -> Header {
+    Header {
+        protocol: 1,
+        format: 1,
+        incarnation: 0,
+        config: None,
+        control_end: Offset(0),
+        weight: 255,
+        draining: false,
+        joining: false,
+        demand: Vec::new(),
+    }
+}
+
+fn message(members: Vec<Member>) -> Message {
+    Message {
+        header: header(),
+        members,
+        notices: Vec::new(),
+        loads: Vec::new(),
+    }
+}
+
+fn view(name: usize) -> View {
+    View::new(member(name, 10, 1, State::Alive), Vec::new(), 7)
+}
+
+fn state() -> impl Strategy<Value = State> {
+    prop::sample::select(vec![
+        State::Alive,
+        State::Suspect,
+        State::Leaving,
+        State::Gone,
+    ])
+}
+
+fn statements() -> impl Strategy<Value = Vec<Member>> {
+    let statement = (1usize..3, 1u64..4, 0u32..4, state());
+    let statement =
+        statement.prop_map(|(name, inc, version, state)| member(name, inc, version, state));
+    prop::collection::vec(statement, 1..20)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against nodes that disagree because statements arrived in different orders, and
+    /// against a statement of an old process that overrides one of a newer process.
+    #[test]
+    fn statements_in_any_order_converge(statements in statements(), seed in any::<u64>()) {
+        let mut shuffled = statements.clone();
+        let rotation = usize::try_from(seed % statements.len() as u64).expect("small");
+        shuffled.rotate_left(rotation);
+        shuffled.reverse();
+        let (mut one, mut other) = (view(0), view(0));
+        for statement in &statements {
+            one.receive(Millis(1), message(vec![statement.clone()]));
+        }
+        other.receive(Millis(1), message(shuffled));
+        for (name, text) in NAMES.iter().enumerate().skip(1) {
+            let newest = statements.iter().filter(|m| &*m.name == *text).max_by_key(|m| order(m));
+            for view in [&one, &other] {
+                prop_assert_eq!(view.peer(NAMES[name]).map(|p| &p.member), newest);
+            }
+        }
+    }
+
+    /// Guards against a process that accepts that it is dead, or that takes back that it is
+    /// leaving.
+    #[test]
+    fn a_process_objects_to_statements_about_itself(version in 0u32..5, state in state(), leaves: bool) {
+        let mut view = view(0);
+        if leaves {
+            view.leave();
+        }
+        let before = view.own().clone();
+        let rumour = member(0, 10, version, state);
+        view.receive(Millis(1), message(vec![rumour.clone()]));
+        prop_assert!(order(view.own()) >= order(&before));
+        if order(&rumour) > order(&before) {
+            prop_assert!(order(view.own()) > order(&rumour));
+        }
+        prop_assert_eq!(view.own().state, before.state);
+    }
+}
+
+/// Guards against a node that stays in the view although it is dead, and against one that is
+/// dropped although it objected in time.
+#[test]
+fn a_silent_node_is_suspected_then_gone_unless_it_objects() {
+    for objects in [false, true] {
+        let mut view = view(0);
+        view.receive(Millis(0), message(vec![member(1, 10, 1, State::Alive)]));
+        let target = view.tick(Millis(0)).expect("the known node is probed");
+        assert_eq!(target.address, address(7_001));
+        view.failed(Millis(0), &target);
+        assert_eq!(view.peer("n2").expect("known").member.state, State::Suspect);
+        if objects {
+            view.receive(Millis(500), message(vec![member(1, 10, 2, State::Alive)]));
+        }
+        let mut now = Millis(0);
+        while now < Millis(5_000) {
+            now += TICK;
+            view.tick(now);
+        }
+        let expected = if objects { State::Alive } else { State::Gone };
+        assert_eq!(view.peer("n2").expect("known").member.state, expected);
+        assert_eq!(view.live(), if objects { 2 } else { 1 });
+    }
+}
