Check settings as a whole, with path and position of every problem

Deserializing into the settings type stopped at the first problem and did not name the path. The document is now parsed into values with positions, and reading a field records what is wrong and goes on, so that one run reports everything, unknown keys included. A schema language was considered and dropped: the checks would stand in two places.

--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config::Config;
+use crate::document::Document;
 use crate::endpoint::{Host, State};
 use crate::node::Node;
 use crate::standin;
@@ -135,9 +136,10 @@
 fn node_settings(token_file: PathBuf) -> eyre::Result<settings::Node> {
     let text = format!(
         "name: dev\nfailure_domain: a\nlisten: {LISTEN}\nadmin: {ADMIN}\npeer: {PEER}\n\
-         log_service: {LOG}\nplatform: {PLATFORM}\ntoken_file: \"\"\n"
+         log_service: {LOG}\nplatform: {PLATFORM}\ntoken_file: set by the command line\n"
     );
-    let mut settings: settings::Node = serde_saphyr::from_str(&text)?;
+    let document = Document::parse("the built-in settings", &text)?;
+    let mut settings = settings::Node::from_document(&document)?;
     settings.token_file = token_file;
     Ok(settings)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod document;
 pub mod endpoint;
 pub mod error;
 pub mod log;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -2,14 +2,21 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use eyre::WrapErr;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::clock::Millis;
+use crate::document::{Document, Issue, Problems, Section};
+
+const BODY_LIMIT_BYTES: u64 = 1024 * 1024;
+const REQUEST_LIMIT: u64 = 4_096;
+const STALL: Millis = Millis(2_000);
+const DRAIN: Millis = Millis::from_secs(300);
+
+/// One day, the upper bound of every length of time in the settings.
+const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// Settings of a `serve` process.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Node {
     /// Unique name of the node.
     pub name: Arc<str>,
@@ -22,7 +29,6 @@
     /// Address for other nodes.
     pub peer: SocketAddr,
     /// Addresses of other nodes' `peer` ports to start from.
-    #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// Address of the log service.
     pub log_service: SocketAddr,
@@ -31,44 +37,76 @@
     /// File with the tokens of client accounts and operators.
     pub token_file: PathBuf,
     /// Largest request body in bytes.
-    #[serde(default = "default_body_limit")]
     pub body_limit_bytes: u64,
     /// Most requests in flight.
-    #[serde(default = "default_request_limit")]
     pub request_limit: usize,
-    /// Time without progress after which a connection counts as silent.
-    #[serde(default = "default_stall")]
+    /// Time without progress after which a connection counts as stalled.
     pub stall_ms: Millis,
     /// Longest time a graceful shutdown waits for open requests before it hands them over.
-    #[serde(default = "default_drain")]
     pub drain_ms: Millis,
 }
 
-fn default_body_limit() -> u64 {
-    1024 * 1024
-}
-
-fn default_request_limit() -> usize {
-    4_096
-}
-
-fn default_stall() -> Millis {
-    Millis(2_000)
-}
-
-fn default_drain() -> Millis {
-    Millis::from_secs(300)
-}
-
 impl Node {
     /// Reads and checks a settings file.
     ///
     /// # Errors
     ///
-    /// Fails when the file can't be read or has an unknown key, a missing key or a bad value.
+    /// Fails when the file can't be read, and with all problems that it has.
     pub fn load(path: &Path) -> eyre::Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .wrap_err_with(|| format!("reading the settings {}", path.display()))?;
-        serde_saphyr::from_str(&text).wrap_err_with(|| format!("in {}", path.display()))
+        Ok(Self::from_document(&Document::load(path)?)?)
+    }
+
+    /// Checks a parsed settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all problems of the document.
+    pub fn from_document(document: &Document) -> Result<Self, Problems> {
+        document.bind_checked(Self::bind, Self::validate)
+    }
+
+    fn bind(section: &Section<'_>) -> Self {
+        let address = |key: &str| {
+            // A missing address is reported, so that the placeholder is never used.
+            section
+                .parsed(key, "an address such as 10.0.0.1:7001")
+                .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+        };
+        Self {
+            name: section.text("name"),
+            failure_domain: section.text("failure_domain"),
+            listen: address("listen"),
+            admin: address("admin"),
+            peer: address("peer"),
+            seeds: section.parsed_list("seeds", "an address such as 10.0.0.1:7201"),
+            log_service: address("log_service"),
+            platform: address("platform"),
+            token_file: PathBuf::from(&*section.text("token_file")),
+            body_limit_bytes: section.integer_or(
+                "body_limit_bytes",
+                BODY_LIMIT_BYTES,
+                1..=64 * 1024 * 1024,
+            ),
+            request_limit: section.integer_or("request_limit", REQUEST_LIMIT, 1..=1_000_000)
+                as usize,
+            stall_ms: section.millis_or("stall_ms", STALL, 100..=DAY_MS),
+            drain_ms: section.millis_or("drain_ms", DRAIN, 0..=DAY_MS),
+        }
+    }
+
+    fn validate(&self) -> Vec<Issue> {
+        let mut issues = Vec::new();
+        let own = [
+            ("listen", self.listen),
+            ("admin", self.admin),
+            ("peer", self.peer),
+        ];
+        for (index, (key, address)) in own.iter().enumerate() {
+            let twin = own[..index].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = twin {
+                issues.push(Issue::new(*key, format!("the same address as `{other}`")));
+            }
+        }
+        issues
     }
 }
