--- a/src/document/document.rs
+++ b/src/document/document.rs
@@ -77,8 +77,8 @@
 
     /// As [`Document::bind`], and checks the result with `check`.
     ///
-    /// An issue of `check` at a path that has a problem already is dropped, since it speaks about
-    /// a default that the document does not contain.
+    /// An issue of `check` at a path where a problem was found, at it or below it, is dropped, since
+    /// it speaks about a default that the document does not contain.
     ///
     /// # Errors
     ///
@@ -94,7 +94,7 @@
         section.finish();
         let mut list = found.into_inner();
         for issue in check(&value) {
-            let known = |problem: &Problem| problem.issue.path == issue.path;
+            let known = |problem: &Problem| is_within(&problem.issue.path, &issue.path);
             if !list.iter().any(known) {
                 list.push(problem(self.locate(&issue.path), issue));
             }
@@ -131,6 +131,12 @@
     }
 }
 
+/// Returns whether `path` is `parent` or lies below it.
+fn is_within(path: &str, parent: &str) -> bool {
+    path.strip_prefix(parent)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
+}
+
 /// Creates a problem at a position.
 pub(super) fn problem(location: Location, issue: Issue) -> Problem {
     Problem {
