--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,3 +4,5 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod peer;
+mod relay;
