Publish through a node, and show status and dumps to operators

Operators could publish only with direct access to the log service, and nothing told them which configuration is active where. A node now accepts a publication from an operator's token and decides by reading the log whether it won; status compares the nodes; dump prints their state. The token file is reloaded when it changes, and a broken one changes nothing.

Tests: two operators race and the loser is told who won; a lost, late or doubled append publishes once; an invalid record in the log never becomes active and status shows why; a client account's token is refused.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,7 +3,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{call, check, completions, dev, generate, publish, serve};
+use super::{call, check, completions, dev, dump, generate, publish, serve, status};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -28,6 +28,8 @@
         .subcommand(generate::command())
         .subcommand(check::command())
         .subcommand(publish::command())
+        .subcommand(status::command())
+        .subcommand(dump::command())
         .subcommand(call::command())
         .subcommand(dev::command())
         .subcommand(completions::command())
@@ -73,6 +75,8 @@
         Some(("check", args)) => check::run(args),
         Some(("completions", args)) => Ok(completions::run(args)),
         Some(("publish", args)) => publish::run(args).await,
+        Some(("status", args)) => status::run(args).await,
+        Some(("dump", args)) => dump::run(args).await,
         Some(("call", args)) => call::run(args).await,
         Some(("dev", args)) => dev::run(args, json).await,
         _ => unreachable!("clap accepts only the subcommands above"),
--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -13,10 +13,9 @@
 use crate::endpoint::{Host, State};
 use crate::node::Node;
 use crate::standin;
-use crate::{log, settings, transport};
+use crate::{control, log, settings, transport};
 
 use super::logger::logger;
-use super::publish::publish;
 use super::serve::cancel_on_signal;
 
 const CONFIG: &str = include_str!("../../examples/dev/config.yaml");
@@ -94,9 +93,8 @@
         .expect("has a default");
     let node = Node::new(node_settings(file.clone())?, logger(json), token)?;
     let serving = tokio::spawn(node.run());
-    let config: Config =
-        serde_saphyr::from_str(CONFIG).wrap_err("in the built-in configuration")?;
-    publish(&log::Client::new(LOG.parse()?), "dev", config).await?;
+    let config = Config::from_document(&Document::parse("the built-in configuration", CONFIG)?)?;
+    control::publish(&log::Client::new(LOG.parse()?), "dev", None, config).await?;
     serving.await??;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,13 +1,16 @@
 //! The command line.
 
+mod admin;
 mod call;
 mod check;
 mod command;
 mod completions;
 mod dev;
+mod dump;
 mod generate;
 mod logger;
 mod publish;
 mod serve;
+mod status;
 
 pub use self::command::{command, run};
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -1,106 +1,103 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
-use eyre::bail;
-use uuid::Uuid;
+use clap::{Arg, ArgGroup, ArgMatches, Command, value_parser};
+use serde::{Deserialize, Serialize};
 
-use crate::clock::Millis;
 use crate::config::Config;
-use crate::control::{self, Fold, Outcome, Record};
-use crate::log::{self, Service as _};
+use crate::control;
+use crate::error::Error;
+use crate::log::{self, Offset};
 
-use super::command::file_arg;
+use super::admin::Operator;
+use super::command::{file_arg, format_arg, is_json};
 
-const READ_LIMIT: usize = 256;
+/// Body of `POST /admin/publish`.
+#[derive(Debug, Serialize)]
+struct Publication<'a> {
+    base: Option<Offset>,
+    config: &'a Config,
+}
+
+/// Response to `POST /admin/publish`.
+#[derive(Debug, Deserialize, Serialize)]
+struct Published {
+    version: Offset,
+}
 
 pub(super) fn command() -> Command {
     Command::new("publish")
-        .about("Publishes a configuration")
+        .about("Publishes a configuration, through a node or directly to the log service")
         .arg(file_arg("Configuration (YAML)"))
+        .args(Operator::args(false))
         .arg(
             Arg::new("log-service")
                 .long("log-service")
                 .value_name("ADDRESS")
-                .required(true)
+                .requires("operator")
                 .value_parser(value_parser!(SocketAddr))
-                .help("Address of the log service"),
+                .help("Address of the log service, to publish without a node"),
         )
         .arg(
             Arg::new("operator")
                 .long("operator")
                 .value_name("NAME")
-                .required(true)
-                .help("Name of the operator who publishes"),
+                .help("Name of the operator, when publishing without a node"),
+        )
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Version that the configuration was made from; the active one if left out"),
+        )
+        .arg(format_arg())
+        .group(
+            ArgGroup::new("target")
+                .args(["admin", "log-service"])
+                .required(true),
         )
         .after_help(
-            "Example:\n  almondpath publish config.yaml --log-service 127.0.0.1:7300 --operator ada",
+            "Examples:\n  \
+             almondpath publish config.yaml --admin 127.0.0.1:7101 --token-file operator.token\n  \
+             almondpath publish config.yaml --log-service 127.0.0.1:7300 --operator ada --base 7",
         )
 }
 
 pub(super) async fn run(args: &ArgMatches) -> eyre::Result<ExitCode> {
     let file = args.get_one::<PathBuf>("file").expect("required by clap");
-    let address = *args
-        .get_one::<SocketAddr>("log-service")
-        .expect("required by clap");
-    let operator = args
-        .get_one::<String>("operator")
-        .expect("required by clap");
     let config = Config::load(file)?;
-    let version = publish(&log::Client::new(address), operator, config).await?;
-    println!("published as version {version}");
-    Ok(ExitCode::SUCCESS)
-}
-
-/// Publishes a configuration on top of the active one and returns its version.
-pub(super) async fn publish(
-    log: &log::Client,
-    operator: &str,
-    config: Config,
-) -> eyre::Result<log::Offset> {
-    let mut fold = Fold::default();
-    read_all(log, &mut fold, None).await?;
-    let id = Uuid::new_v4();
-    let record = Record::Publish {
-        id,
-        base: fold.active().map(|active| active.version),
-        operator: operator.into(),
-        config: Box::new(config),
+    let base = args.get_one::<u64>("base").copied().map(Offset);
+    let result = match args.get_one::<SocketAddr>("log-service") {
+        Some(&address) => {
+            let operator = args
+                .get_one::<String>("operator")
+                .expect("required by clap");
+            control::publish(&log::Client::new(address), operator, base, config).await
+        }
+        None => through_node(&Operator::new(args)?, base, &config).await,
     };
-    let text: Arc<str> = serde_json::to_string(&record)?.into();
-    // Whether the append succeeded is decided by reading the stream, not by its response.
-    let _ = log.append(control::STREAM, vec![text]).await;
-    match read_all(log, &mut fold, Some(id)).await? {
-        Some((offset, Outcome::Applied)) => Ok(offset),
-        Some((_, Outcome::Rejected(reason))) => bail!("not published: {reason}"),
-        None => bail!("may have been published: the record has not appeared in the log"),
-    }
-}
-
-/// Applies the records up to the end of the stream; returns what became of the record `id`.
-async fn read_all(
-    log: &log::Client,
-    fold: &mut Fold,
-    id: Option<Uuid>,
-) -> eyre::Result<Option<(log::Offset, Outcome)>> {
-    let mut found = None;
-    loop {
-        let page = log
-            .read(control::STREAM, fold.next(), READ_LIMIT, Millis::ZERO)
-            .await?;
-        for entry in &page.records {
-            let outcome = fold.apply(entry.offset, &entry.data);
-            let record = serde_json::from_str(&entry.data);
-            if let Ok(Record::Publish { id: this, .. }) = record
-                && Some(this) == id
-            {
-                found.get_or_insert((entry.offset, outcome));
-            }
+    match result {
+        Ok(version) if is_json(args) => {
+            println!("{}", serde_json::to_string(&Published { version })?);
         }
-        if fold.next() >= page.end {
-            return Ok(found);
+        Ok(version) => println!("published as version {version}"),
+        Err(error) if is_json(args) => {
+            println!("{}", serde_json::to_string(&error)?);
+            return Ok(ExitCode::FAILURE);
         }
+        Err(error) => eyre::bail!("not known to be published: {error}"),
     }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn through_node(
+    operator: &Operator,
+    base: Option<Offset>,
+    config: &Config,
+) -> Result<Offset, Error> {
+    let body = Publication { base, config };
+    let published: Published = operator.post("/admin/publish", &body).await?;
+    Ok(published.version)
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,9 +4,11 @@
 //! other. The first record whose precondition holds wins.
 
 mod fold;
+mod publish;
 mod record;
 
 pub use self::fold::{Active, Fold, Outcome};
+pub use self::publish::publish;
 pub use self::record::Record;
 
 /// Name of the stream that holds configurations and rollouts.
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -1,20 +1,38 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use serde::Serialize;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
 
 use crate::access::Identity;
-use crate::control::Active;
+use crate::config::Config;
+use crate::control::{self, Active};
 use crate::endpoint::Endpoint;
 use crate::error::{Error, ErrorKind};
+use crate::log::Offset;
 
 use super::Node;
 use super::refusal::refusal;
 use super::request::header;
 
+/// Largest body of a published configuration.
+const MAX_CONFIG_BYTES: u64 = 1024 * 1024;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Publication {
+    base: Option<Offset>,
+    config: Config,
+}
+
+#[derive(Debug, Serialize)]
+struct Published {
+    version: Offset,
+}
+
 #[derive(Debug, Serialize)]
 struct Dump {
     node: Arc<str>,
@@ -41,20 +59,64 @@
     let dump = warp::path!("admin" / "dump")
         .and(warp::get())
         .and(warp::header::headers_cloned())
-        .and(with)
+        .and(with.clone())
+        .map(
+            |headers: HeaderMap, node: Arc<Node>| match operator(&node, &headers) {
+                Ok(_) => warp::reply::json(&node.dump()).into_response(),
+                Err(error) => refusal(&error),
+            },
+        )
+        .boxed();
+    let status = warp::path!("admin" / "status")
+        .and(warp::get())
+        .and(warp::header::headers_cloned())
+        .and(with.clone())
         .map(
             |headers: HeaderMap, node: Arc<Node>| match operator(&node, &headers) {
-                Ok(()) => warp::reply::json(&node.dump()).into_response(),
+                Ok(_) => warp::reply::json(&node.status()).into_response(),
                 Err(error) => refusal(&error),
             },
         )
         .boxed();
-    metrics.or(dump).unify().recover(recover).unify()
+    let publish = warp::path!("admin" / "publish")
+        .and(warp::post())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::content_length_limit(MAX_CONFIG_BYTES))
+        .and(warp::body::bytes())
+        .and(with)
+        .then(|headers, body: Bytes, node: Arc<Node>| async move {
+            publish(&node, &headers, &body)
+                .await
+                .unwrap_or_else(|error| refusal(&error))
+        })
+        .boxed();
+    metrics
+        .or(dump)
+        .unify()
+        .or(status)
+        .unify()
+        .or(publish)
+        .unify()
+        .recover(recover)
+        .unify()
+}
+
+async fn publish(node: &Node, headers: &HeaderMap, body: &[u8]) -> Result<Response, Error> {
+    let name = operator(node, headers)?;
+    let publication: Publication = serde_json::from_slice(body)
+        .map_err(|error| Error::not_run(ErrorKind::Malformed, format!("body: {error}")))?;
+    let Publication { base, config } = publication;
+    let version = control::publish(&node.log_service, &name, base, config).await?;
+    Ok(warp::reply::json(&Published { version }).into_response())
 }
 
-fn operator(node: &Node, headers: &HeaderMap) -> Result<(), Error> {
-    match node.access.identify(header(headers, "authorization")) {
-        Some(Identity::Operator(_)) => Ok(()),
+fn operator(node: &Node, headers: &HeaderMap) -> Result<Arc<str>, Error> {
+    match node
+        .access
+        .load()
+        .identify(header(headers, "authorization"))
+    {
+        Some(Identity::Operator(name)) => Ok(name),
         _ => Err(Error::not_run(
             ErrorKind::Unauthorized,
             "an operator's token is required",
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
-use slog::info;
+use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
 
+use crate::access::Access;
 use crate::clock::Millis;
 use crate::control::{self, Fold, Outcome};
 use crate::endpoint::{Host, Load};
@@ -26,6 +27,10 @@
         tail_control(Arc::clone(&this), token)
     });
     let this = Arc::clone(node);
+    supervisor.spawn("access", move |token| {
+        reload_access(Arc::clone(&this), token)
+    });
+    let this = Arc::clone(node);
     supervisor.spawn("hosts", move |token| poll_hosts(Arc::clone(&this), token));
     let this = Arc::clone(node);
     supervisor.spawn("load", move |token| poll_load(Arc::clone(&this), token));
@@ -47,8 +52,12 @@
             continue;
         };
         for entry in page.records {
-            if fold.apply(entry.offset, &entry.data) == Outcome::Applied {
-                node.activate(&fold);
+            match fold.apply(entry.offset, &entry.data) {
+                Outcome::Applied => node.activate(&fold),
+                Outcome::Rejected(reason) => {
+                    let reason = format!("record {}: {reason}", entry.offset);
+                    node.refused.store(Some(Arc::new(reason)));
+                }
             }
         }
     }
@@ -109,3 +118,32 @@
         () = tokio::time::sleep(POLL_INTERVAL.into()) => {}
     }
 }
+
+/// Takes over changes of the token file; a broken file changes nothing.
+async fn reload_access(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let path = &node.settings.token_file;
+    let modified = || {
+        std::fs::metadata(path)
+            .and_then(|data| data.modified())
+            .ok()
+    };
+    let mut seen = modified();
+    while !token.is_cancelled() {
+        pause(&token).await;
+        let current = modified();
+        if current == seen {
+            continue;
+        }
+        seen = current;
+        match Access::load(path) {
+            Ok(access) => {
+                info!(node.log, "token file reloaded");
+                node.access.store(Arc::new(access));
+            }
+            Err(error) => {
+                warn!(node.log, "token file not reloaded"; "reason" => format!("{error:#}"));
+            }
+        }
+    }
+    Ok(())
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,5 +8,7 @@
 mod plain;
 mod refusal;
 mod request;
+mod status;
 
 pub use self::node::Node;
+pub use self::status::Status;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use eyre::WrapErr;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{Logger, info, o};
@@ -30,8 +30,10 @@
     pub(super) settings: settings::Node,
     pub(super) clock: Clock,
     pub(super) log: Logger,
-    pub(super) access: Access,
+    pub(super) access: ArcSwap<Access>,
     pub(super) active: ArcSwapOption<Active>,
+    /// Why the last control record without effect was refused.
+    pub(super) refused: ArcSwapOption<String>,
     pub(super) endpoints: Mutex<Table>,
     pub(super) streams: Store,
     pub(super) permits: Arc<Semaphore>,
@@ -59,8 +61,9 @@
         Ok(Arc::new(Self {
             clock: Clock::system(),
             log: log.new(o!("node" => settings.name.to_string())),
-            access,
+            access: ArcSwap::from_pointee(access),
             active: ArcSwapOption::empty(),
+            refused: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             streams: Store::default(),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -57,7 +57,11 @@
 impl Node {
     /// Returns the client account of a request.
     pub(super) fn account(&self, headers: &HeaderMap) -> Result<Arc<str>, Error> {
-        match self.access.identify(header(headers, "authorization")) {
+        match self
+            .access
+            .load()
+            .identify(header(headers, "authorization"))
+        {
             Some(Identity::Account(name)) => Ok(name),
             Some(Identity::Operator(_)) => Err(Error::not_run(
                 ErrorKind::Unauthorized,
--- /dev/null
+++ b/src/node/status.rs
@@ -0,0 +1,43 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::log::Offset;
+
+use super::Node;
+
+/// What a node tells operators about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: Arc<str>,
+    /// `ready`, `starting` or `stopping`.
+    pub state: Arc<str>,
+    /// Version of the active configuration.
+    pub version: Option<Offset>,
+    /// Who published it.
+    pub operator: Option<Arc<str>>,
+    /// Why the last record that had no effect was refused, with its offset.
+    pub refused: Option<String>,
+}
+
+impl Node {
+    /// Returns the node's status.
+    pub(super) fn status(&self) -> Status {
+        let active = self.active.load_full();
+        let state = if self.token.is_cancelled() {
+            "stopping"
+        } else if active.is_some() {
+            "ready"
+        } else {
+            "starting"
+        };
+        Status {
+            node: Arc::clone(&self.settings.name),
+            state: state.into(),
+            version: active.as_ref().map(|active| active.version),
+            operator: active.as_ref().map(|active| Arc::clone(&active.operator)),
+            refused: self.refused.load().as_deref().cloned(),
+        }
+    }
+}
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -199,7 +199,13 @@
             .map_err(|error| lost(error.to_string()))
     }
 
-    async fn json<T>(&self, request: Request<Full<Bytes>>) -> Result<T, Error>
+    /// Sends a request and reads a JSON document back.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get_json`]; an error that the other side sent as a document is returned as it
+    /// is.
+    pub async fn json<T>(&self, request: Request<Full<Bytes>>) -> Result<T, Error>
     where
         T: DeserializeOwned,
     {
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -222,12 +222,19 @@
         Client::new(nodes.collect(), ACCOUNT_TOKEN.into())
     }
 
+    /// Returns the path of the nodes' token file.
+    pub(crate) fn token_file(&self) -> PathBuf {
+        self.directory.path().join("tokens.yaml")
+    }
+
     fn start_nodes(&mut self, count: usize) {
         let ports: Vec<[SocketAddr; 3]> = (0..count)
             .map(|_| [free_address(), free_address(), free_address()])
             .collect();
         let seeds: Vec<String> = ports.iter().map(|p| format!("\"{}\"", p[2])).collect();
-        let tokens = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/dev/tokens.yaml");
+        let tokens = self.token_file();
+        let source = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/dev/tokens.yaml");
+        std::fs::copy(source, &tokens).expect("the token file can be copied");
         for (index, [listen, admin, peer]) in ports.into_iter().enumerate() {
             let name = format!("node-{index}");
             let text = format!(
@@ -264,6 +271,17 @@
     }
 }
 
+/// Runs the program to its end.
+pub(crate) async fn run_program(args: &[String]) -> std::process::Output {
+    tokio::process::Command::new(env!("CARGO_BIN_EXE_almondpath"))
+        .args(args)
+        .stdin(Stdio::null())
+        .kill_on_drop(true)
+        .output()
+        .await
+        .expect("the program starts")
+}
+
 /// Starts a test double of this kind on a free address.
 pub(crate) fn double(kind: &str) -> Double {
     let address = free_address();
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,5 +4,6 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod operators;
 mod peer;
 mod relay;
--- /dev/null
+++ b/tests/integration/operators.rs
@@ -0,0 +1,164 @@
+//! Operators: publishing, status, dumps and tokens.
+
+use std::net::SocketAddr;
+use std::process::Output;
+
+use almondpath::config::Config;
+use almondpath::control;
+use almondpath::error::ErrorKind;
+use almondpath::log::{self, Offset};
+use almondpath::verdict::Verdict;
+use serde_json::Value;
+
+use crate::harness::{Cluster, eventually, run_program};
+
+const CONFIG: &str = "examples/dev/config.yaml";
+const TOKEN_FILE: &str = "examples/dev/operator.token";
+const ACCOUNT_TOKEN_FILE: &str = "examples/dev/demo.token";
+
+async fn admin(args: &[&str], addresses: &[SocketAddr], token_file: &str) -> Output {
+    let mut all: Vec<String> = args.iter().map(ToString::to_string).collect();
+    for address in addresses {
+        all.extend(["--admin".to_owned(), address.to_string()]);
+    }
+    all.extend(["--token-file".to_owned(), token_file.to_owned()]);
+    run_program(&all).await
+}
+
+/// Guards against a configuration that an operator publishes through a node and that another node
+/// does not take over, or that status does not show.
+#[tokio::test(flavor = "multi_thread")]
+async fn published_through_one_node_and_active_at_all() {
+    let cluster = Cluster::start(2, 0, 0).await;
+    let addresses: Vec<_> = cluster.nodes.iter().map(|node| node.admin).collect();
+    let published = admin(&["publish", CONFIG], &addresses[..1], TOKEN_FILE).await;
+    assert!(published.status.success(), "{published:?}");
+    eventually("both nodes have the version", async || {
+        let output = admin(&["status", "--format", "json"], &addresses, TOKEN_FILE).await;
+        let reports: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+        let version = |index: usize| reports[index]["status"]["version"].as_u64();
+        output.status.success() && version(0) == Some(1) && version(1) == Some(1)
+    })
+    .await;
+    let dump = admin(&["dump"], &addresses, TOKEN_FILE).await;
+    let dump: Value = serde_json::from_slice(&dump.stdout).expect("JSON");
+    assert_eq!(dump[addresses[1].to_string()]["active"]["operator"], "dev");
+}
+
+/// Guards against a command for operators that accepts the token of a client account.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_operators_publish_and_dump() {
+    let cluster = Cluster::start(1, 0, 0).await;
+    let addresses = [cluster.nodes[0].admin];
+    for args in [&["publish", CONFIG][..], &["dump"], &["status"]] {
+        let output = admin(args, &addresses, ACCOUNT_TOKEN_FILE).await;
+        assert_eq!(output.status.code(), Some(1), "{args:?}: {output:?}");
+    }
+    let log = log::Client::new(cluster.log.address);
+    let read = log::Service::read(&log, control::STREAM, Offset(0), 10, Default::default());
+    assert_eq!(read.await.expect("the log answers").end, Offset(1));
+}
+
+/// Guards against a lost update when two operators publish at the same time, and against a loser
+/// who isn't told who won.
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators() {
+    let cluster = Cluster::start(0, 0, 0).await;
+    let log = log::Client::new(cluster.log.address);
+    let config = Config::load(CONFIG.as_ref()).expect("a sound configuration");
+    let base = Some(Offset(0));
+    let (ada, bola) = tokio::join!(
+        control::publish(&log, "ada", base, config.clone()),
+        control::publish(&log, "bola", base, config.clone()),
+    );
+    let (winner, error) = match (&ada, &bola) {
+        (Ok(_), Err(error)) => ("ada", error),
+        (Err(error), Ok(_)) => ("bola", error),
+        both => panic!("one of them wins: {both:?}"),
+    };
+    assert_eq!(error.kind(), ErrorKind::Conflict);
+    assert_eq!(error.verdict(), Verdict::NotRun);
+    assert!(error.message().contains(winner), "{error}");
+}
+
+/// Guards against a publication that is reported as failed, or applied twice, when the log's
+/// response to the append is lost, late or doubled.
+#[tokio::test(flavor = "multi_thread")]
+async fn published_once_when_the_append_is_in_doubt() {
+    let faults = [
+        serde_json::json!({ "lose_responses": 1 }),
+        serde_json::json!({ "late_ms": 300 }),
+        serde_json::json!({ "duplicate": 1 }),
+    ];
+    let config = Config::load(CONFIG.as_ref()).expect("a sound configuration");
+    for (index, faults) in faults.into_iter().enumerate() {
+        let cluster = Cluster::start(0, 0, 0).await;
+        cluster
+            .set_faults(cluster.log.address, faults.clone())
+            .await;
+        let log = log::Client::new(cluster.log.address);
+        let version = control::publish(&log, "ada", None, config.clone()).await;
+        assert_eq!(version, Ok(Offset(1)), "case {index}: {faults}");
+    }
+}
+
+/// Guards against an invalid configuration in the log: neither publishing nor reading accepts it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_configuration_is_never_active() {
+    let cluster = Cluster::start(1, 0, 0).await;
+    let log = log::Client::new(cluster.log.address);
+    let mut config = Config::load(CONFIG.as_ref()).expect("a sound configuration");
+    config.routes[0].service = "nowhere".into();
+    let error = control::publish(&log, "ada", None, config.clone())
+        .await
+        .expect_err("it is not valid");
+    assert_eq!(error.kind(), ErrorKind::Malformed);
+
+    let record = control::Record::Publish {
+        id: uuid::Uuid::new_v4(),
+        base: Some(Offset(0)),
+        operator: "ada".into(),
+        config: Box::new(config),
+    };
+    let text = serde_json::to_string(&record).expect("it serializes");
+    let appended = log::Service::append(&log, control::STREAM, vec![text.into()]).await;
+    assert_eq!(appended, Ok(Offset(1)));
+    let address = cluster.nodes[0].admin;
+    eventually("the node tells why it refused the record", async || {
+        let output = admin(&["status", "--format", "json"], &[address], TOKEN_FILE).await;
+        let reports: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+        let status = &reports[0]["status"];
+        let refused = status["refused"].as_str().unwrap_or_default();
+        status["version"] == 0 && refused.contains("routes[0].service")
+    })
+    .await;
+}
+
+/// Guards against a node that has to restart for a new token, and against a broken token file that
+/// locks everybody out.
+#[tokio::test(flavor = "multi_thread")]
+async fn tokens_are_reloaded() {
+    let cluster = Cluster::start(1, 0, 0).await;
+    let new_token = cluster.directory.path().join("new.token");
+    std::fs::write(&new_token, "second-token").expect("the file can be written");
+    let new_token = new_token.to_str().expect("a UTF-8 path");
+    let address = [cluster.nodes[0].admin];
+    let accepted = async |file: &str| admin(&["status"], &address, file).await.status.success();
+
+    std::fs::write(cluster.token_file(), "operators: {ada: second-token}\n").expect("written");
+    eventually("the new token is accepted", async || {
+        accepted(new_token).await
+    })
+    .await;
+    assert!(
+        !accepted(TOKEN_FILE).await,
+        "the old token is still accepted"
+    );
+
+    std::fs::write(cluster.token_file(), "operators: [broken").expect("written");
+    tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
+    assert!(
+        accepted(new_token).await,
+        "a broken token file changed the tokens"
+    );
+}
