--- a/src/control/fold.rs
+++ b/src/control/fold.rs
@@ -28,7 +28,7 @@
 }
 
 /// State of the `control` stream up to an offset.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Fold {
     next: Offset,
     active: Option<Active>,
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,5 +1,6 @@
 //! The endpoints of all services, and the protocol spoken with model engines.
 
+mod departures;
 mod endpoint;
 mod generate;
 mod table;
--- a/src/endpoint/table.rs
+++ b/src/endpoint/table.rs
@@ -4,7 +4,9 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::clock::Millis;
+use crate::membership::{self, Notice, short_hash};
 
+use super::departures::Departures;
 use super::{Endpoint, Host, Load, State};
 
 new_key_type! {
@@ -17,11 +19,15 @@
 pub struct Table {
     endpoints: SlotMap<Key, Endpoint>,
     by_host: HashMap<Arc<str>, Key>,
+    by_hash: HashMap<u32, Key>,
+    departures: Departures,
 }
 
 impl Table {
     /// Takes over a host list: adds new hosts, updates known ones and drops the others.
-    pub fn update(&mut self, hosts: Vec<Host>) {
+    ///
+    /// Returns the endpoints that it newly says to be leaving.
+    pub fn update(&mut self, hosts: Vec<Host>) -> Vec<Notice> {
         let listed: HashSet<Arc<str>> = hosts.iter().map(|h| Arc::clone(&h.host)).collect();
         self.by_host.retain(|host, key| {
             let keep = listed.contains(host);
@@ -30,20 +36,24 @@
             }
             keep
         });
+        let endpoints = &self.endpoints;
+        self.by_hash.retain(|_, key| endpoints.contains_key(*key));
+        let mut notices = Vec::new();
         for host in hosts {
+            let leaving = (host.state == State::Leaving).then(|| Arc::clone(&host.host));
             self.upsert(host);
+            notices.extend(leaving.and_then(|name| self.leave(&name)));
         }
+        notices
     }
 
     fn upsert(&mut self, host: Host) {
-        let leaving = host.state == State::Leaving;
         if let Some(&key) = self.by_host.get(&host.host) {
-            let endpoint = &mut self.endpoints[key];
-            endpoint.leaving |= leaving;
-            endpoint.host = host;
+            self.endpoints[key].host = host;
             return;
         }
         let name = Arc::clone(&host.host);
+        let leaving = self.departures.contains(&name, 0);
         let key = self.endpoints.insert(Endpoint {
             host,
             load: Load::default(),
@@ -51,16 +61,73 @@
             in_flight: 0,
             leaving,
         });
+        self.by_hash.insert(short_hash(&name), key);
         self.by_host.insert(name, key);
     }
 
-    /// Records a load report.
-    pub fn report(&mut self, key: Key, load: Load, now: Millis) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.leaving |= load.leaving;
-            endpoint.load = load;
-            endpoint.loaded_at = now;
+    /// Marks the present process of a host as leaving, and returns the notice if this is new.
+    pub fn leave(&mut self, host: &Arc<str>) -> Option<Notice> {
+        let endpoint = self.by_host.get(host).map(|key| &self.endpoints[*key]);
+        let notice = Notice {
+            host: Arc::clone(host),
+            incarnation: endpoint.map_or(0, |e| e.load.incarnation),
+        };
+        self.note(&notice).then_some(notice)
+    }
+
+    /// Takes over a notice, and returns whether it was new.
+    ///
+    /// The mark stays for as long as the process lives, whatever later host lists say.
+    pub fn note(&mut self, notice: &Notice) -> bool {
+        let Some(&key) = self.by_host.get(&notice.host) else {
+            return self.departures.insert(&notice.host, notice.incarnation);
+        };
+        let endpoint = &mut self.endpoints[key];
+        let known = endpoint.load.incarnation;
+        let incarnation = match (notice.incarnation, known) {
+            (0, known) => known,
+            (named, _) => named,
+        };
+        // As long as the process is not known, the notice is taken to be about it.
+        endpoint.leaving |= known == 0 || incarnation == known;
+        self.departures.insert(&notice.host, incarnation)
+    }
+
+    /// Takes over a load report of an endpoint, and returns the notice if the report newly says
+    /// that it is leaving.
+    pub fn report(&mut self, key: Key, load: Load, now: Millis) -> Option<Notice> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        let host = Arc::clone(&endpoint.host.host);
+        if endpoint.load.incarnation != load.incarnation {
+            if endpoint.load.incarnation == 0 {
+                self.departures.bind(&host, load.incarnation);
+            }
+            // The marks are about the process before, unless they name this one.
+            endpoint.leaving = self.departures.contains(&host, load.incarnation)
+                || endpoint.host.state == State::Leaving;
+        }
+        let leaving = load.leaving;
+        endpoint.load = load;
+        endpoint.loaded_at = now;
+        leaving.then(|| self.leave(&host)).flatten()
+    }
+
+    /// Takes over a load report that another node read.
+    ///
+    /// Returns false when the endpoint or its process is not known here, so that it has to be
+    /// asked itself.
+    pub fn relayed(&mut self, load: &membership::Load, now: Millis) -> bool {
+        let Some(&key) = self.by_hash.get(&load.host) else {
+            return false;
+        };
+        let endpoint = &mut self.endpoints[key];
+        if endpoint.load.incarnation & 0xff != u64::from(load.incarnation) {
+            return false;
         }
+        endpoint.load.running = u32::from(load.running);
+        endpoint.load.queued = u32::from(load.queued);
+        endpoint.loaded_at = now;
+        true
     }
 
     /// Counts a request that starts (`true`) or ends at an endpoint.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! and an explicit clock; drivers around them do the I/O.
 
 pub mod access;
+pub mod addressing;
 pub mod cli;
 pub mod client;
 pub mod clock;
@@ -16,6 +17,7 @@
 pub mod membership;
 pub mod node;
 pub mod peer;
+pub mod platform;
 pub mod questionnaire;
 pub mod settings;
 pub mod standin;
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -75,6 +75,16 @@
     }
 }
 
+/// Returns the hash that stands for a name in messages.
+#[must_use]
+#[allow(
+    clippy::cast_possible_truncation,
+    reason = "the low half of the hash is as good as the high one"
+)]
+pub fn short_hash(name: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
+}
+
 /// A load report of an endpoint as nodes pass it on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Load {
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -12,12 +12,14 @@
 mod outbox;
 mod peer;
 mod queue;
+mod rates;
 mod roster;
 mod schedule;
 mod seen;
 mod view;
 
-pub use self::message::{Demand, Header, Load, Member, Message, Notice, State};
+pub use self::message::{Demand, Header, Load, Member, Message, Notice, State, short_hash};
 pub use self::peer::Peer;
+pub use self::rates::Rates;
 pub use self::schedule::Target;
 pub use self::view::{Received, TICK, View};
--- /dev/null
+++ b/src/membership/rates.rs
@@ -0,0 +1,69 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+
+use super::{Demand, short_hash};
+
+/// Time after which a request has lost most of its weight in the rate.
+const WINDOW: Millis = Millis(5_000);
+
+/// Client accounts in one message; those with the highest rates.
+const MAX_DEMANDS: usize = 8;
+
+/// Accounts that are counted; further ones are not.
+const MAX_ACCOUNTS: usize = 1_024;
+
+/// Rate at which callers of each client account ask for work.
+#[derive(Clone, Debug, Default)]
+pub struct Rates {
+    accounts: HashMap<Arc<str>, Rate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    per_second: f64,
+    at: Millis,
+}
+
+impl Rate {
+    fn at(self, now: Millis) -> f64 {
+        self.per_second * (-(now - self.at).as_f64() / WINDOW.as_f64()).exp()
+    }
+}
+
+impl Rates {
+    /// Counts a request of `cost` units.
+    pub fn count(&mut self, account: &Arc<str>, cost: f64, now: Millis) {
+        if self.accounts.len() >= MAX_ACCOUNTS && !self.accounts.contains_key(account) {
+            return;
+        }
+        let zero = Rate {
+            per_second: 0.0,
+            at: now,
+        };
+        let rate = self.accounts.entry(Arc::clone(account)).or_insert(zero);
+        *rate = Rate {
+            per_second: rate.at(now) + cost * 1_000.0 / WINDOW.as_f64(),
+            at: now,
+        };
+    }
+
+    /// Returns the highest rates.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, reason = "a rate needs few digits")]
+    pub fn demand(&self, now: Millis) -> Vec<Demand> {
+        let mut demand: Vec<_> = self
+            .accounts
+            .iter()
+            .map(|(account, rate)| Demand {
+                account: short_hash(account),
+                rate: rate.at(now) as f32,
+            })
+            .filter(|demand| demand.rate > 0.01)
+            .collect();
+        demand.sort_by(|a, b| b.rate.total_cmp(&a.rate));
+        demand.truncate(MAX_DEMANDS);
+        demand
+    }
+}
--- a/src/membership/schedule.rs
+++ b/src/membership/schedule.rs
@@ -41,6 +41,8 @@
     ring: Vec<Arc<str>>,
     last_domain: Option<Arc<str>>,
     hints: Vec<SocketAddr>,
+    /// Hints that were never probed.
+    untried: Vec<SocketAddr>,
     ticks: u32,
     relays: Bucket,
 }
@@ -51,10 +53,12 @@
             ring: Vec::new(),
             last_domain: None,
             hints: Vec::new(),
+            untried: Vec::new(),
             ticks: 0,
             relays: Bucket::new(RELAY_BURST, RELAYS_PER_SECOND),
         };
         schedule.hint(hints);
+        schedule.untried.reverse();
         schedule
     }
 
@@ -66,6 +70,7 @@
         for address in addresses {
             if !self.hints.contains(&address) && self.hints.len() < MAX_HINTS {
                 self.hints.push(address);
+                self.untried.push(address);
             }
         }
     }
@@ -73,6 +78,9 @@
     /// Returns the node to probe in this tick.
     pub(super) fn next(&mut self, roster: &Roster, rng: &mut SmallRng) -> Option<Target> {
         self.ticks = self.ticks.wrapping_add(1);
+        if let Some(target) = self.untried(roster) {
+            return Some(target);
+        }
         if (roster.live() == 1 || self.ticks.is_multiple_of(HINT_TICKS))
             && let Some(target) = self.unknown(roster, rng)
         {
@@ -81,6 +89,25 @@
         self.known(roster, rng)
     }
 
+    /// Returns a hint that was never probed, in every second tick.
+    ///
+    /// Nodes that start at the same time would otherwise form groups that know only each other
+    /// until [`HINT_TICKS`] have passed.
+    fn untried(&mut self, roster: &Roster) -> Option<Target> {
+        if self.ticks.is_multiple_of(2) {
+            return None;
+        }
+        while let Some(address) = self.untried.pop() {
+            if address != roster.own.peer && !roster.is_live_at(address) {
+                return Some(Target {
+                    address,
+                    name: None,
+                });
+            }
+        }
+        None
+    }
+
     /// Returns a hint at which no live node is known; a few random picks are enough.
     fn unknown(&self, roster: &Roster, rng: &mut SmallRng) -> Option<Target> {
         for _ in 0..DOMAIN_CANDIDATES {
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -293,3 +293,29 @@
         }
     }
 }
+
+/// Demand of other nodes.
+impl View {
+    /// Estimates the rate at which callers of an account ask all other nodes for work.
+    ///
+    /// A node hears from six others a second, so that in a large deployment it knows a sample, of
+    /// which the mean is taken for all. Headers older than `max_age` do not count.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "numbers of nodes")]
+    pub fn demand(&self, account: u32, now: Millis, max_age: Millis) -> f64 {
+        let heard = self.peers().filter(|peer| {
+            let heard = peer.heard_at.is_some_and(|at| now - at <= max_age);
+            heard && peer.member.state != State::Gone
+        });
+        let (mut total, mut count) = (0.0, 0);
+        for header in heard.filter_map(|peer| peer.header.as_ref()) {
+            let demand = header.demand.iter().find(|d| d.account == account);
+            total += demand.map_or(0.0, |d| f64::from(d.rate));
+            count += 1;
+        }
+        if count == 0 {
+            return 0.0;
+        }
+        total / f64::from(count) * (self.live() - 1) as f64
+    }
+}
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -13,6 +13,7 @@
 use crate::endpoint::Endpoint;
 use crate::error::{Error, ErrorKind};
 use crate::log::Offset;
+use crate::membership::{Member, Peer};
 
 use super::Node;
 use super::refusal::refusal;
@@ -39,6 +40,8 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    own: Member,
+    peers: Vec<Peer>,
 }
 
 /// Returns the HTTP interface for operators.
@@ -126,8 +129,14 @@
 
 impl Node {
     fn dump(&self) -> Dump {
+        let (own, peers) = {
+            let view = self.cluster.view();
+            (view.own().clone(), view.peers().cloned().collect())
+        };
         let endpoints = self.endpoints.lock().expect("endpoints lock");
         Dump {
+            own,
+            peers,
             node: Arc::clone(&self.settings.name),
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
--- /dev/null
+++ b/src/node/answers.rs
@@ -0,0 +1,42 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+use crate::error::{Error, ErrorKind};
+use crate::membership::Message;
+use crate::peer;
+
+use super::Node;
+
+/// Answers calls of other nodes.
+pub(super) struct Answers {
+    pub(super) node: Arc<Node>,
+}
+
+#[async_trait]
+impl peer::Handler for Answers {
+    async fn probe(&self, _: SocketAddr, message: Message) -> Result<Message, Error> {
+        if message.header.protocol == 0 {
+            return Err(Error::not_run(
+                ErrorKind::Malformed,
+                "the probe names no protocol version",
+            ));
+        }
+        Ok(self.node.answer_probe(message))
+    }
+
+    async fn config(&self, _: Bytes) -> Result<Bytes, Error> {
+        let control = self.node.cluster.control.lock().expect("control lock");
+        if control.active().is_none() {
+            return Err(Error::not_run(
+                ErrorKind::NotFound,
+                "this node has no configuration yet",
+            ));
+        }
+        serde_json::to_vec(&*control)
+            .map(Bytes::from)
+            .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))
+    }
+}
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -7,7 +7,10 @@
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::addressing;
+use crate::clock::Millis;
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
 
@@ -15,13 +18,15 @@
 use super::request::Request;
 use super::{Node, model, plain};
 
-/// Time for which a caller may keep an address response.
-const ADDRESS_TTL_MS: u64 = 2_000;
-
 #[derive(Debug, Serialize)]
 struct Addresses {
     addresses: Vec<Address>,
-    ttl_ms: u64,
+    ttl_ms: Millis,
+}
+
+#[derive(Debug, Deserialize)]
+struct Caller {
+    session: Option<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -49,8 +54,9 @@
     let with = warp::any().map(move || Arc::clone(&node));
     let addresses = warp::path!("v1" / "addresses")
         .and(warp::get())
+        .and(warp::query())
         .and(with.clone())
-        .map(|node: Arc<Node>| addresses(&node))
+        .map(|caller: Caller, node: Arc<Node>| addresses(&node, caller.session.as_deref()))
         .boxed();
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
@@ -95,13 +101,18 @@
         .unify()
 }
 
-fn addresses(node: &Node) -> Response {
+fn addresses(node: &Node, session: Option<&str>) -> Response {
+    let key = session.map_or_else(rand::random, |session| xxh3_64(session.as_bytes()));
+    let ranked = addressing::rank(node.cluster.candidates(node.weight()), key);
     let body = Addresses {
-        addresses: vec![Address {
-            address: node.settings.listen.to_string(),
-            domain: Arc::clone(&node.settings.failure_domain),
-        }],
-        ttl_ms: ADDRESS_TTL_MS,
+        addresses: ranked
+            .into_iter()
+            .map(|candidate| Address {
+                address: candidate.address.to_string(),
+                domain: candidate.domain,
+            })
+            .collect(),
+        ttl_ms: addressing::TTL,
     };
     warp::reply::json(&body).into_response()
 }
@@ -112,6 +123,7 @@
         let permit = Arc::clone(&node.permits).try_acquire_owned().map_err(|_| {
             Error::not_run(ErrorKind::Overloaded, "too many requests are in flight")
         })?;
+        node.count_demand(&request.account);
         let service = request.active.config.service(&request.route.service);
         match service.map(|service| service.kind) {
             Some(Kind::Model) => model::call(&node, request, permit),
@@ -141,7 +153,8 @@
 }
 
 fn ready(node: &Node) -> Response {
-    if node.active.load().is_some() && !node.token.is_cancelled() {
+    let serves = !node.token.is_cancelled() && !node.cluster.is_leaving();
+    if serves && node.active.load().is_some() {
         return "ready\n".into_response();
     }
     warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE).into_response()
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
@@ -6,13 +7,12 @@
 use crate::access::Access;
 use crate::clock::Millis;
 use crate::control::{self, Fold, Outcome};
-use crate::endpoint::{Host, Load};
 use crate::log::Service as _;
 use crate::supervisor::Supervisor;
 
-use super::Node;
+use super::{Node, gossip, polls};
 
-/// Time between two reads of the host list and of the endpoints' load.
+/// Time between two looks at the token file, and after a failed read of the log.
 const POLL_INTERVAL: Millis = Millis(500);
 
 /// Longest time that one read of the `control` stream waits for a record.
@@ -31,14 +31,20 @@
         reload_access(Arc::clone(&this), token)
     });
     let this = Arc::clone(node);
-    supervisor.spawn("hosts", move |token| poll_hosts(Arc::clone(&this), token));
+    supervisor.spawn("hosts", move |token| polls::hosts(Arc::clone(&this), token));
     let this = Arc::clone(node);
-    supervisor.spawn("load", move |token| poll_load(Arc::clone(&this), token));
+    supervisor.spawn("notices", move |token| {
+        polls::notices(Arc::clone(&this), token)
+    });
+    let this = Arc::clone(node);
+    supervisor.spawn("load", move |token| polls::load(Arc::clone(&this), token));
+    let this = Arc::clone(node);
+    supervisor.spawn("gossip", move |token| gossip::run(Arc::clone(&this), token));
 }
 
 async fn tail_control(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
-    let mut fold = Fold::default();
     while !token.is_cancelled() {
+        let mut fold = node.control();
         let page = node
             .log_service
             .read(control::STREAM, fold.next(), TAIL_LIMIT, TAIL_WAIT);
@@ -48,70 +54,35 @@
         };
         let Ok(page) = page else {
             metrics::counter!("almondpath_log_read_failures_total").increment(1);
-            tokio::time::sleep(POLL_INTERVAL.into()).await;
+            pause(&token).await;
             continue;
         };
+        let gap = page.earliest > fold.next();
+        node.cluster.gap.store(gap, Ordering::SeqCst);
+        if gap {
+            // Records in between have expired; another node may know their effect.
+            metrics::counter!("almondpath_log_gaps_total").increment(1);
+            pause(&token).await;
+            continue;
+        }
         for entry in page.records {
-            match fold.apply(entry.offset, &entry.data) {
-                Outcome::Applied => node.activate(&fold),
-                Outcome::Rejected(reason) => {
-                    let reason = format!("record {}: {reason}", entry.offset);
-                    node.refused.store(Some(Arc::new(reason)));
-                }
+            if let Outcome::Rejected(reason) = fold.apply(entry.offset, &entry.data) {
+                let reason = format!("record {}: {reason}", entry.offset);
+                node.refused.store(Some(Arc::new(reason)));
             }
         }
+        node.adopt(&fold);
     }
     Ok(())
 }
 
 impl Node {
-    fn activate(&self, fold: &Fold) {
-        if let Some(active) = fold.active() {
-            info!(self.log, "configuration active"; "version" => active.version.0);
-            self.active.store(Some(Arc::new(active.clone())));
-        }
+    /// Returns the newest known state of the `control` stream.
+    fn control(&self) -> Fold {
+        self.cluster.control.lock().expect("control lock").clone()
     }
 }
 
-async fn poll_hosts(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
-    while !token.is_cancelled() {
-        let hosts = node
-            .http
-            .get_json::<Vec<Host>>(node.settings.platform, "/hosts");
-        if let Ok(hosts) = hosts.await {
-            node.endpoints.lock().expect("endpoints lock").update(hosts);
-        }
-        pause(&token).await;
-    }
-    Ok(())
-}
-
-async fn poll_load(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
-    while !token.is_cancelled() {
-        let targets: Vec<_> = {
-            let endpoints = node.endpoints.lock().expect("endpoints lock");
-            endpoints
-                .iter()
-                .map(|(key, e)| (key, e.host.address))
-                .collect()
-        };
-        let reads = targets.into_iter().map(|(key, address)| {
-            let node = Arc::clone(&node);
-            async move {
-                let load = node.http.get_json::<Load>(address, "/load").await;
-                if let Ok(load) = load {
-                    let now = node.clock.now();
-                    let mut endpoints = node.endpoints.lock().expect("endpoints lock");
-                    endpoints.report(key, load, now);
-                }
-            }
-        });
-        futures::future::join_all(reads).await;
-        pause(&token).await;
-    }
-    Ok(())
-}
-
 async fn pause(token: &CancellationToken) {
     tokio::select! {
         () = token.cancelled() => {}
--- /dev/null
+++ b/src/node/cluster.rs
@@ -0,0 +1,133 @@
+use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Mutex, MutexGuard, OnceLock};
+
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::addressing::Candidate;
+use crate::clock::{Clock, Millis};
+use crate::control::Fold;
+use crate::membership::{Member, Rates, State, View};
+use crate::peer;
+use crate::platform;
+use crate::settings;
+
+use super::Node;
+
+/// What a node shares with the other nodes.
+#[derive(Debug)]
+pub(super) struct Cluster {
+    view: Mutex<View>,
+    handle: OnceLock<peer::Handle>,
+    /// The newest state of the `control` stream, from the log or from another node.
+    pub(super) control: Mutex<Fold>,
+    /// Whether the `control` state is being fetched from another node.
+    pub(super) fetching: AtomicBool,
+    /// Whether the log no longer has the next record of the `control` stream.
+    pub(super) gap: AtomicBool,
+    /// Demand of the callers of this node.
+    pub(super) rates: Mutex<Rates>,
+    /// Endpoints whose process is not known, by the hash of their host's name.
+    pub(super) unread: Mutex<HashMap<u32, Millis>>,
+    pub(super) platform: platform::Http,
+    reclaim: watch::Sender<Option<Millis>>,
+    /// Cancelled when the connections to other nodes close, after open calls are complete.
+    pub(super) token: CancellationToken,
+}
+
+impl Cluster {
+    pub(super) fn new(settings: &settings::Node, clock: &Clock) -> Self {
+        let own = Member {
+            name: settings.name.clone(),
+            domain: settings.failure_domain.clone(),
+            peer: settings.peer,
+            listen: settings.listen,
+            incarnation: incarnation(clock.wall()),
+            version: 0,
+            state: State::Alive,
+        };
+        let seeds = settings.seeds.clone();
+        Self {
+            view: Mutex::new(View::new(own, seeds, rand::random())),
+            handle: OnceLock::new(),
+            control: Mutex::default(),
+            fetching: AtomicBool::new(false),
+            gap: AtomicBool::new(false),
+            rates: Mutex::default(),
+            unread: Mutex::default(),
+            platform: platform::Http::new(settings.platform),
+            reclaim: watch::Sender::new(None),
+            token: CancellationToken::new(),
+        }
+    }
+
+    /// Locks the view; never held across an await.
+    pub(super) fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().expect("view lock")
+    }
+
+    /// Returns the connections to other nodes; none before the node runs.
+    pub(super) fn handle(&self) -> Option<&peer::Handle> {
+        self.handle.get()
+    }
+
+    pub(super) fn connect(&self, handle: peer::Handle) {
+        // A node runs once, so that the cell is empty.
+        let _ = self.handle.set(handle);
+    }
+
+    /// Returns whether this process announced that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.view().own().state == State::Leaving
+    }
+
+    /// Takes over a notice about this host, and returns whether it is the first.
+    pub(super) fn reclaimed(&self, left: Millis) -> bool {
+        self.reclaim.send_if_modified(|known| {
+            let first = known.is_none();
+            *known = known.or(Some(left));
+            first
+        })
+    }
+
+    /// Returns the nodes that callers may use, this one first unless it is leaving.
+    pub(super) fn candidates(&self, weight: u8) -> Vec<Candidate> {
+        let view = self.view();
+        let own = view.own();
+        let mut candidates = Vec::new();
+        if own.state == State::Alive {
+            candidates.push(candidate(own, weight));
+        }
+        candidates.extend(view.available().map(|peer| {
+            let weight = peer.header.as_ref().map_or(u8::MAX, |h| h.weight);
+            candidate(&peer.member, weight)
+        }));
+        candidates
+    }
+}
+
+impl Node {
+    /// Returns a receiver of the time left until this host is reclaimed, once a notice names it.
+    pub fn reclaim(&self) -> watch::Receiver<Option<Millis>> {
+        self.cluster.reclaim.subscribe()
+    }
+}
+
+fn candidate(member: &Member, weight: u8) -> Candidate {
+    Candidate {
+        name: member.name.clone(),
+        address: member.listen,
+        domain: member.domain.clone(),
+        weight,
+    }
+}
+
+/// Bits of an incarnation below the time.
+const RANDOM_BITS: u32 = 20;
+
+/// Returns the number of a process: its start time, so that a later process of the same name wins,
+/// and a random part.
+fn incarnation(wall: Millis) -> u64 {
+    (wall.0 << RANDOM_BITS) | rand::random_range(0..1 << RANDOM_BITS)
+}
--- /dev/null
+++ b/src/node/gossip.rs
@@ -0,0 +1,249 @@
+//! The driver of [`membership`](crate::membership): probes, and what their answers change.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use slog::{info, warn};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+use crate::config::FORMAT;
+use crate::control::{Active, Fold};
+use crate::log::Offset;
+use crate::membership::{Header, Message, Received, TICK, Target};
+use crate::peer;
+
+use super::Node;
+
+/// Most probes that wait for an answer; a stalled node keeps one for up to 2 s.
+const MAX_PROBES: usize = 16;
+
+/// Time for which a node that ends waits until others know that it is leaving.
+const FAREWELL: Millis = Millis(300);
+
+/// Probes other nodes until the process ends, and then tells them that it is leaving.
+pub(super) async fn run(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let mut ticks = tokio::time::interval(TICK.into());
+    // After a pause of the process, missed probes are not made up for.
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut probes = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => break,
+            Some(_) = probes.join_next() => continue,
+            _ = ticks.tick() => {}
+        }
+        let target = node.cluster.view().tick(node.clock.now());
+        if let Some(target) = target
+            && probes.len() < MAX_PROBES
+        {
+            probes.spawn(probe(Arc::clone(&node), target));
+        }
+    }
+    node.announce();
+    tokio::time::sleep(FAREWELL.into()).await;
+    Ok(())
+}
+
+async fn probe(node: Arc<Node>, target: Target) {
+    let Some(handle) = node.cluster.handle() else {
+        return;
+    };
+    let header = node.header();
+    let message = {
+        let mut view = node.cluster.view();
+        view.message(node.clock.now(), target.name.as_deref(), header)
+    };
+    match handle.probe(target.address, message).await {
+        Ok(answer) => {
+            let facts = Facts::of(&answer);
+            let received = {
+                let mut view = node.cluster.view();
+                view.answered(node.clock.now(), answer)
+            };
+            node.take(received, facts);
+        }
+        Err(_) => {
+            metrics::counter!("almondpath_probe_failures_total").increment(1);
+            node.cluster.view().failed(node.clock.now(), &target);
+        }
+    }
+}
+
+/// What a header says about the `control` stream.
+#[derive(Clone, Copy)]
+struct Facts {
+    config: Option<Offset>,
+    control_end: Offset,
+}
+
+impl Facts {
+    fn of(message: &Message) -> Self {
+        Self {
+            config: message.header.config,
+            control_end: message.header.control_end,
+        }
+    }
+}
+
+/// Messages.
+impl Node {
+    /// Answers a probe.
+    pub(super) fn answer_probe(self: &Arc<Self>, message: Message) -> Message {
+        let facts = Facts::of(&message);
+        let (from, joining) = (message.header.incarnation, message.header.joining);
+        let header = self.header();
+        let now = self.clock.now();
+        let (received, answer) = {
+            let mut view = self.cluster.view();
+            let received = view.receive(now, message);
+            (received, view.answer(now, from, joining, header))
+        };
+        self.take(received, facts);
+        answer
+    }
+
+    fn header(&self) -> Header {
+        let now = self.clock.now();
+        let control_end = self.cluster.control.lock().expect("control lock").next();
+        Header {
+            protocol: peer::PROTOCOL,
+            format: u16::try_from(FORMAT).unwrap_or(u16::MAX),
+            // The view fills in what it knows itself.
+            incarnation: 0,
+            joining: false,
+            config: self.active.load().as_ref().map(|active| active.version),
+            control_end,
+            weight: self.weight(),
+            draining: self.token.is_cancelled(),
+            demand: self.cluster.rates.lock().expect("rates lock").demand(now),
+        }
+    }
+
+    /// Counts a request of a client account.
+    pub(super) fn count_demand(&self, account: &Arc<str>) {
+        let mut rates = self.cluster.rates.lock().expect("rates lock");
+        rates.count(account, 1.0, self.clock.now());
+    }
+
+    /// Returns the weight in address responses, in few steps, so that sessions stay at their nodes.
+    pub(super) fn weight(&self) -> u8 {
+        let limit = self.settings.request_limit.max(1);
+        match self.permits.available_permits() * 100 / limit {
+            50.. => 255,
+            25..50 => 128,
+            5..25 => 64,
+            _ => 0,
+        }
+    }
+
+    fn take(self: &Arc<Self>, received: Received, facts: Facts) {
+        let now = self.clock.now();
+        {
+            let mut endpoints = self.endpoints.lock().expect("endpoints lock");
+            for notice in &received.notices {
+                if endpoints.note(notice) {
+                    info!(self.log, "endpoint is leaving"; "host" => notice.host.to_string());
+                }
+            }
+            let mut unread = self.cluster.unread.lock().expect("unread lock");
+            for load in &received.loads {
+                if !endpoints.relayed(load, now) {
+                    unread.entry(load.host).or_insert(now);
+                }
+            }
+        }
+        if received.urgent {
+            self.relay();
+        }
+        if let Some(sender) = received.sender
+            && self.is_behind(facts)
+        {
+            self.fetch_control(sender);
+        }
+    }
+
+    /// Tells a node in each failure domain about an urgent update.
+    pub(super) fn relay(self: &Arc<Self>) {
+        let targets = self.cluster.view().relays(self.clock.now());
+        for target in targets {
+            tokio::spawn(probe(Arc::clone(self), target));
+        }
+    }
+
+    /// Tells the other nodes that this process is leaving.
+    pub(super) fn announce(self: &Arc<Self>) {
+        self.cluster.view().leave();
+        self.relay();
+    }
+}
+
+/// The `control` stream as other nodes know it.
+impl Node {
+    fn is_behind(&self, facts: Facts) -> bool {
+        let active = self.active.load().as_ref().map(|active| active.version);
+        // The end alone does not tell, because the log delivers the same records in a moment,
+        // unless they have expired there.
+        let end = self.cluster.control.lock().expect("control lock").next();
+        let gap = self.cluster.gap.load(Ordering::SeqCst);
+        facts.config > active || (gap && facts.control_end > end)
+    }
+
+    fn fetch_control(self: &Arc<Self>, from: std::net::SocketAddr) {
+        let Some(handle) = self.cluster.handle().cloned() else {
+            return;
+        };
+        if self.cluster.fetching.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            match handle.fetch_config::<_, Fold>(from, &()).await {
+                Ok(fold) => node.adopt(&fold),
+                Err(error) => {
+                    warn!(node.log, "fetching the configuration failed"; "reason" => %error);
+                }
+            }
+            node.cluster.fetching.store(false, Ordering::SeqCst);
+        });
+    }
+
+    /// Takes over a state of the `control` stream if it is newer than the one known.
+    ///
+    /// States of the same stream agree up to the shorter one's end, so that the version of the
+    /// active configuration only increases.
+    pub(super) fn adopt(self: &Arc<Self>, fold: &Fold) {
+        let mut control = self.cluster.control.lock().expect("control lock");
+        if fold.next() <= control.next() {
+            return;
+        }
+        if let Some(active) = fold.active()
+            && let Err(reason) = self.check(active)
+        {
+            // The active configuration stays.
+            self.refused.store(Some(Arc::new(reason)));
+            return;
+        }
+        *control = fold.clone();
+        let Some(active) = fold.active() else { return };
+        let known = self.active.load().as_ref().map(|known| known.version);
+        if Some(active.version) <= known {
+            return;
+        }
+        info!(self.log, "configuration active"; "version" => active.version.0);
+        self.active.store(Some(Arc::new(active.clone())));
+        drop(control);
+        self.relay();
+    }
+
+    fn check(&self, active: &Active) -> Result<(), String> {
+        if active.config.format > FORMAT {
+            return Err(format!("format {} is not known", active.config.format));
+        }
+        match active.config.validate().first() {
+            Some(issue) => Err(format!("{}: {}", issue.path, issue.message)),
+            None => Ok(()),
+        }
+    }
+}
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -14,11 +14,14 @@
 use crate::control::Active;
 use crate::endpoint::Table;
 use crate::log;
+use crate::peer;
 use crate::settings;
 use crate::stream::Store;
 use crate::supervisor::Supervisor;
 use crate::transport;
 
+use super::answers::Answers;
+use super::cluster::Cluster;
 use super::{admin, api, background};
 
 /// Time within which an endpoint has to send its response headers.
@@ -41,6 +44,7 @@
     pub(super) log_service: log::Client,
     pub(super) metrics: PrometheusHandle,
     pub(super) token: CancellationToken,
+    pub(super) cluster: Cluster,
 }
 
 impl Node {
@@ -58,8 +62,10 @@
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .wrap_err("installing the metrics recorder")?;
+        let clock = Clock::system();
         Ok(Arc::new(Self {
-            clock: Clock::system(),
+            cluster: Cluster::new(&settings, &clock),
+            clock,
             log: log.new(o!("node" => settings.name.to_string())),
             access: ArcSwap::from_pointee(access),
             active: ArcSwapOption::empty(),
@@ -83,6 +89,7 @@
     pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
         let callers = bind(self.settings.listen).await?;
         let operators = bind(self.settings.admin).await?;
+        self.listen_to_peers()?;
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
@@ -92,9 +99,24 @@
         let api =
             transport::Server::new(callers).run(api::filter(Arc::clone(&self)), self.token.clone());
         tokio::join!(admin, api, supervisor.join());
+        self.cluster.token.cancel();
         info!(self.log, "stopped");
         Ok(())
     }
+
+    fn listen_to_peers(self: &Arc<Self>) -> eyre::Result<()> {
+        let answers = Answers {
+            node: Arc::clone(self),
+        };
+        let handle = peer::spawn(
+            self.settings.peer,
+            Arc::new(answers),
+            self.settings.stall_ms,
+            self.cluster.token.clone(),
+        )?;
+        self.cluster.connect(handle);
+        Ok(())
+    }
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- /dev/null
+++ b/src/node/polls.rs
@@ -0,0 +1,314 @@
+//! Reads of the platform and of the endpoints' load reports.
+//!
+//! At the design size 370 nodes can't each read everything within 2 KB/s: one poll of a load report
+//! takes about 80 bytes out and 220 in, and a host list of 970 hosts 155 KB. Considered for the
+//! load reports: every node polls every endpoint (600 polls, 180 KB/s); every node polls a fixed
+//! part of the endpoints and uses only those (gives up cached prefixes on the others); two pollers
+//! per endpoint and reports passed on in probes, which is what is done. It costs each node 3.2
+//! polls a second at most at 370 nodes and 600 endpoints, limited to 2 by [`POLLS_PER_SECOND`] and
+//! [`MAX_POLL_INTERVAL`], thus 160 bytes/s out and 440 in, and 160 bytes/s of passed-on reports.
+//! With 8 nodes and 13 endpoints the same rule reads each endpoint about 1.2 times a second.
+//!
+//! The host list and the notices are read by every node at times that are spread at random, so that
+//! all nodes together read each about four times a second whatever their number, and a signal that
+//! one of them sees is passed on at once.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use slog::info;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::clock::Millis;
+use crate::endpoint::{Key, Load, Table};
+use crate::membership::{self, Notice, short_hash};
+use crate::platform::{Cloud as _, HostList as _};
+
+use super::Node;
+
+/// Nodes that poll the load report of an endpoint. With two, the report is still read when one of
+/// them dies, until the others notice.
+const POLLERS: usize = 2;
+
+/// Polls of load reports that a node makes in a second, as far as [`MAX_POLL_INTERVAL`] allows.
+const POLLS_PER_SECOND: u64 = 2;
+
+/// A report may be the first signal that an endpoint is leaving, which has to reach all nodes
+/// within 3 s, so that it is never read less often.
+const MAX_POLL_INTERVAL: Millis = Millis(1_500);
+const MIN_POLL_INTERVAL: Millis = Millis(500);
+
+/// Time between two looks at which endpoints are due.
+const LOOK_INTERVAL: Millis = Millis(100);
+
+/// Endpoints that are read at once although other nodes poll them, because their process is not
+/// known here.
+const UNREAD_PER_LOOK: usize = 2;
+
+/// Reads of the host list, and of the notices, by all nodes together.
+const READS_PER_SECOND: u64 = 4;
+
+/// Shortest time between two reads of one node.
+const MIN_READ_INTERVAL: Millis = Millis(500);
+
+/// Bytes per second of host lists that a node reads.
+const LIST_BYTES_PER_SECOND: u64 = 1_024;
+
+/// Bytes of one host in the list.
+const HOST_BYTES: u64 = 160;
+
+/// Nodes up to which the load reports of all endpoints are passed on.
+const SMALL: usize = 16;
+
+/// Reads the host list.
+pub(super) async fn hosts(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    while !token.is_cancelled() {
+        let mut bytes = 0;
+        match node.cluster.platform.hosts().await {
+            Ok(hosts) => {
+                bytes = hosts.len() as u64 * HOST_BYTES;
+                let notices = {
+                    let mut endpoints = node.endpoints.lock().expect("endpoints lock");
+                    endpoints.update(hosts)
+                };
+                node.pass_on(notices);
+                node.choose_passed_on();
+            }
+            Err(_) => count_failure("hosts"),
+        }
+        node.pause(&token, bytes).await;
+    }
+    Ok(())
+}
+
+/// Reads the cloud API's notices.
+pub(super) async fn notices(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    while !token.is_cancelled() {
+        match node.cluster.platform.notices().await {
+            Ok(reclaims) => {
+                let mut notices = Vec::new();
+                for reclaim in reclaims {
+                    if reclaim.host == node.settings.name {
+                        node.reclaimed(reclaim.deadline_ms);
+                        continue;
+                    }
+                    let mut endpoints = node.endpoints.lock().expect("endpoints lock");
+                    notices.extend(endpoints.leave(&reclaim.host));
+                }
+                node.pass_on(notices);
+            }
+            Err(_) => count_failure("notices"),
+        }
+        node.pause(&token, 0).await;
+    }
+    Ok(())
+}
+
+/// Polls the load reports of the endpoints for which this node is responsible.
+pub(super) async fn load(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let mut due: HashMap<Key, Millis> = HashMap::new();
+    while !token.is_cancelled() {
+        let now = node.clock.now();
+        for (key, address) in node.due(&mut due, now) {
+            let node = Arc::clone(&node);
+            tokio::spawn(async move { node.poll(key, address).await });
+        }
+        tokio::select! {
+            () = token.cancelled() => {}
+            () = tokio::time::sleep(LOOK_INTERVAL.into()) => {}
+        }
+    }
+    Ok(())
+}
+
+fn count_failure(what: &'static str) {
+    metrics::counter!("almondpath_platform_read_failures_total", "what" => what).increment(1);
+}
+
+/// Returns the nodes that poll an endpoint: the first of the same failure domain, if there is one,
+/// and the first of all others by rendezvous hashing.
+fn pollers<'a>(host: &str, domain: &str, nodes: &'a [(Arc<str>, Arc<str>)]) -> Vec<&'a Arc<str>> {
+    let mut ranked: Vec<_> = nodes
+        .iter()
+        .map(|(name, of)| {
+            let hash = xxh3_64_with_seed(name.as_bytes(), u64::from(short_hash(host)));
+            (hash, name, &**of == domain)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(hash, name, _)| (std::cmp::Reverse(*hash), *name));
+    let near = ranked.iter().position(|(_, _, near)| *near);
+    if let Some(near) = near {
+        let first = ranked.remove(near);
+        ranked.insert(0, first);
+    }
+    ranked
+        .iter()
+        .take(POLLERS)
+        .map(|(_, name, _)| *name)
+        .collect()
+}
+
+/// Endpoints that are leaving.
+impl Node {
+    /// Passes notices on to the other nodes.
+    fn pass_on(self: &Arc<Self>, notices: Vec<Notice>) {
+        if notices.is_empty() {
+            return;
+        }
+        {
+            let mut view = self.cluster.view();
+            for notice in notices {
+                info!(self.log, "endpoint is leaving"; "host" => notice.host.to_string());
+                view.notice(notice);
+            }
+        }
+        self.relay();
+    }
+
+    /// Takes over a notice that this host will be reclaimed.
+    fn reclaimed(self: &Arc<Self>, left: Millis) {
+        if self.cluster.reclaimed(left) {
+            info!(self.log, "this host will be reclaimed"; "left" => left.0);
+            self.announce();
+        }
+    }
+}
+
+/// Load reports.
+impl Node {
+    /// Returns the endpoints to poll now, and sets when they are due again.
+    fn due(&self, due: &mut HashMap<Key, Millis>, now: Millis) -> Vec<(Key, SocketAddr)> {
+        let nodes = self.node_names();
+        let endpoints = self.endpoints.lock().expect("endpoints lock");
+        due.retain(|key, _| endpoints.get(*key).is_some());
+        let own = &self.settings.name;
+        let (mine, others): (Vec<_>, Vec<_>) = endpoints
+            .iter()
+            .partition(|(_, e)| pollers(&e.host.host, &e.host.domain, &nodes).contains(&own));
+        let paced = Millis(mine.len() as u64 * 1_000 / POLLS_PER_SECOND);
+        let interval = paced.clamp(MIN_POLL_INTERVAL, MAX_POLL_INTERVAL);
+        let mut targets = Vec::new();
+        for (key, endpoint) in mine {
+            // The first poll is at a random time, so that two pollers and many endpoints spread.
+            let at = due.entry(key).or_insert_with(|| {
+                let first = if endpoint.load.incarnation == 0 {
+                    0
+                } else {
+                    interval.0
+                };
+                now + Millis(rand::rng().random_range(0..=first))
+            });
+            if *at <= now {
+                *at = now + interval;
+                targets.push((key, endpoint.host.address));
+            }
+        }
+        targets.extend(self.unread(&others, due, now, interval));
+        targets
+    }
+
+    /// Returns a few endpoints whose process other nodes know and this one does not.
+    fn unread(
+        &self,
+        others: &[(Key, &crate::endpoint::Endpoint)],
+        due: &mut HashMap<Key, Millis>,
+        now: Millis,
+        interval: Millis,
+    ) -> Vec<(Key, SocketAddr)> {
+        let mut unread = self.cluster.unread.lock().expect("unread lock");
+        let mut targets = Vec::new();
+        for (key, endpoint) in others {
+            if targets.len() == UNREAD_PER_LOOK {
+                break;
+            }
+            let hash = short_hash(&endpoint.host.host);
+            let wanted = endpoint.load.incarnation == 0 || unread.contains_key(&hash);
+            if wanted && due.get(key).is_none_or(|at| *at <= now) {
+                unread.remove(&hash);
+                due.insert(*key, now + interval);
+                targets.push((*key, endpoint.host.address));
+            }
+        }
+        if others.is_empty() {
+            unread.clear();
+        }
+        targets
+    }
+
+    async fn poll(self: Arc<Self>, key: Key, address: SocketAddr) {
+        let load = self.http.get_json::<Load>(address, "/load").await;
+        let Ok(load) = load else {
+            metrics::counter!("almondpath_load_poll_failures_total").increment(1);
+            return;
+        };
+        let (notice, passed_on) = {
+            let mut endpoints = self.endpoints.lock().expect("endpoints lock");
+            let passed_on = passed_on(&endpoints, key, &load);
+            (endpoints.report(key, load, self.clock.now()), passed_on)
+        };
+        if let Some(load) = passed_on {
+            self.cluster.view().load(load);
+        }
+        self.pass_on(notice.into_iter().collect());
+    }
+
+    /// Chooses the endpoints whose load reports are passed on.
+    fn choose_passed_on(&self) {
+        let mut view = self.cluster.view();
+        let all = view.live() <= SMALL;
+        let endpoints = self.endpoints.lock().expect("endpoints lock");
+        let hosts: HashSet<u32> = endpoints
+            .iter()
+            .filter(|(_, e)| all || e.host.domain == self.settings.failure_domain)
+            .map(|(_, e)| short_hash(&e.host.host))
+            .collect();
+        view.pass_on(hosts);
+    }
+
+    fn node_names(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let view = self.cluster.view();
+        let own = view.own();
+        let mut nodes = vec![(Arc::clone(&own.name), Arc::clone(&own.domain))];
+        nodes.extend(view.available().map(|peer| {
+            let member = &peer.member;
+            (Arc::clone(&member.name), Arc::clone(&member.domain))
+        }));
+        nodes
+    }
+
+    /// Waits until the next read of something that has `bytes`.
+    async fn pause(&self, token: &CancellationToken, bytes: u64) {
+        let nodes = self.cluster.view().live() as u64;
+        let shared = nodes * 1_000 / READS_PER_SECOND;
+        // One node alone reads at least once a second, whatever the size.
+        let sized = (bytes * 1_000 / LIST_BYTES_PER_SECOND).min(nodes * 1_000);
+        let interval = shared.max(sized).max(MIN_READ_INTERVAL.0);
+        let jittered = rand::rng().random_range(interval / 2..=interval * 3 / 2);
+        tokio::select! {
+            () = token.cancelled() => {}
+            () = tokio::time::sleep(Millis(jittered).into()) => {}
+        }
+    }
+}
+
+/// Returns what other nodes need of a load report, if it says something new.
+fn passed_on(endpoints: &Table, key: Key, load: &Load) -> Option<membership::Load> {
+    let endpoint = endpoints.get(key)?;
+    let known = &endpoint.load;
+    let same = (known.incarnation, known.running, known.queued)
+        == (load.incarnation, load.running, load.queued);
+    if same {
+        return None;
+    }
+    let clamp = |count: u32| u8::try_from(count).unwrap_or(u8::MAX);
+    Some(membership::Load {
+        host: short_hash(&endpoint.host.host),
+        incarnation: load.incarnation.to_le_bytes()[0],
+        seq: load.seq.to_le_bytes()[0],
+        running: clamp(load.running),
+        queued: clamp(load.queued),
+    })
+}
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -5,7 +5,9 @@
 use warp::http::StatusCode;
 use warp::{Filter, Reply};
 
+use crate::clock::Millis;
 use crate::endpoint::Host;
+use crate::platform::Reclaim;
 
 use super::reply;
 
@@ -15,6 +17,14 @@
 pub struct PlatformFaults {
     /// Refuses every request.
     pub down: bool,
+    /// Refuses reads of the host list.
+    pub hosts_down: bool,
+    /// Refuses reads of the notices.
+    pub notices_down: bool,
+    /// Time that every request takes.
+    pub delay_ms: Millis,
+    /// Time after which a change of the host list becomes visible.
+    pub lag_ms: Millis,
     /// Refuses to start hosts.
     pub refuse_starts: bool,
 }
@@ -23,6 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Platform {
     hosts: Arc<Mutex<Vec<Host>>>,
+    notices: Arc<Mutex<Vec<Reclaim>>>,
     faults: Arc<Mutex<PlatformFaults>>,
 }
 
@@ -32,11 +43,12 @@
     pub fn new(hosts: Vec<Host>) -> Self {
         Self {
             hosts: Arc::new(Mutex::new(hosts)),
+            notices: Arc::default(),
             faults: Arc::default(),
         }
     }
 
-    /// Returns the HTTP interface; `PUT /hosts` replaces the host list.
+    /// Returns the HTTP interface; `PUT /hosts` and `PUT /notices` replace what is listed.
     pub fn filter(
         &self,
     ) -> impl Filter<Extract = (impl Reply + use<>,), Error = Infallible>
@@ -50,14 +62,31 @@
         let list = warp::path!("hosts")
             .and(warp::get())
             .and(with.clone())
-            .map(|this: Self| this.list())
+            .then(|this: Self| async move {
+                let faults = this.enter().await;
+                this.list(faults.down || faults.hosts_down, &this.hosts)
+            })
             .boxed();
         let replace = warp::path!("hosts")
             .and(warp::put())
             .and(warp::body::json())
             .and(with.clone())
-            .map(|hosts: Vec<Host>, this: Self| {
-                *this.hosts.lock().expect("hosts lock") = hosts;
+            .map(|hosts: Vec<Host>, this: Self| this.replace_hosts(hosts))
+            .boxed();
+        let notices = warp::path!("notices")
+            .and(warp::get())
+            .and(with.clone())
+            .then(|this: Self| async move {
+                let faults = this.enter().await;
+                this.list(faults.down || faults.notices_down, &this.notices)
+            })
+            .boxed();
+        let replace_notices = warp::path!("notices")
+            .and(warp::put())
+            .and(warp::body::json())
+            .and(with.clone())
+            .map(|notices: Vec<Reclaim>, this: Self| {
+                *this.notices.lock().expect("notices lock") = notices;
                 reply(StatusCode::OK, &serde_json::json!({}))
             })
             .boxed();
@@ -71,6 +100,10 @@
             })
             .boxed();
         list.or(replace)
+            .unify()
+            .or(notices)
+            .unify()
+            .or(replace_notices)
             .unify()
             .or(faults)
             .unify()
@@ -78,10 +111,33 @@
             .unify()
     }
 
-    fn list(&self) -> Result<super::Answer, Infallible> {
-        if self.faults.lock().expect("faults lock").down {
+    async fn enter(&self) -> PlatformFaults {
+        let faults = self.faults.lock().expect("faults lock").clone();
+        tokio::time::sleep(faults.delay_ms.into()).await;
+        faults
+    }
+
+    fn list<T>(&self, down: bool, items: &Mutex<Vec<T>>) -> Result<super::Answer, Infallible>
+    where
+        T: Serialize,
+    {
+        if down {
             return super::unavailable();
         }
-        reply(StatusCode::OK, &*self.hosts.lock().expect("hosts lock"))
+        reply(StatusCode::OK, &*items.lock().expect("list lock"))
+    }
+
+    fn replace_hosts(&self, hosts: Vec<Host>) -> Result<super::Answer, Infallible> {
+        let lag = self.faults.lock().expect("faults lock").lag_ms;
+        let list = Arc::clone(&self.hosts);
+        if lag == Millis::ZERO {
+            *list.lock().expect("hosts lock") = hosts;
+        } else {
+            tokio::spawn(async move {
+                tokio::time::sleep(lag.into()).await;
+                *list.lock().expect("hosts lock") = hosts;
+            });
+        }
+        reply(StatusCode::OK, &serde_json::json!({}))
     }
 }
--- /dev/null
+++ b/tests/integration/config_spread.rs
@@ -0,0 +1,137 @@
+//! An accepted configuration becomes active on all nodes and never reverts, with and without the
+//! log.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::harness::{Cluster, Node};
+use crate::relay::{Mode, Relay};
+
+const NODES: usize = 8;
+
+/// Time within which a configuration is active everywhere.
+const BOUND: Duration = Duration::from_secs(8);
+
+const CONFIG: &str = "examples/dev/config.yaml";
+
+/// Nodes that each reach the log through a relay of their own.
+struct Setup {
+    cluster: Cluster,
+    relays: Vec<Relay>,
+}
+
+impl Setup {
+    async fn start() -> Self {
+        let mut cluster = Cluster::start(0, 0, 0).await;
+        let mut relays = Vec::new();
+        for _ in 0..NODES {
+            let relay = Relay::start(cluster.log.address).await;
+            cluster.add_node(relay.address);
+            relays.push(relay);
+        }
+        for node in &cluster.nodes {
+            cluster.await_ready(node).await;
+        }
+        Self { cluster, relays }
+    }
+
+    async fn version(&self, node: &Node) -> Option<u64> {
+        self.cluster.dump(node).await?["active"]["version"].as_u64()
+    }
+
+    /// Waits until all nodes have the version; no node may show an older one than before.
+    async fn await_version(&self, expected: u64, what: &str) {
+        let started = Instant::now();
+        let mut seen = [None; NODES];
+        while seen.iter().any(|version| *version != Some(expected)) {
+            for (node, seen) in self.cluster.nodes.iter().zip(&mut seen) {
+                let version = self.version(node).await;
+                assert!(
+                    version.is_none() || version >= *seen,
+                    "{} reverted: {what}",
+                    node.name
+                );
+                *seen = version.or(*seen);
+            }
+            assert!(
+                started.elapsed() < BOUND,
+                "{what}: {seen:?}, expected {expected}"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        println!("{what}: active everywhere after {:?}", started.elapsed());
+    }
+
+    fn freeze(&self, nodes: std::ops::Range<usize>, mode: Mode) {
+        for relay in &self.relays[nodes] {
+            relay.set(mode);
+        }
+    }
+
+    async fn log_faults(&self, faults: serde_json::Value) {
+        let log = self.cluster.log.address;
+        self.cluster.set_faults(log, faults).await;
+    }
+}
+
+/// Guards against a node that misses a configuration because it can't read the log itself, and
+/// against a node that goes back to an older one after a restart or a pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn active_everywhere_and_never_reverted() {
+    let mut setup = Setup::start().await;
+    setup.await_version(0, "first start").await;
+
+    setup.cluster.publish(CONFIG).await;
+    setup.await_version(1, "all connected").await;
+
+    setup.freeze(7..8, Mode::FreezeAll);
+    setup.cluster.publish(CONFIG).await;
+    setup
+        .await_version(2, "one node cut off from the log")
+        .await;
+
+    // All but the first node are cut off; the first one as soon as it has read the record.
+    setup.freeze(1..NODES, Mode::FreezeAll);
+    setup.cluster.publish(CONFIG).await;
+    while setup.version(&setup.cluster.nodes[0]).await != Some(3) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    setup.freeze(0..1, Mode::FreezeAll);
+    setup
+        .await_version(3, "all cut off after one has read it")
+        .await;
+
+    setup.cluster.restart_node(5);
+    setup.await_version(3, "restart while cut off").await;
+    setup.cluster.await_ready(&setup.cluster.nodes[5]).await;
+
+    // The node that has to learn from others after its pause is the one that read the log before.
+    setup.cluster.nodes[0].process.signal(libc::SIGSTOP);
+    setup.freeze(1..2, Mode::Pass);
+    setup.cluster.publish(CONFIG).await;
+    while setup.version(&setup.cluster.nodes[1]).await != Some(4) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    setup.log_faults(json!({"down": true})).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    setup.cluster.nodes[0].process.signal(libc::SIGCONT);
+    setup
+        .await_version(4, "an old process resumed with the log down")
+        .await;
+}
+
+/// Guards against a node that takes what is left of an expired log for the whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_survives_expired_records() {
+    let mut cluster = Cluster::start(2, 0, 0).await;
+    cluster
+        .set_faults(cluster.log.address, json!({"keep": 1}))
+        .await;
+    // This expires the record that the new one is based on.
+    cluster.publish(CONFIG).await;
+    cluster.restart_node(1);
+    cluster.await_ready(&cluster.nodes[1]).await;
+    let dump = cluster.dump(&cluster.nodes[1]).await.expect("a dump");
+    assert_eq!(dump["active"]["version"], 1);
+}
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -260,6 +260,74 @@
         }
     }
 
+    /// Starts one more node that reads the log at `log_service` and knows the nodes so far.
+    pub(crate) fn add_node(&mut self, log_service: SocketAddr) {
+        let index = self.nodes.len();
+        let name = format!("node-{index}");
+        let [listen, admin, peer] = [free_address(), free_address(), free_address()];
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .map(|n| format!("\"{}\"", n.peer))
+            .collect();
+        let text = format!(
+            "name: {name}\nfailure_domain: {}\nlisten: {listen}\nadmin: {admin}\n\
+             peer: {peer}\nseeds: [{}]\nlog_service: {log_service}\nplatform: {}\n\
+             token_file: {}\n",
+            domain(index),
+            seeds.join(", "),
+            self.platform.address,
+            self.token_file().display(),
+        );
+        let settings = self.directory.path().join(format!("{name}.yaml"));
+        std::fs::write(&settings, text).expect("the settings can be written");
+        let process = Process::start(&["serve", settings.to_str().expect("a UTF-8 path")]);
+        self.nodes.push(Node {
+            name,
+            listen,
+            admin,
+            peer,
+            settings,
+            process,
+        });
+    }
+
+    /// Kills a node and starts it again with the same settings.
+    pub(crate) fn restart_node(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.process.kill();
+        let settings = node.settings.to_str().expect("a UTF-8 path");
+        node.process = Process::start(&["serve", settings]);
+    }
+
+    /// Returns the state dump of a node; none when it does not answer.
+    pub(crate) async fn dump(&self, node: &Node) -> Option<Value> {
+        let mut request = self
+            .http
+            .request(Method::GET, node.admin, "/admin/dump", Bytes::new())
+            .expect("a valid request");
+        let token = format!("Bearer {OPERATOR_TOKEN}");
+        let token = token.parse().expect("a valid header");
+        request.headers_mut().insert("authorization", token);
+        let response = self.http.send(request).await.ok()?;
+        let body = self.http.body(response).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Replaces the platform's reclaim notices.
+    pub(crate) async fn put_notices(&self, hosts: &[&str]) {
+        let notices = hosts
+            .iter()
+            .map(|host| serde_json::json!({"host": host, "deadline_ms": 30_000}));
+        let body = Value::Array(notices.collect()).to_string();
+        let request = self
+            .http
+            .request(Method::PUT, self.platform.address, "/notices", body.into())
+            .expect("a valid request");
+        let response = self.http.send(request).await.expect("the platform answers");
+        assert!(response.status().is_success());
+    }
+
     async fn await_doubles(&self) {
         let all = [&self.log, &self.platform];
         for double in all.into_iter().chain(&self.engines).chain(&self.plains) {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one file per feature.
 
 mod broken_files;
+mod config_spread;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
--- a/tests/integration/membership.rs
+++ b/tests/integration/membership.rs
@@ -6,7 +6,8 @@
 use almondpath::log::Offset;
 use almondpath::membership::{Header, Member, Message, State, TICK, View};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+
+use crate::harness::seeded;
 
 const NAMES: [&str; 3] = ["n1", "n2", "n3"];
 
@@ -82,11 +83,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(seeded(256))]
 
     /// Guards against nodes that disagree because statements arrived in different orders, and
     /// against a statement of an old process that overrides one of a newer process.
@@ -152,3 +149,27 @@
         assert_eq!(view.live(), if objects { 2 } else { 1 });
     }
 }
+
+/// Guards against nodes that start together and form groups which know only each other for longer
+/// than it takes to probe all seeds.
+#[test]
+fn every_seed_is_probed_soon_although_other_nodes_are_known() {
+    let seeds: Vec<_> = (8_000..8_007).map(address).collect();
+    let mut view = View::new(member(0, 10, 1, State::Alive), seeds.clone(), 7);
+    view.receive(Millis(0), message(vec![member(1, 10, 1, State::Alive)]));
+    let ticks = 2 * u64::try_from(seeds.len()).expect("a small number");
+    let probed: Vec<_> = (0..ticks)
+        .filter_map(|tick| view.tick(Millis(tick * TICK.0)))
+        .map(|target| target.address)
+        .collect();
+    for seed in seeds {
+        assert!(
+            probed.contains(&seed),
+            "{seed} was not probed in {ticks} ticks"
+        );
+    }
+    assert!(
+        probed.contains(&address(7_001)),
+        "the known node was not probed"
+    );
+}
