Fold the calls streams with at-most-once rules

Non-idempotent calls were sent without any record, so two nodes could execute the same key. This adds the pure fold of the calls streams and the pure queue that numbers a writer's records.

Considered: a set of seen sequence numbers per writer against one number per writer. One number suffices because a writer has one append in flight, and it also cancels an append that was given up once a later one was read. The fold reads no clock: accept and void records carry a horizon, and keys at or below it never have an effect, so readers agree whatever their settings. A dispatch record carries the digest, because a body that lost its accept could otherwise win the dispatch after a release.

--- /dev/null
+++ b/src/ledger/checkpoint.rs
@@ -0,0 +1,92 @@
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::log::{Offset, writer};
+
+use super::{Entry, Fold, Key};
+
+/// Entries in one part, which bounds the size of a record.
+const PART_ENTRIES: usize = 512;
+
+/// Stored response bytes in one part, after which the next part begins.
+const PART_BYTES: usize = 128 * 1024;
+
+/// One of the records that together hold the state as of an offset.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The state includes the records before this offset.
+    pub through: Offset,
+    /// Number of this part, from 0.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// Keys made at or before this time are forgotten.
+    pub horizon: Millis,
+    /// For each writer its highest applied sequence number and latest time; in part 0 only.
+    pub writers: Vec<(u64, u64, Millis)>,
+    /// Entries in key order.
+    pub entries: Vec<(Key, Entry)>,
+}
+
+impl Part {
+    /// Splits the state of a fold into parts.
+    #[must_use]
+    pub fn split(fold: &Fold) -> Vec<Self> {
+        let mut groups: Vec<Vec<(Key, Entry)>> = vec![Vec::new()];
+        let mut bytes = 0;
+        for (key, entry) in fold.entries() {
+            let last = groups.last().map_or(0, Vec::len);
+            if last >= PART_ENTRIES || bytes >= PART_BYTES {
+                groups.push(Vec::new());
+                bytes = 0;
+            }
+            bytes += entry.size();
+            if let Some(group) = groups.last_mut() {
+                group.push((*key, entry.clone()));
+            }
+        }
+        let parts = u32::try_from(groups.len()).unwrap_or(u32::MAX);
+        (0..)
+            .zip(groups)
+            .map(|(part, entries)| Self {
+                through: fold.next(),
+                part,
+                parts,
+                horizon: fold.horizon(),
+                writers: if part == 0 {
+                    fold.writers().collect()
+                } else {
+                    Vec::new()
+                },
+                entries,
+            })
+            .collect()
+    }
+}
+
+/// Collects the parts of checkpoints that a reader without state passes.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    current: Option<(u64, Offset)>,
+    parts: BTreeMap<u32, Part>,
+}
+
+impl Assembly {
+    /// Adds a part; returns the state once all parts of one checkpoint are there.
+    ///
+    /// Only the newest checkpoint is collected, which bounds the memory; parts of one checkpoint
+    /// are written in one append and therefore follow each other.
+    pub fn add(&mut self, writer: writer::Key, part: Part) -> Option<Fold> {
+        let id = (writer.incarnation, part.through);
+        if self.current != Some(id) {
+            self.current = Some(id);
+            self.parts.clear();
+        }
+        let wanted = part.parts as usize;
+        self.parts.insert(part.part, part);
+        (self.parts.len() == wanted)
+            .then(|| Fold::restore(std::mem::take(&mut self.parts).into_values()))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod endpoint;
 pub mod error;
+pub mod ledger;
 pub mod log;
 pub mod node;
 pub mod settings;
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod page;
 mod service;
+pub mod writer;
 
 pub use self::client::Client;
 pub use self::page::{Append, Entry, Offset, Page, Receipt};
--- /dev/null
+++ b/tests/integration/ledger.rs
@@ -0,0 +1,476 @@
+//! The fold of the `calls-*` streams under arbitrary order, loss, delay and repetition.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use almondpath::clock::Millis;
+use almondpath::ledger::{
+    Action, Assembly, Digest, Effect, Fold, Key, Order, Outcome, Part, Plan, Record, State,
+};
+use almondpath::log::Offset;
+use almondpath::log::writer::{Group, Queue, Resolved, Stamp};
+use proptest::prelude::*;
+
+const NOW: Millis = Millis(1_900_000_000_000);
+const WINDOW: Millis = Millis(600_000);
+const KEYS: u64 = 3;
+const WRITERS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start {
+        writer: usize,
+        key: u64,
+        body: u8,
+    },
+    Refuse {
+        writer: usize,
+        key: u64,
+        body: u8,
+    },
+    Append {
+        writer: usize,
+        fate: Fate,
+    },
+    DeliverLate {
+        index: usize,
+        again: bool,
+    },
+    Read {
+        writer: usize,
+        records: usize,
+        refused: bool,
+    },
+    GiveUp {
+        writer: usize,
+    },
+    Finish {
+        writer: usize,
+    },
+    Checkpoint {
+        writer: usize,
+    },
+    Restart {
+        writer: usize,
+    },
+}
+
+/// What the log service does with an append.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Done,
+    Twice,
+    ResponseLost,
+    Late,
+    Lost,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let writer = 0..WRITERS;
+    let fate = prop_oneof![
+        4 => Just(Fate::Done),
+        1 => Just(Fate::Twice),
+        1 => Just(Fate::ResponseLost),
+        2 => Just(Fate::Late),
+        1 => Just(Fate::Lost),
+    ];
+    prop_oneof![
+        4 => (writer.clone(), 0..KEYS, 0..2_u8)
+            .prop_map(|(writer, key, body)| Step::Start { writer, key, body }),
+        1 => (writer.clone(), 0..KEYS, 0..2_u8)
+            .prop_map(|(writer, key, body)| Step::Refuse { writer, key, body }),
+        5 => (writer.clone(), fate).prop_map(|(writer, fate)| Step::Append { writer, fate }),
+        2 => (any::<usize>(), any::<bool>())
+            .prop_map(|(index, again)| Step::DeliverLate { index, again }),
+        6 => (writer.clone(), 1..6_usize, prop::bool::weighted(0.2))
+            .prop_map(|(writer, records, refused)| Step::Read { writer, records, refused }),
+        1 => writer.clone().prop_map(|writer| Step::GiveUp { writer }),
+        2 => writer.clone().prop_map(|writer| Step::Finish { writer }),
+        1 => writer.clone().prop_map(|writer| Step::Checkpoint { writer }),
+        1 => writer.prop_map(|writer| Step::Restart { writer }),
+    ]
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    key: Key,
+    digest: Digest,
+    void: bool,
+}
+
+struct Writer {
+    queue: Queue<Action, Waiter>,
+    fold: Fold,
+    /// Keys whose next permission to send comes too late.
+    gave_up: BTreeSet<Key>,
+    /// Calls that were sent, with the number of the `dispatch` record.
+    sent: Vec<(Key, u64)>,
+}
+
+#[derive(Default)]
+struct World {
+    log: Vec<Arc<str>>,
+    late: Vec<Vec<Arc<str>>>,
+    writers: Vec<Writer>,
+    incarnations: u64,
+    executions: BTreeMap<Key, u32>,
+    not_run: BTreeSet<Key>,
+    reused: BTreeSet<(Key, Digest)>,
+    ran: BTreeSet<(Key, Digest)>,
+}
+
+fn key(number: u64) -> Key {
+    Key::new(NOW, number << 8)
+}
+
+fn digest(body: u8) -> Digest {
+    Digest::of("demo", "payout", &[body])
+}
+
+fn accept(key: Key, digest: Digest) -> Action {
+    Action::Accept {
+        key,
+        digest,
+        order: Box::new(Order {
+            account: "demo".into(),
+            route: "payout".into(),
+            deadline: NOW + Millis(10_000),
+            body: None,
+        }),
+        horizon: almondpath::ledger::horizon(NOW, WINDOW),
+    }
+}
+
+fn dispatch(key: Key, digest: Digest) -> Action {
+    Action::Dispatch {
+        key,
+        digest,
+        endpoint: "host-0".into(),
+    }
+}
+
+fn void(key: Key, digest: Digest) -> Action {
+    Action::Void {
+        key,
+        digest,
+        horizon: almondpath::ledger::horizon(NOW, WINDOW),
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self::default();
+        for _ in 0..WRITERS {
+            let writer = world.writer();
+            world.writers.push(writer);
+        }
+        world
+    }
+
+    fn writer(&mut self) -> Writer {
+        self.incarnations += 1;
+        Writer {
+            queue: Queue::new(self.incarnations, 1_000),
+            fold: self.bootstrap(),
+            gave_up: BTreeSet::new(),
+            sent: Vec::new(),
+        }
+    }
+
+    /// Starts from the last complete checkpoint, as a reader after a gap does.
+    fn bootstrap(&self) -> Fold {
+        let mut assembly = Assembly::default();
+        let mut fold = Fold::default();
+        for text in &self.log {
+            let record: Record = serde_json::from_str(text).expect("a record");
+            if let Action::Checkpoint(part) = record.action
+                && let Some(state) = assembly.add(record.writer, *part)
+            {
+                fold = state;
+            }
+        }
+        fold
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Start {
+                writer,
+                key: number,
+                body,
+            } => self.start(writer, key(number), digest(body)),
+            Step::Refuse {
+                writer,
+                key: number,
+                body,
+            } => {
+                let group =
+                    waiting(key(number), digest(body), true).once(void(key(number), digest(body)));
+                self.writers[writer].queue.submit_always(group);
+            }
+            Step::Append { writer, fate } => self.append(writer, fate),
+            Step::DeliverLate { index, again } => {
+                if !self.late.is_empty() {
+                    let index = index % self.late.len();
+                    let texts = if again {
+                        self.late[index].clone()
+                    } else {
+                        self.late.swap_remove(index)
+                    };
+                    self.log.extend(texts);
+                }
+            }
+            Step::Read {
+                writer,
+                records,
+                refused,
+            } => self.read(writer, records, refused),
+            Step::GiveUp { writer } => {
+                let this = &mut self.writers[writer];
+                this.gave_up = (0..KEYS).map(key).collect();
+            }
+            Step::Finish { writer } => self.finish(writer),
+            Step::Checkpoint { writer } => {
+                let this = &mut self.writers[writer];
+                let parts = Part::split(&this.fold).into_iter();
+                let group = parts.fold(Group::default(), |group, part| {
+                    group.once(Action::Checkpoint(Box::new(part)))
+                });
+                this.queue.submit_always(group);
+            }
+            Step::Restart { writer } => self.writers[writer] = self.writer(),
+        }
+    }
+
+    fn start(&mut self, writer: usize, key: Key, digest: Digest) {
+        let this = &mut self.writers[writer];
+        let group = waiting(key, digest, false);
+        match Plan::new(&this.fold, key, digest) {
+            Plan::Accept => this
+                .queue
+                .submit_always(group.once(accept(key, digest)).once(dispatch(key, digest))),
+            Plan::Dispatch => this.queue.submit_always(group.once(dispatch(key, digest))),
+            Plan::Void => {
+                self.not_run.insert(key);
+            }
+            Plan::Reused => {
+                self.reused.insert((key, digest));
+            }
+            Plan::Await(_) | Plan::Finished(_) => {}
+            Plan::Expired => panic!("no key in this test expires"),
+        }
+    }
+
+    fn append(&mut self, writer: usize, fate: Fate) {
+        let queue = &mut self.writers[writer].queue;
+        let Some(batch) = queue.take(NOW, 100, 1 << 20) else {
+            return;
+        };
+        let texts = batch.texts.clone();
+        match fate {
+            Fate::Done => self.log.extend(texts),
+            Fate::Twice => {
+                self.log.extend(texts.iter().cloned());
+                self.late.push(texts);
+            }
+            Fate::ResponseLost => {
+                self.log.extend(texts);
+                queue.failed(batch);
+            }
+            Fate::Late => {
+                self.late.push(texts);
+                queue.failed(batch);
+            }
+            Fate::Lost => queue.failed(batch),
+        }
+    }
+
+    fn read(&mut self, writer: usize, records: usize, refused: bool) {
+        for _ in 0..records {
+            let this = &mut self.writers[writer];
+            let offset = this.fold.next();
+            let Some(text) = self.log.get(usize::try_from(offset.0).expect("small")) else {
+                return;
+            };
+            let applied = this.fold.apply(offset, text);
+            let by = applied.writer.expect("a record");
+            if by.incarnation != this.queue.incarnation() {
+                continue;
+            }
+            for (number, resolved) in this.queue.read(by.sequence) {
+                if let Resolved::Read(waiter) = resolved {
+                    self.resolve(writer, number, waiter, applied.effect, refused);
+                }
+            }
+        }
+    }
+
+    fn resolve(
+        &mut self,
+        writer: usize,
+        number: u64,
+        waiter: Waiter,
+        effect: Effect,
+        refused: bool,
+    ) {
+        let Waiter { key, digest, .. } = waiter;
+        if waiter.void {
+            if effect.permits_refusal() {
+                self.not_run.insert(key);
+            }
+            return;
+        }
+        if !effect.permits_sending() {
+            return;
+        }
+        let this = &mut self.writers[writer];
+        let release = Action::Release {
+            key,
+            dispatch: number,
+        };
+        if this.gave_up.remove(&key) {
+            this.queue.submit_always(Group::default().durable(release));
+        } else if refused {
+            // The connection was refused before any byte: another endpoint, or the refusal.
+            let next = if number.is_multiple_of(2) {
+                dispatch(key, digest)
+            } else {
+                void(key, digest)
+            };
+            let group = waiting(key, digest, !number.is_multiple_of(2))
+                .durable(release)
+                .once(next);
+            this.queue.submit_always(group);
+        } else {
+            *self.executions.entry(key).or_default() += 1;
+            self.ran.insert((key, digest));
+            this.sent.push((key, number));
+        }
+    }
+
+    fn finish(&mut self, writer: usize) {
+        let this = &mut self.writers[writer];
+        if let Some((key, dispatch)) = this.sent.pop() {
+            this.queue
+                .submit_always(Group::default().durable(Action::Finish {
+                    key,
+                    dispatch,
+                    outcome: Outcome::Unknown,
+                }));
+        }
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..20 {
+            for writer in 0..WRITERS {
+                while !self.writers[writer].sent.is_empty() {
+                    self.finish(writer);
+                }
+                self.append(writer, Fate::Done);
+            }
+            let late = std::mem::take(&mut self.late);
+            self.log.extend(late.into_iter().flatten());
+            for writer in 0..WRITERS {
+                self.read(writer, usize::MAX, false);
+            }
+        }
+    }
+
+    fn check(&self) {
+        for (key, count) in &self.executions {
+            assert_eq!(*count, 1, "{key} was executed {count} times");
+            assert!(!self.not_run.contains(key), "{key} ran after \"not run\"");
+        }
+        for reused in &self.reused {
+            assert!(!self.ran.contains(reused), "the refused body ran");
+        }
+    }
+
+    fn check_settled(&self) {
+        let fold = &self.writers[0].fold;
+        for writer in &self.writers[1..] {
+            assert_eq!(&writer.fold, fold, "two readers disagree");
+        }
+        for (key, entry) in fold.entries() {
+            let State::Dispatching(by, _) = &entry.state else {
+                continue;
+            };
+            let alive = self
+                .writers
+                .iter()
+                .any(|w| w.queue.incarnation() == by.incarnation);
+            assert!(!alive, "{key} is stuck although its writer is alive");
+        }
+    }
+}
+
+fn waiting(key: Key, digest: Digest, void: bool) -> Group<Action, Waiter> {
+    Group::default().waiter(Waiter { key, digest, void })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against an order of records, appends and reads in which a key is executed twice, a
+    /// refused key runs, readers disagree or a key stays claimed by a live writer.
+    #[test]
+    fn any_order_executes_a_key_at_most_once(steps in prop::collection::vec(step(), 1..60)) {
+        let mut world = World::new();
+        for step in &steps {
+            world.step(step);
+            world.check();
+        }
+        world.settle();
+        world.check();
+        world.check_settled();
+    }
+}
+
+/// Guards against a key that is forgotten and then accepted again, by any kind of record.
+#[test]
+fn records_at_or_below_the_horizon_have_no_effect() {
+    let window = WINDOW + almondpath::ledger::SLACK;
+    let old = key(1);
+    let new = Key::new(NOW + window, 1);
+    let stamp = |action: &Action, sequence: u64, at: Millis| {
+        let incarnation = 7;
+        action.stamp(
+            almondpath::log::writer::Key {
+                incarnation,
+                sequence,
+            },
+            at,
+        )
+    };
+    let later = |mut action: Action| {
+        if let Action::Accept { horizon, .. } | Action::Void { horizon, .. } = &mut action {
+            *horizon = almondpath::ledger::horizon(NOW + window, WINDOW);
+        }
+        action
+    };
+    let cases = [
+        (accept(old, digest(0)), NOW, Effect::Accepted),
+        (accept(old, digest(0)), NOW, Effect::Rejected),
+        (
+            later(accept(new, digest(0))),
+            NOW + window,
+            Effect::Accepted,
+        ),
+        (accept(old, digest(0)), NOW, Effect::Expired),
+        (void(old, digest(0)), NOW, Effect::Expired),
+        (dispatch(old, digest(0)), NOW, Effect::Rejected),
+        (
+            accept(Key::new(NOW + Millis(31_000), 1), digest(0)),
+            NOW,
+            Effect::Expired,
+        ),
+    ];
+    let mut fold = Fold::default();
+    for (sequence, (action, at, expected)) in (0..).zip(cases) {
+        let text = stamp(&action, sequence + 1, at);
+        let applied = fold.apply(Offset(sequence), &text);
+        assert_eq!(applied.effect, expected, "record {sequence}");
+    }
+    assert_eq!(fold.len(), 1);
+    assert_eq!(Plan::new(&fold, old, digest(0)), Plan::Expired);
+}
