--- a/src/error/error_kind.rs
+++ b/src/error/error_kind.rs
@@ -21,6 +21,8 @@
     KeyReused,
     /// The idempotency key was refused before and can't be used again.
     KeyVoid,
+    /// The call ran, and its response is no longer kept.
+    ResponseGone,
     /// The body or the headers exceed a limit.
     TooLarge,
     /// A limit of the node or of the client account is reached.
@@ -53,6 +55,7 @@
             Self::KeyExpired => "key_expired",
             Self::KeyReused => "key_reused",
             Self::KeyVoid => "key_void",
+            Self::ResponseGone => "response_gone",
             Self::TooLarge => "too_large",
             Self::Overloaded => "overloaded",
             Self::DeadlineExceeded => "deadline_exceeded",
@@ -73,6 +76,7 @@
             Self::Unauthorized => 401,
             Self::NotFound => 404,
             Self::KeyReused | Self::KeyVoid | Self::Conflict => 409,
+            Self::ResponseGone => 410,
             Self::TooLarge => 413,
             Self::Overloaded => 429,
             Self::Internal => 500,
--- a/src/ledger/checkpoint.rs
+++ b/src/ledger/checkpoint.rs
@@ -66,27 +66,31 @@
     }
 }
 
+/// Checkpoints whose parts are collected at the same time.
+const MAX_COLLECTED: usize = 4;
+
 /// Collects the parts of checkpoints that a reader without state passes.
 #[derive(Debug, Default)]
 pub struct Assembly {
-    current: Option<(u64, Offset)>,
-    parts: BTreeMap<u32, Part>,
+    checkpoints: BTreeMap<(Offset, u64), BTreeMap<u32, Part>>,
 }
 
 impl Assembly {
     /// Adds a part; returns the state once all parts of one checkpoint are there.
     ///
-    /// Only the newest checkpoint is collected, which bounds the memory; parts of one checkpoint
-    /// are written in one append and therefore follow each other.
+    /// Only the newest few checkpoints are collected, which bounds the memory.
     pub fn add(&mut self, writer: writer::Key, part: Part) -> Option<Fold> {
-        let id = (writer.incarnation, part.through);
-        if self.current != Some(id) {
-            self.current = Some(id);
-            self.parts.clear();
-        }
+        let id = (part.through, writer.incarnation);
         let wanted = part.parts as usize;
-        self.parts.insert(part.part, part);
-        (self.parts.len() == wanted)
-            .then(|| Fold::restore(std::mem::take(&mut self.parts).into_values()))
+        let parts = self.checkpoints.entry(id).or_default();
+        parts.insert(part.part, part);
+        if parts.len() == wanted {
+            let parts = self.checkpoints.remove(&id)?;
+            return Some(Fold::restore(parts.into_values()));
+        }
+        if self.checkpoints.len() > MAX_COLLECTED {
+            self.checkpoints.pop_first();
+        }
+        None
     }
 }
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -152,6 +152,12 @@
         })
     }
 
+    /// Returns whether a key is accepted and no node may send it at present.
+    #[must_use]
+    pub fn is_open(&self, key: Key) -> bool {
+        self.open.contains(&key)
+    }
+
     /// Returns incarnation, highest sequence number and latest time of each writer.
     pub fn writers(&self) -> impl Iterator<Item = (u64, u64, Millis)> {
         let mut writers: Vec<_> = self
--- a/src/log/client.rs
+++ b/src/log/client.rs
@@ -17,6 +17,7 @@
 pub struct Client {
     http: transport::Client,
     address: SocketAddr,
+    timeout: Millis,
 }
 
 impl Client {
@@ -26,8 +27,17 @@
         Self {
             http: transport::Client::new(TIMEOUT),
             address,
+            timeout: TIMEOUT,
         }
     }
+
+    /// Replaces the time within which an append or a read that does not wait is answered.
+    #[must_use]
+    pub fn with_timeout(mut self, timeout: Millis) -> Self {
+        self.http = self.http.with_timeout(timeout);
+        self.timeout = timeout;
+        self
+    }
 }
 
 #[async_trait]
@@ -54,7 +64,7 @@
         );
         self.http
             .clone()
-            .with_timeout(TIMEOUT + wait)
+            .with_timeout(self.timeout + wait)
             .get_json(self.address, &path)
             .await
     }
--- /dev/null
+++ b/src/log/writer/committer.rs
@@ -0,0 +1,144 @@
+use std::sync::{Mutex, MutexGuard};
+
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::{Clock, Millis};
+use crate::log::Service;
+use crate::verdict::Verdict;
+
+use super::{Group, Queue, Stamp};
+
+/// Records in one append.
+const BATCH_RECORDS: usize = 256;
+
+/// Bytes after which no further group is added to an append.
+const BATCH_BYTES: usize = 512 * 1024;
+
+const FIRST_BACKOFF: Millis = Millis(50);
+const MAX_BACKOFF: Millis = Millis(1_000);
+
+/// Appends the records of a [`Queue`] to a stream, one append at a time.
+#[derive(Debug)]
+pub struct Committer<R, W> {
+    stream: String,
+    queue: Mutex<Queue<R, W>>,
+    submitted: Notify,
+}
+
+impl<R, W> Committer<R, W>
+where
+    R: Stamp,
+{
+    /// Creates a committer with an empty queue for `limit` records.
+    #[must_use]
+    pub fn new(stream: String, incarnation: u64, limit: usize) -> Self {
+        Self {
+            stream,
+            queue: Mutex::new(Queue::new(incarnation, limit)),
+            submitted: Notify::new(),
+        }
+    }
+
+    /// Returns the stream's name.
+    #[must_use]
+    pub fn stream(&self) -> &str {
+        &self.stream
+    }
+
+    /// Returns the queue.
+    pub fn queue(&self) -> MutexGuard<'_, Queue<R, W>> {
+        self.queue.lock().expect("queue lock")
+    }
+
+    /// Adds a group; returns false when the queue is full.
+    #[must_use]
+    pub fn submit(&self, group: Group<R, W>) -> bool {
+        let accepted = self.queue().submit(group).is_ok();
+        self.submitted.notify_one();
+        accepted
+    }
+
+    /// Adds a group that ends a call; their number is bounded by that of the calls.
+    pub fn submit_always(&self, group: Group<R, W>) {
+        self.queue().submit_always(group);
+        self.submitted.notify_one();
+    }
+
+    /// Appends what is submitted until `token` is cancelled.
+    ///
+    /// `interval` returns the time between the starts of two appends; `report` learns the end of
+    /// each append. What an append did is learnt only by reading the stream.
+    pub async fn run<S, I, F>(
+        &self,
+        service: &S,
+        clock: &Clock,
+        token: &CancellationToken,
+        interval: I,
+        report: F,
+    ) where
+        S: Service,
+        I: Fn() -> Millis,
+        F: Fn(bool),
+    {
+        let mut started = Millis::ZERO;
+        let mut backoff = FIRST_BACKOFF;
+        while self.wait(token).await {
+            let pause = started + interval() - clock.now();
+            tokio::time::sleep(pause.into()).await;
+            started = clock.now();
+            let succeeded = self.append(service, clock).await;
+            report(succeeded);
+            if succeeded {
+                backoff = FIRST_BACKOFF;
+            } else {
+                tokio::time::sleep(jittered(backoff).into()).await;
+                backoff = Millis((backoff.0 * 2).min(MAX_BACKOFF.0));
+            }
+        }
+    }
+
+    /// Waits for a record; returns false when the token is cancelled.
+    async fn wait(&self, token: &CancellationToken) -> bool {
+        while self.queue().is_empty() {
+            tokio::select! {
+                () = token.cancelled() => return false,
+                () = self.submitted.notified() => {}
+            }
+        }
+        !token.is_cancelled()
+    }
+
+    async fn append<S>(&self, service: &S, clock: &Clock) -> bool
+    where
+        S: Service,
+    {
+        let batch = self.queue().take(clock.wall(), BATCH_RECORDS, BATCH_BYTES);
+        let Some(batch) = batch else {
+            return true;
+        };
+        let records = u64::try_from(batch.texts.len()).unwrap_or(u64::MAX);
+        let result = service.append(&self.stream, batch.texts.clone()).await;
+        match result {
+            Ok(_) => {
+                metrics::counter!("almondpath_log_appends_total").increment(1);
+                metrics::counter!("almondpath_log_records_total").increment(records);
+                true
+            }
+            Err(error) => {
+                metrics::counter!("almondpath_log_append_failures_total").increment(1);
+                if error.verdict() == Verdict::NotRun {
+                    self.queue().refused(batch);
+                } else {
+                    self.queue().failed(batch);
+                }
+                false
+            }
+        }
+    }
+}
+
+/// Spreads the retries of many nodes over half to all of the delay.
+fn jittered(delay: Millis) -> Millis {
+    Millis(rand::random_range(delay.0 / 2..=delay.0))
+}
--- a/src/log/writer/queue.rs
+++ b/src/log/writer/queue.rs
@@ -59,21 +59,14 @@
 pub struct Batch<R, W> {
     /// Texts to append.
     pub texts: Vec<Arc<str>>,
+    first: u64,
     groups: Vec<Group<R, W>>,
 }
 
-/// What became of a record that somebody waits for.
-#[derive(Debug)]
-pub enum Resolved<W> {
-    /// The record was read at its place in the stream.
-    Read(W),
-    /// A later record of this writer was read first, so that this one never has an effect.
-    Lost(W),
-}
-
 /// Records of one writer on their way into one stream.
 ///
-/// Sequence numbers are given in the order of the appends. The queue and the table of awaited
+/// Sequence numbers are given in the order of the appends. A waiter that is dropped learns that its
+/// record never has an effect. The queue and the table of awaited
 /// records are bounded.
 #[derive(Debug)]
 pub struct Queue<R, W> {
@@ -144,6 +137,7 @@
     pub fn take(&mut self, at: Millis, records: usize, bytes: usize) -> Option<Batch<R, W>> {
         let mut batch = Batch {
             texts: Vec::new(),
+            first: self.sequence + 1,
             groups: Vec::new(),
         };
         let mut size = 0;
@@ -183,20 +177,19 @@
         }
     }
 
-    /// Notes that one's own record was read from the stream.
+    /// Takes back a batch whose append certainly has no effect; its waiters are dropped.
+    pub fn refused(&mut self, batch: Batch<R, W>) {
+        for sequence in batch.first..=self.sequence {
+            self.awaited.remove(&sequence);
+        }
+        self.failed(batch);
+    }
+
+    /// Notes that one's own record was read from the stream, and returns who waits for it.
     ///
-    /// Returns who waits for it, and who waits in vain for earlier ones.
-    pub fn read(&mut self, sequence: u64) -> Vec<(u64, Resolved<W>)> {
-        let later = self.awaited.split_off(&(sequence + 1));
-        std::mem::replace(&mut self.awaited, later)
-            .into_iter()
-            .map(|(number, waiter)| {
-                if number == sequence {
-                    (number, Resolved::Read(waiter))
-                } else {
-                    (number, Resolved::Lost(waiter))
-                }
-            })
-            .collect()
+    /// The waiters of earlier records are dropped, since those records never have an effect.
+    pub fn read(&mut self, sequence: u64) -> Option<W> {
+        self.awaited = self.awaited.split_off(&sequence);
+        self.awaited.remove(&sequence)
     }
 }
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -14,6 +14,7 @@
 use super::Node;
 use super::refusal::refusal;
 use super::request::header;
+use super::shard::Summary;
 
 #[derive(Debug, Serialize)]
 struct Dump {
@@ -21,6 +22,7 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    calls: Vec<Summary>,
 }
 
 /// Returns the HTTP interface for operators.
@@ -70,6 +72,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            calls: self.calls.summary(),
         }
     }
 }
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -11,9 +11,10 @@
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
 
+use super::body_limit::Refused;
 use super::refusal::refusal;
 use super::request::Request;
-use super::{Node, model, plain};
+use super::{Node, body_limit, calls, model, plain};
 
 /// Time for which a caller may keep an address response.
 const ADDRESS_TTL_MS: u64 = 2_000;
@@ -54,8 +55,7 @@
         .boxed();
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
-        .and(warp::header::headers_cloned())
-        .and(warp::body::content_length_limit(limit))
+        .and(body_limit::headers(limit))
         .and(warp::body::bytes())
         .and(with.clone())
         .then(|route: String, headers, body, node| async move {
@@ -107,18 +107,24 @@
 }
 
 async fn call(node: Arc<Node>, route: &str, headers: HeaderMap, body: Bytes) -> Response {
+    let keyed = headers.contains_key("idempotency-key");
     let result = async {
-        let request = Request::parse(&node, route, headers, body)?;
+        let request = Request::parse(&node, route, headers, body)
+            .map_err(|error| calls::unproven(error, keyed))?;
         let permit = Arc::clone(&node.permits).try_acquire_owned().map_err(|_| {
-            Error::not_run(ErrorKind::Overloaded, "too many requests are in flight")
+            let error = Error::not_run(ErrorKind::Overloaded, "too many requests are in flight");
+            calls::unproven(error.with_retry_after(calls::RETRY_AFTER), keyed)
         })?;
         let service = request.active.config.service(&request.route.service);
         match service.map(|service| service.kind) {
             Some(Kind::Model) => model::call(&node, request, permit),
             Some(Kind::Plain) => plain::call(&node, request, permit).await,
-            None => Err(Error::not_run(
-                ErrorKind::Unavailable,
-                format!("the service `{}` is not configured", request.route.service),
+            None => Err(calls::unproven(
+                Error::not_run(
+                    ErrorKind::Unavailable,
+                    format!("the service `{}` is not configured", request.route.service),
+                ),
+                keyed,
             )),
         }
     };
@@ -150,8 +156,8 @@
 async fn recover(rejection: Rejection) -> Result<Response, Infallible> {
     let error = if rejection.is_not_found() {
         Error::not_run(ErrorKind::NotFound, "there is no such path")
-    } else if rejection.find::<warp::reject::PayloadTooLarge>().is_some() {
-        Error::not_run(ErrorKind::TooLarge, "the body exceeds the limit")
+    } else if let Some(refused) = rejection.find::<Refused>() {
+        refused.0.clone()
     } else {
         Error::not_run(ErrorKind::Malformed, "the request can't be parsed")
     };
--- /dev/null
+++ b/src/node/attempt.rs
@@ -0,0 +1,335 @@
+//! One node's attempt at a non-idempotent call.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+
+use crate::clock::Millis;
+use crate::endpoint;
+use crate::error::{Error, ErrorKind};
+use crate::ledger::{
+    self, Action, BODY_LIMIT, Blob, Digest, Key, Order, Outcome, Plan, RESPONSE_LIMIT,
+};
+use crate::log::writer::Group;
+use crate::transport::Connection;
+use crate::verdict::Verdict;
+
+use super::Node;
+use super::calls::{RETRY_AFTER, expired};
+use super::plain::Reply;
+use super::shard::{Failure, Shard, Waiter};
+
+/// Endpoints that are tried when connections are refused.
+const MAX_ENDPOINTS: usize = 3;
+
+/// Times that a call looks at the key's state again after another writer was first.
+const MAX_ROUNDS: usize = 8;
+
+/// Time that a call waits at a node that has just started for the first read of the log.
+const START_WAIT: Millis = Millis(500);
+
+/// Time after the deadline for which an answer is awaited, so that it can be stored.
+const LATE_ANSWER: Millis = Millis(30_000);
+
+/// A non-idempotent call at this node.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) key: Key,
+    pub(super) digest: Digest,
+    pub(super) account: Arc<str>,
+    pub(super) route: Arc<str>,
+    pub(super) service: Arc<str>,
+    /// On the monotonic clock.
+    pub(super) deadline: Millis,
+    pub(super) body: Bytes,
+}
+
+/// An endpoint and the request that is ready to be sent there.
+struct Target {
+    endpoint: endpoint::Key,
+    host: Arc<str>,
+    address: std::net::SocketAddr,
+    request: Request<Full<Bytes>>,
+}
+
+type Records = Group<Action, Waiter>;
+
+/// Deciding.
+impl Attempt {
+    /// Runs the call, or returns what became of an earlier attempt with the key.
+    pub(super) async fn run(&self, node: &Node) -> Result<Reply, Error> {
+        let shard = node.calls.shard(self.key);
+        shard.started(START_WAIT).await;
+        for _ in 0..MAX_ROUNDS {
+            let Some(plan) = shard.plan(self.key, self.digest) else {
+                return Err(log_unavailable());
+            };
+            let accept = match plan {
+                Plan::Accept => true,
+                Plan::Dispatch => false,
+                Plan::Await(_) => {
+                    self.settled(node, shard).await?;
+                    continue;
+                }
+                ended => return self.ended(ended),
+            };
+            if !shard.available(node.clock.now()) {
+                return Err(log_unavailable());
+            }
+            if let Some(result) = self.claim(node, shard, accept).await {
+                return result;
+            }
+        }
+        Err(self.undecided())
+    }
+
+    /// Answers for a key whose state is final.
+    fn ended(&self, plan: Plan) -> Result<Reply, Error> {
+        match plan {
+            Plan::Finished(Outcome::Answered { body: None, .. }) => Err(Error::not_run(
+                ErrorKind::ResponseGone,
+                "the call ran; its response is not kept",
+            )
+            .with_verdict(Verdict::Ran)),
+            Plan::Finished(Outcome::Answered {
+                status,
+                content_type,
+                body: Some(Blob(body)),
+            }) => Ok(Reply::stored(status, content_type, body)),
+            Plan::Finished(Outcome::Unknown) => Err(Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                "the answer of the first attempt was lost",
+            )),
+            Plan::Void => Err(Error::not_run(
+                ErrorKind::KeyVoid,
+                "the call was refused before and did not run; a new attempt needs a new key",
+            )),
+            Plan::Reused => Err(Error::not_run(
+                ErrorKind::KeyReused,
+                "the key belongs to another call; this call did not run",
+            )),
+            Plan::Expired => Err(expired()),
+            Plan::Accept | Plan::Dispatch | Plan::Await(_) => Err(self.undecided()),
+        }
+    }
+
+    /// Waits a bounded time for the end of another attempt.
+    async fn settled(&self, node: &Node, shard: &Shard) -> Result<(), Error> {
+        let left = self.deadline - node.clock.now();
+        let bound = left.min(node.settings.dispatch_bound_ms);
+        shard.settled(self.key, self.digest, bound).await;
+        match shard.plan(self.key, self.digest) {
+            Some(Plan::Await(_)) | None => Err(self.undecided()),
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn undecided(&self) -> Error {
+        Error::may_have_run(
+            ErrorKind::Conflict,
+            "another attempt with the key has not ended; ask again with the same key",
+        )
+        .with_retry_after(RETRY_AFTER)
+    }
+}
+
+/// Claiming the right to send.
+impl Attempt {
+    /// Claims the key and sends; returns none when another writer was first.
+    async fn claim(
+        &self,
+        node: &Node,
+        shard: &Shard,
+        mut accept: bool,
+    ) -> Option<Result<Reply, Error>> {
+        let mut tried = Vec::new();
+        let mut group = Records::default();
+        loop {
+            let target = match self.target(node, &tried) {
+                Ok(target) => target,
+                Err(error) => return Some(self.refuse(node, shard, group, error).await),
+            };
+            let claimed_at = node.clock.now();
+            if std::mem::take(&mut accept) {
+                group = group.once(self.accept(node));
+            }
+            group = group.once(self.dispatch(&target.host));
+            let bound = node.settings.dispatch_bound_ms;
+            let appended = shard.append(self.key, std::mem::take(&mut group), bound);
+            let dispatch = match appended.await {
+                Ok((sequence, effect)) if effect.permits_sending() => sequence,
+                Ok(_) | Err(Failure::Lost) => return None,
+                Err(Failure::Full) => return Some(Err(full())),
+                Err(Failure::TimedOut) => return Some(Err(log_unavailable())),
+            };
+            let connection = node.http.connect(target.address).await;
+            // The permission lapses, so that a process that was paused does not send much later
+            // than its caller and the other nodes expect.
+            let now = node.clock.now();
+            let in_time = now < self.deadline && now - claimed_at <= bound;
+            match connection {
+                Ok(connection) if in_time => {
+                    return Some(self.send(node, shard, dispatch, target, connection).await);
+                }
+                Ok(_) => {
+                    let group = Records::default().durable(self.release(dispatch));
+                    return Some(self.refuse(node, shard, group, late()).await);
+                }
+                Err(_) => {
+                    metrics::counter!("almondpath_call_connections_refused_total").increment(1);
+                    tried.push(target.endpoint);
+                    group = Records::default().durable(self.release(dispatch));
+                }
+            }
+        }
+    }
+
+    /// Refuses the call, with "not run" only when its `void` record wins.
+    async fn refuse(
+        &self,
+        node: &Node,
+        shard: &Shard,
+        group: Records,
+        error: Error,
+    ) -> Result<Reply, Error> {
+        let bound = node.settings.dispatch_bound_ms;
+        let void = group.once(Action::Void {
+            key: self.key,
+            digest: self.digest,
+            horizon: self.horizon(node),
+        });
+        match shard.append(self.key, void, bound).await {
+            Ok((_, effect)) if effect.permits_refusal() => Err(error),
+            Ok(_) => match shard.plan(self.key, self.digest) {
+                Some(plan @ (Plan::Finished(_) | Plan::Void | Plan::Reused)) => self.ended(plan),
+                _ => Err(super::calls::unproven(error, true).with_retry_after(RETRY_AFTER)),
+            },
+            Err(_) => Err(super::calls::unproven(error, true).with_retry_after(RETRY_AFTER)),
+        }
+    }
+
+    fn target(&self, node: &Node, tried: &[endpoint::Key]) -> Result<Target, Error> {
+        if node.clock.now() >= self.deadline {
+            return Err(late());
+        }
+        let chosen = (tried.len() < MAX_ENDPOINTS)
+            .then(|| node.choose_other(&self.service, tried))
+            .flatten();
+        let (endpoint, host, address) = chosen.ok_or_else(|| {
+            Error::not_run(ErrorKind::Unavailable, "no endpoint takes the call now")
+        })?;
+        let path = format!("/call/{}", self.route);
+        let body = self.body.clone();
+        let mut request = node.http.request(Method::POST, address, &path, body)?;
+        let key = hyper::header::HeaderValue::try_from(self.key.to_string())
+            .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))?;
+        request.headers_mut().insert("idempotency-key", key);
+        Ok(Target {
+            endpoint,
+            host,
+            address,
+            request,
+        })
+    }
+}
+
+/// Sending.
+impl Attempt {
+    /// Sends the call; from here on every failure is "may have run".
+    async fn send(
+        &self,
+        node: &Node,
+        shard: &Shard,
+        dispatch: u64,
+        target: Target,
+        connection: Connection,
+    ) -> Result<Reply, Error> {
+        let limit = self.deadline - node.clock.now() + LATE_ANSWER;
+        node.count(target.endpoint, true);
+        let result = async {
+            let response = connection.send(target.request, limit).await?;
+            let (status, kind) = Reply::head(&response);
+            let body = node.http.clone().with_timeout(limit).body(response).await?;
+            Ok(Reply::new(status, kind, body))
+        }
+        .await;
+        node.count(target.endpoint, false);
+        let outcome = match &result {
+            Ok(reply) => reply.outcome(RESPONSE_LIMIT),
+            Err(_) => Outcome::Unknown,
+        };
+        let finish = Action::Finish {
+            key: self.key,
+            dispatch,
+            outcome,
+        };
+        shard
+            .committer
+            .submit_always(Records::default().durable(finish));
+        metrics::counter!("almondpath_calls_sent_total").increment(1);
+        result
+    }
+}
+
+/// Records.
+impl Attempt {
+    fn accept(&self, node: &Node) -> Action {
+        let left = self.deadline - node.clock.now();
+        let keep = self.body.len() <= BODY_LIMIT;
+        Action::Accept {
+            key: self.key,
+            digest: self.digest,
+            order: Box::new(Order {
+                account: Arc::clone(&self.account),
+                route: Arc::clone(&self.route),
+                deadline: node.clock.wall() + left,
+                body: keep.then(|| Blob(self.body.clone())),
+            }),
+            horizon: self.horizon(node),
+        }
+    }
+
+    fn dispatch(&self, host: &Arc<str>) -> Action {
+        Action::Dispatch {
+            key: self.key,
+            digest: self.digest,
+            endpoint: Arc::clone(host),
+        }
+    }
+
+    fn release(&self, dispatch: u64) -> Action {
+        Action::Release {
+            key: self.key,
+            dispatch,
+        }
+    }
+
+    fn horizon(&self, node: &Node) -> Millis {
+        ledger::horizon(node.clock.wall(), node.settings.retry_window_ms)
+    }
+}
+
+fn late() -> Error {
+    Error::not_run(
+        ErrorKind::DeadlineExceeded,
+        "the deadline passed before the call was sent",
+    )
+}
+
+fn full() -> Error {
+    Error::may_have_run(
+        ErrorKind::Overloaded,
+        "too many calls are open; ask again with the same key",
+    )
+    .with_retry_after(RETRY_AFTER)
+}
+
+fn log_unavailable() -> Error {
+    Error::may_have_run(
+        ErrorKind::LogUnavailable,
+        "the call can't be recorded now; ask again with the same key",
+    )
+    .with_retry_after(RETRY_AFTER)
+}
--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,235 @@
+//! Non-idempotent calls: checks of the key, start of the shards, and what a caller is told.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use tokio::sync::OwnedSemaphorePermit;
+use tokio_util::sync::CancellationToken;
+use warp::reply::Response;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+use crate::ledger::{Digest, FUTURE_LIMIT, Key};
+use crate::log::{self, writer};
+use crate::settings;
+use crate::supervisor::Supervisor;
+use crate::verdict::Verdict;
+
+use super::Node;
+use super::attempt::Attempt;
+use super::follow::Follower;
+use super::request::{Request, header};
+use super::shard::{Shard, Summary};
+use super::takeover;
+
+/// Time within which the log service answers an append or a read that does not wait.
+const LOG_TIMEOUT: Millis = Millis(1_000);
+
+/// Time after the deadline in which a call may still prove that it did not run.
+const DEADLINE_GRACE: Millis = Millis(500);
+
+/// Time after which a caller that was refused for the log's sake should ask again.
+pub(super) const RETRY_AFTER: Millis = Millis(1_000);
+
+/// Time in which a writer's records count it as active.
+const ACTIVE_TIME: Millis = Millis(10_000);
+
+/// Time between two looks whether a stopping node's calls are done.
+const IDLE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Looks in a row that must find no open call before the streams are left.
+const IDLE_LOOKS: u32 = 5;
+
+/// The calls streams of a node.
+#[derive(Debug)]
+pub(super) struct Calls {
+    shards: Vec<Arc<Shard>>,
+    log: log::Client,
+    open: AtomicUsize,
+}
+
+impl Calls {
+    pub(super) fn new(settings: &settings::Node) -> Self {
+        let incarnation = rand::random();
+        let shards = 0..settings.call_shards.max(1);
+        Self {
+            shards: shards
+                .map(|number| Shard::new(number, incarnation))
+                .collect(),
+            log: log::Client::new(settings.log_service).with_timeout(LOG_TIMEOUT),
+            open: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the shard of a key.
+    pub(super) fn shard(&self, key: Key) -> &Arc<Shard> {
+        let shards = u32::try_from(self.shards.len()).unwrap_or(u32::MAX);
+        &self.shards[key.shard(shards) as usize]
+    }
+
+    /// Returns numbers about each shard.
+    pub(super) fn summary(&self) -> Vec<Summary> {
+        self.shards.iter().map(|shard| shard.summary()).collect()
+    }
+
+    fn idle(&self) -> bool {
+        let appended = |shard: &Arc<Shard>| shard.committer.queue().is_empty();
+        self.open.load(Ordering::Acquire) == 0 && self.shards.iter().all(appended)
+    }
+}
+
+/// Counts an open call for as long as it lives.
+pub(super) struct Open(Arc<Node>);
+
+impl Open {
+    pub(super) fn new(node: &Arc<Node>) -> Self {
+        node.calls.open.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.calls.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Starts the tasks of all shards.
+pub(super) fn spawn(node: &Arc<Node>, supervisor: &mut Supervisor) {
+    for shard in &node.calls.shards {
+        let node = Arc::clone(node);
+        let shard = Arc::clone(shard);
+        supervisor.spawn("calls", move |token| {
+            run(Arc::clone(&node), Arc::clone(&shard), token)
+        });
+    }
+}
+
+/// Runs one shard until the node stops and its open calls are finished.
+async fn run(node: Arc<Node>, shard: Arc<Shard>, token: CancellationToken) -> eyre::Result<()> {
+    let stop = CancellationToken::new();
+    let log = node.calls.log.clone();
+    let follower = Follower::new(Arc::clone(&node), Arc::clone(&shard), log.clone());
+    let interval = || {
+        let since = node.clock.wall() - ACTIVE_TIME;
+        writer::interval(
+            shard.fold().active_writers(since),
+            node.settings.call_shards,
+        )
+    };
+    let report = |succeeded| shard.health().appended(node.clock.now(), succeeded);
+    tokio::join!(
+        follower.run(&stop),
+        shard
+            .committer
+            .run(&log, &node.clock, &stop, interval, report),
+        takeover::run(&node, &shard, &stop),
+        async {
+            token.cancelled().await;
+            drained(&node).await;
+            stop.cancel();
+        }
+    );
+    Ok(())
+}
+
+/// Waits until no call is open and all records are appended, at most for the drain time.
+async fn drained(node: &Node) {
+    let limit = node.clock.now() + node.settings.drain_ms;
+    let mut looks = 0;
+    while looks < IDLE_LOOKS && node.clock.now() < limit {
+        tokio::time::sleep(IDLE_INTERVAL).await;
+        looks = if node.calls.idle() { looks + 1 } else { 0 };
+    }
+}
+
+/// Runs a non-idempotent call at most once.
+pub(super) async fn call(
+    node: &Arc<Node>,
+    request: Request,
+    permit: OwnedSemaphorePermit,
+) -> Result<Response, Error> {
+    let key = check(node, &request)?;
+    let attempt = Attempt {
+        key,
+        digest: Digest::of(&request.account, &request.route.name, &request.body),
+        account: request.account,
+        route: Arc::clone(&request.route.name),
+        service: Arc::clone(&request.route.service),
+        deadline: request.deadline,
+        body: request.body,
+    };
+    let limit = attempt.deadline + DEADLINE_GRACE - node.clock.now();
+    let open = Open::new(node);
+    let this = Arc::clone(node);
+    // A task of its own goes on when the caller disconnects, so that a call that was sent is
+    // finished in the log.
+    let task = tokio::spawn(async move {
+        let result = attempt.run(&this).await;
+        drop((open, permit));
+        result
+    });
+    match tokio::time::timeout(limit.into(), task).await {
+        Ok(Ok(result)) => result.map(|reply| reply.response()),
+        Ok(Err(failure)) => Err(Error::may_have_run(
+            ErrorKind::Internal,
+            failure.to_string(),
+        )),
+        Err(_) => Err(Error::may_have_run(
+            ErrorKind::DeadlineExceeded,
+            "the deadline has passed; ask again with the same key",
+        )
+        .with_retry_after(RETRY_AFTER)),
+    }
+}
+
+/// Checks the key's syntax and its time.
+///
+/// A key outside the window may have been used before, at a time when it was inside, or may be
+/// accepted by a node that handles another copy of the request at another time. It is therefore
+/// never refused with "not run".
+fn check(node: &Node, request: &Request) -> Result<Key, Error> {
+    let text = header(&request.headers, "idempotency-key").ok_or_else(|| {
+        let route = &request.route.name;
+        let message = format!("the route `{route}` requires an idempotency key");
+        Error::not_run(ErrorKind::KeyMissing, message)
+    })?;
+    let key = Key::parse(text).ok_or_else(|| {
+        Error::not_run(ErrorKind::Malformed, "the idempotency key is not a UUIDv7")
+    })?;
+    let now = node.clock.wall();
+    if key.time() + node.settings.retry_window_ms < now {
+        return Err(expired());
+    }
+    if key.time() > now + FUTURE_LIMIT {
+        return Err(Error::may_have_run(
+            ErrorKind::KeyExpired,
+            format!(
+                "the idempotency key is {} ahead of this node's clock",
+                key.time() - now
+            ),
+        ));
+    }
+    Ok(key)
+}
+
+/// The refusal of a key that may have been used and forgotten.
+pub(super) fn expired() -> Error {
+    Error::may_have_run(
+        ErrorKind::KeyExpired,
+        "the idempotency key is older than the retry window; an earlier attempt may have run",
+    )
+}
+
+/// Raises the verdict of a refusal that was decided without looking at the key's state.
+///
+/// Another attempt with the same key may have run, or may run, at another node whose checks
+/// passed, unless the request fails for its key alone.
+pub(super) fn unproven(error: Error, keyed: bool) -> Error {
+    if !keyed || matches!(error.kind(), ErrorKind::KeyMissing) {
+        return error;
+    }
+    let verdict = error.verdict().combine(Verdict::MayHaveRun);
+    error.with_verdict(verdict)
+}
--- /dev/null
+++ b/src/node/follow.rs
@@ -0,0 +1,204 @@
+//! Follows a calls stream: reading, recovery after a gap, checkpoints.
+
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+use crate::error::Error;
+use crate::ledger::{Action, Assembly, Fold, Part, Record, SLACK};
+use crate::log::writer::Group;
+use crate::log::{Client, Offset, Read, Tail};
+
+use super::Node;
+use super::shard::Shard;
+
+/// Longest time that one read waits for a record.
+const WAIT: Millis = Millis(1_000);
+
+/// Time between two tries to read from a log service that fails.
+const RETRY: Millis = Millis(200);
+
+const READ_LIMIT: usize = 512;
+
+/// Time after a gap in which another node may write the missing checkpoint.
+const CHECKPOINT_WAIT: Millis = Millis(3_000);
+
+/// Time after which a checkpoint that was asked for but not read is written again.
+const CHECKPOINT_RETRY: Millis = Millis(10_000);
+
+/// Reads one shard's stream and keeps its state current.
+pub(super) struct Follower {
+    node: Arc<Node>,
+    shard: Arc<Shard>,
+    log: Client,
+    /// Records read since the last checkpoint.
+    records: u64,
+    /// When the last checkpoint was read or asked for.
+    checkpoint_at: Millis,
+    /// When a reader without state first found no checkpoint.
+    missing_since: Option<Millis>,
+}
+
+impl Follower {
+    pub(super) fn new(node: Arc<Node>, shard: Arc<Shard>, log: Client) -> Self {
+        let checkpoint_at = node.clock.now();
+        Self {
+            node,
+            shard,
+            log,
+            records: 0,
+            checkpoint_at,
+            missing_since: None,
+        }
+    }
+
+    /// Reads until `token` is cancelled.
+    pub(super) async fn run(mut self, token: &CancellationToken) {
+        loop {
+            let step = tokio::select! {
+                () = token.cancelled() => return,
+                step = self.step() => step,
+            };
+            self.shard
+                .health()
+                .read(self.node.clock.now(), step.is_ok());
+            if step.is_err() {
+                metrics::counter!("almondpath_log_read_failures_total").increment(1);
+                tokio::time::sleep(RETRY.into()).await;
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<(), Error> {
+        let log = self.log.clone();
+        let shard = Arc::clone(&self.shard);
+        let tail = Tail::new(&log, shard.committer.stream(), READ_LIMIT);
+        let next = shard.fold().next();
+        // A stream without records is known to be read once an answer has come.
+        let wait = if shard.is_ready() { WAIT } else { Millis::ZERO };
+        match tail.read(next, wait).await? {
+            Read::Gap { earliest } => self.recover(&tail, earliest).await,
+            Read::Records { records, end } => {
+                if shard.apply(&records) > 0 {
+                    self.records = 0;
+                    self.checkpoint_at = self.node.clock.now();
+                }
+                self.records += u64::try_from(records.len()).unwrap_or(u64::MAX);
+                if shard.fold().next() >= end {
+                    shard.set_ready(true);
+                    self.checkpoint();
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes over the newest checkpoint whose later records are all still there.
+    async fn recover(&mut self, tail: &Tail<'_, Client>, earliest: Offset) -> Result<(), Error> {
+        self.shard.set_ready(false);
+        metrics::counter!("almondpath_log_gaps_total").increment(1);
+        let mut assembly = Assembly::default();
+        let mut found: Option<Fold> = None;
+        let mut from = earliest;
+        loop {
+            let Read::Records { records, end } = tail.read(from, Millis::ZERO).await? else {
+                // The oldest records expired meanwhile; the next step starts over.
+                return Ok(());
+            };
+            from = records.last().map_or(end, |record| record.offset.next());
+            for record in &records {
+                if let Some(fold) = checkpoint_in(&mut assembly, &record.data)
+                    && fold.next() >= earliest
+                    && found.as_ref().is_none_or(|f| f.next() < fold.next())
+                {
+                    found = Some(fold);
+                }
+            }
+            if from >= end {
+                break;
+            }
+        }
+        self.adopt(found, from).await;
+        Ok(())
+    }
+
+    /// Goes on from a checkpoint, or without one when nobody writes one.
+    ///
+    /// Without a checkpoint the records before `end` are not known. Each of their keys was made
+    /// before now plus [`SLACK`], so that a horizon there keeps every call safe; calls are refused
+    /// until keys made after it arrive.
+    async fn adopt(&mut self, found: Option<Fold>, end: Offset) {
+        let now = self.node.clock.now();
+        if let Some(fold) = found {
+            self.missing_since = None;
+            self.shard.restore(fold);
+            return;
+        }
+        let since = *self.missing_since.get_or_insert(now);
+        if now - since < CHECKPOINT_WAIT {
+            tokio::time::sleep(RETRY.into()).await;
+            return;
+        }
+        self.missing_since = None;
+        metrics::counter!("almondpath_log_checkpoints_missing_total").increment(1);
+        let horizon = self.node.clock.wall() + SLACK;
+        self.shard.restore(Fold::starting(end, horizon));
+    }
+
+    /// Writes a checkpoint when one is due.
+    ///
+    /// The number of entries counts, so that a large table is not written more often than it
+    /// changes. Each node waits a little longer than the one before it in the order of
+    /// incarnations, so that mostly one of them writes.
+    fn checkpoint(&mut self) {
+        let settings = &self.node.settings;
+        let now = self.node.clock.now();
+        let fold = self.shard.fold();
+        if fold.next() == Offset(0) {
+            return;
+        }
+        let incarnation = self.shard.committer.queue().incarnation();
+        let entries = u64::try_from(fold.len()).unwrap_or(u64::MAX);
+        let due = settings.checkpoint_records.max(entries);
+        let spread = due / 4 * (incarnation % 8) / 8;
+        let interval = settings.checkpoint_interval_ms;
+        let age = now - self.checkpoint_at;
+        let delay = Millis(interval.0 / 4 * (incarnation % 8) / 8);
+        let many = self.records >= due + spread && age >= self.pause();
+        if !many && age < interval + delay {
+            return;
+        }
+        let parts = Part::split(&fold);
+        drop(fold);
+        self.checkpoint_at = now;
+        self.records = 0;
+        metrics::counter!("almondpath_log_checkpoints_total").increment(1);
+        for part in parts {
+            let action = Action::Checkpoint(Box::new(part));
+            if !self
+                .shard
+                .committer
+                .submit(Group::default().durable(action))
+            {
+                return;
+            }
+        }
+    }
+
+    /// Shortest time between two checkpoints that follow from the number of records.
+    fn pause(&self) -> Millis {
+        CHECKPOINT_RETRY.min(Millis(self.node.settings.checkpoint_interval_ms.0 / 30))
+    }
+}
+
+fn checkpoint_in(assembly: &mut Assembly, text: &str) -> Option<Fold> {
+    match serde_json::from_str::<Record>(text).ok()? {
+        Record {
+            writer,
+            action: Action::Checkpoint(part),
+            ..
+        } => assembly.add(writer, *part),
+        _ => None,
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,11 +2,17 @@
 
 mod admin;
 mod api;
+mod attempt;
 mod background;
+mod body_limit;
+mod calls;
+mod follow;
 mod model;
 mod node;
 mod plain;
 mod refusal;
 mod request;
+mod shard;
+mod takeover;
 
 pub use self::node::Node;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -19,6 +19,7 @@
 use crate::supervisor::Supervisor;
 use crate::transport;
 
+use super::calls::{self, Calls};
 use super::{admin, api, background};
 
 /// Time within which an endpoint has to send its response headers.
@@ -37,6 +38,7 @@
     pub(super) permits: Arc<Semaphore>,
     pub(super) http: transport::Client,
     pub(super) log_service: log::Client,
+    pub(super) calls: Calls,
     pub(super) metrics: PrometheusHandle,
     pub(super) token: CancellationToken,
 }
@@ -66,6 +68,7 @@
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
+            calls: Calls::new(&settings),
             metrics,
             token,
             settings,
@@ -83,6 +86,7 @@
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
+        calls::spawn(&self, &mut supervisor);
         info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
         let admin = transport::Server::new(operators)
             .run(admin::filter(Arc::clone(&self)), self.token.clone());
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -1,14 +1,93 @@
+//! Calls of plain services.
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hyper::Method;
+use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
-use warp::http::HeaderValue;
+use warp::http::{HeaderValue, StatusCode};
 use warp::reply::Response;
 
+use crate::clock::Millis;
+use crate::endpoint;
 use crate::error::{Error, ErrorKind};
+use crate::ledger::{Blob, Outcome};
 
 use super::Node;
-use super::request::{Request, header};
+use super::calls;
+use super::request::Request;
+
+/// Endpoints that an idempotent call is sent to before its failure is reported.
+const MAX_ATTEMPTS: usize = 3;
+
+/// The response of a plain service.
+#[derive(Clone, Debug)]
+pub(super) struct Reply {
+    status: u16,
+    content_type: Option<Arc<str>>,
+    body: Bytes,
+    stored: bool,
+}
+
+impl Reply {
+    pub(super) fn new(status: u16, content_type: Option<Arc<str>>, body: Bytes) -> Self {
+        Self {
+            status,
+            content_type,
+            body,
+            stored: false,
+        }
+    }
+
+    /// A response of an earlier attempt with the same key.
+    pub(super) fn stored(status: u16, content_type: Option<Arc<str>>, body: Bytes) -> Self {
+        Self {
+            stored: true,
+            ..Self::new(status, content_type, body)
+        }
+    }
+
+    /// Returns status and content type of an endpoint's response.
+    pub(super) fn head(response: &hyper::Response<Incoming>) -> (u16, Option<Arc<str>>) {
+        let kind = response.headers().get("content-type");
+        let kind = kind.and_then(|value| value.to_str().ok()).map(Arc::from);
+        (response.status().as_u16(), kind)
+    }
+
+    /// Returns what the log keeps of the response.
+    pub(super) fn outcome(&self, limit: usize) -> Outcome {
+        let keep = self.body.len() <= limit;
+        Outcome::Answered {
+            status: self.status,
+            content_type: self.content_type.clone(),
+            body: keep.then(|| Blob(self.body.clone())),
+        }
+    }
+
+    /// Builds the response to the caller.
+    pub(super) fn response(self) -> Response {
+        let mut response = Response::new(self.body.into());
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        if let Some(kind) = self.content_type
+            && let Ok(kind) = HeaderValue::from_str(&kind)
+        {
+            headers.insert("content-type", kind);
+        }
+        if self.stored {
+            headers.insert("x-almondpath-stored", HeaderValue::from_static("true"));
+        }
+        if !status.is_success() {
+            // What the service did before it answered with an error is not known here.
+            let verdict = HeaderValue::from_static("may_have_run");
+            headers.insert("x-almondpath-verdict", verdict);
+        }
+        response
+    }
+}
 
 /// Calls a plain service and passes its response through.
 pub(super) async fn call(
@@ -16,38 +95,74 @@
     request: Request,
     permit: OwnedSemaphorePermit,
 ) -> Result<Response, Error> {
-    let key = header(&request.headers, "idempotency-key");
-    if !request.route.idempotent && key.is_none() {
-        return Err(Error::not_run(
-            ErrorKind::KeyMissing,
-            format!(
-                "the route `{}` requires an idempotency key",
-                request.route.name
-            ),
-        ));
+    if !request.route.idempotent {
+        return calls::call(node, request, permit).await;
     }
-    let (endpoint, address) = node
-        .choose(&request.route.service)
-        .ok_or_else(|| Error::not_run(ErrorKind::Unavailable, "no endpoint is available"))?;
+    let mut tried = Vec::new();
+    let mut failure: Option<Error> = None;
+    while tried.len() < MAX_ATTEMPTS && node.clock.now() < request.deadline {
+        let target = node.choose_other(&request.route.service, &tried);
+        let Some((endpoint, _, address)) = target else {
+            break;
+        };
+        tried.push(endpoint);
+        node.count(endpoint, true);
+        let left = request.deadline - node.clock.now();
+        let last = tried.len() == MAX_ATTEMPTS;
+        let limit = if last { left } else { Millis(left.0 / 2) };
+        let result = send(node, &request, address, limit).await;
+        node.count(endpoint, false);
+        match result {
+            Ok(reply) => return Ok(reply.response()),
+            Err(error) => {
+                let earlier = failure.map_or(error.verdict(), |failure| failure.verdict());
+                let verdict = error.verdict().combine(earlier);
+                failure = Some(error.with_verdict(verdict));
+            }
+        }
+    }
+    Err(failure
+        .unwrap_or_else(|| Error::not_run(ErrorKind::Unavailable, "no endpoint is available")))
+}
+
+/// Sends an idempotent call once; headers and body have to arrive within `limit` each.
+async fn send(
+    node: &Node,
+    request: &Request,
+    address: SocketAddr,
+    limit: Millis,
+) -> Result<Reply, Error> {
     let path = format!("/call/{}", request.route.name);
-    let mut call = node
-        .http
-        .request(Method::POST, address, &path, request.body.clone())?;
-    if let Some(key) = key.and_then(|key| HeaderValue::from_str(key).ok()) {
-        call.headers_mut().insert("idempotency-key", key);
-    }
-    node.count(endpoint, true);
-    let answer = if request.route.idempotent {
-        node.http.send(call).await
-    } else {
-        node.http.send_once(address, call).await
-    };
-    node.count(endpoint, false);
-    let answer = answer?;
-    let status = answer.status();
-    let body = node.http.body(answer).await?;
-    drop(permit);
-    let mut response = Response::new(body.into());
-    *response.status_mut() = status;
-    Ok(response)
+    let body = request.body.clone();
+    let mut call = node.http.request(Method::POST, address, &path, body)?;
+    if let Some(key) = request.headers.get("idempotency-key") {
+        call.headers_mut().insert("idempotency-key", key.clone());
+    }
+    let http = node.http.clone().with_timeout(limit);
+    let response = http.send(call).await?;
+    let (status, kind) = Reply::head(&response);
+    if matches!(status, 502..=504) {
+        return Err(Error::may_have_run(
+            ErrorKind::EndpointFailed,
+            format!("{address} answered {status}"),
+        ));
+    }
+    let body = http.body(response).await?;
+    Ok(Reply::new(status, kind, body))
+}
+
+impl Node {
+    /// Chooses the endpoint with the fewest requests in flight among those not tried yet.
+    pub(super) fn choose_other(
+        &self,
+        service: &str,
+        tried: &[endpoint::Key],
+    ) -> Option<(endpoint::Key, Arc<str>, SocketAddr)> {
+        let endpoints = self.endpoints.lock().expect("endpoints lock");
+        endpoints
+            .available(service)
+            .filter(|(key, _)| !tried.contains(key))
+            .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
+            .map(|(key, e)| (key, Arc::clone(&e.host.host), e.host.address))
+    }
 }
--- /dev/null
+++ b/src/node/takeover.rs
@@ -0,0 +1,101 @@
+//! Takes over accepted calls that no node sends.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+use crate::ledger::{self, Action, Digest, Key, Order};
+use crate::log::writer::Group;
+
+use super::Node;
+use super::attempt::Attempt;
+use super::calls::Open;
+use super::shard::Shard;
+
+const SCAN_INTERVAL: Millis = Millis(500);
+
+/// Time for which a key is seen as accepted before a node takes it over.
+const DELAY: Millis = Millis(3_000);
+
+/// Additional time, by the hash of key and writer, so that mostly one node takes a key over.
+const SPREAD: Millis = Millis(3_000);
+
+/// Calls taken over in one scan.
+const MAX_STARTED: usize = 16;
+
+/// Looks for accepted calls until `token` is cancelled.
+pub(super) async fn run(node: &Arc<Node>, shard: &Arc<Shard>, token: &CancellationToken) {
+    let mut seen: HashMap<Key, Millis> = HashMap::new();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = tokio::time::sleep(SCAN_INTERVAL.into()) => {}
+        }
+        let now = node.clock.now();
+        if !shard.available(now) {
+            continue;
+        }
+        let incarnation = shard.committer.queue().incarnation();
+        let mut due = Vec::new();
+        {
+            let fold = shard.fold();
+            seen.retain(|key, _| fold.is_open(*key));
+            for (key, digest, order) in fold.open() {
+                let first = *seen.entry(key).or_insert(now);
+                let extra = Millis(key.hash(incarnation) % SPREAD.0);
+                if now - first >= DELAY + extra && due.len() < MAX_STARTED {
+                    seen.insert(key, now);
+                    due.push((key, digest, order.clone()));
+                }
+            }
+        }
+        for (key, digest, order) in due {
+            take_over(node, shard, key, digest, order);
+        }
+    }
+}
+
+/// Runs an abandoned call, or rules it out when it can't be run any more.
+fn take_over(node: &Arc<Node>, shard: &Arc<Shard>, key: Key, digest: Digest, order: Order) {
+    metrics::counter!("almondpath_call_takeovers_total").increment(1);
+    let wall = node.clock.wall();
+    let active = node.active.load_full();
+    let route = active
+        .as_ref()
+        .and_then(|active| active.config.route(&order.route));
+    let (Some(route), Some(body)) = (route, order.body) else {
+        if wall > order.deadline {
+            void(node, shard, key, digest);
+        }
+        return;
+    };
+    let attempt = Attempt {
+        key,
+        digest,
+        account: order.account,
+        route: order.route,
+        service: Arc::clone(&route.service),
+        deadline: node.clock.now() + (order.deadline - wall),
+        body: body.0,
+    };
+    let open = Open::new(node);
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        // Nobody waits for the reply here; the caller asks again with the key.
+        let _ = attempt.run(&node).await;
+        drop(open);
+    });
+}
+
+fn void(node: &Node, shard: &Shard, key: Key, digest: Digest) {
+    let horizon = ledger::horizon(node.clock.wall(), node.settings.retry_window_ms);
+    let void = Action::Void {
+        key,
+        digest,
+        horizon,
+    };
+    // A full queue is no harm: the next scan tries again.
+    let _ = shard.committer.submit(Group::default().once(void));
+}
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -42,6 +42,44 @@
     /// Longest time a graceful shutdown waits for open requests before it hands them over.
     #[serde(default = "default_drain")]
     pub drain_ms: Millis,
+    /// Number of streams that non-idempotent calls are spread over; must be the same on all nodes.
+    ///
+    /// Each node appends to each stream, so that more streams make the time between two appends
+    /// to one of them longer.
+    #[serde(default = "default_call_shards")]
+    pub call_shards: u32,
+    /// Time for which an idempotency key can be used.
+    #[serde(default = "default_retry_window")]
+    pub retry_window_ms: Millis,
+    /// Time from writing a dispatch record to sending, after which the node does not send.
+    #[serde(default = "default_dispatch_bound")]
+    pub dispatch_bound_ms: Millis,
+    /// Records in a calls stream after which it gets a checkpoint.
+    #[serde(default = "default_checkpoint_records")]
+    pub checkpoint_records: u64,
+    /// Time after which a calls stream gets a checkpoint; well below the log's retention time.
+    #[serde(default = "default_checkpoint_interval")]
+    pub checkpoint_interval_ms: Millis,
+}
+
+fn default_call_shards() -> u32 {
+    1
+}
+
+fn default_retry_window() -> Millis {
+    Millis::from_secs(600)
+}
+
+fn default_dispatch_bound() -> Millis {
+    Millis(2_000)
+}
+
+fn default_checkpoint_records() -> u64 {
+    1_000
+}
+
+fn default_checkpoint_interval() -> Millis {
+    Millis::from_secs(300)
 }
 
 fn default_body_limit() -> u64 {
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -22,14 +22,27 @@
     pub delay_ms: Millis,
     /// Number of appends that take effect but whose response is lost.
     pub lose_responses: u32,
+    /// Refuses appends but not reads.
+    pub refuse_appends: bool,
     /// Time after which an append takes effect although it was answered with an error; 0 is off.
     pub late_ms: Millis,
+    /// Number of appends that are late; 0 makes all late while `late_ms` is set.
+    pub late: u32,
     /// Number of appends that take effect twice.
     pub duplicate: u32,
     /// Records kept per stream; 0 keeps all.
     pub keep: usize,
 }
 
+/// Numbers of appends and records that took effect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogStats {
+    /// Appends.
+    pub appends: u64,
+    /// Records.
+    pub records: u64,
+}
+
 #[derive(Debug, Default)]
 struct Stream {
     earliest: u64,
@@ -80,6 +93,7 @@
 struct Inner {
     streams: Mutex<HashMap<String, Stream>>,
     faults: Mutex<LogFaults>,
+    stats: Mutex<LogStats>,
     appended: watch::Sender<u64>,
 }
 
@@ -104,6 +118,7 @@
             inner: Arc::new(Inner {
                 streams: Mutex::default(),
                 faults: Mutex::default(),
+                stats: Mutex::default(),
                 appended: watch::Sender::new(0),
             }),
         }
@@ -132,6 +147,14 @@
             .and(with.clone())
             .then(|stream, query: Query, this: Self| async move { this.read(stream, query).await })
             .boxed();
+        let stats = warp::path!("stats")
+            .and(warp::get())
+            .and(with.clone())
+            .map(|this: Self| {
+                let stats = this.inner.stats.lock().expect("stats lock");
+                reply(StatusCode::OK, &*stats)
+            })
+            .boxed();
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
@@ -144,6 +167,8 @@
         append
             .or(read)
             .unify()
+            .or(stats)
+            .unify()
             .or(faults)
             .unify()
             .recover(super::recover)
@@ -160,7 +185,16 @@
         let Some(faults) = self.enter().await else {
             return super::unavailable();
         };
+        if faults.refuse_appends {
+            return super::unavailable();
+        }
         if faults.late_ms > Millis::ZERO {
+            let mut current = self.inner.faults.lock().expect("faults lock");
+            if current.late == 1 {
+                current.late_ms = Millis::ZERO;
+            }
+            current.late = current.late.saturating_sub(1);
+            drop(current);
             tokio::spawn(async move {
                 tokio::time::sleep(faults.late_ms.into()).await;
                 self.commit(&stream, &body, &faults);
@@ -188,6 +222,10 @@
         let stream = streams.entry(stream.to_owned()).or_default();
         let first = stream.append(&body.records, faults.keep);
         drop(streams);
+        let mut stats = self.inner.stats.lock().expect("stats lock");
+        stats.appends += 1;
+        stats.records += body.records.len() as u64;
+        drop(stats);
         self.inner.appended.send_modify(|count| *count += 1);
         first
     }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,7 +9,7 @@
 mod platform;
 
 pub use self::engine::{Engine, EngineFaults};
-pub use self::log::{Log, LogFaults};
+pub use self::log::{Log, LogFaults, LogStats};
 pub use self::plain::{Plain, PlainFaults};
 pub use self::platform::{Platform, PlatformFaults};
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -7,15 +7,16 @@
 use hyper::{Method, Request, Response};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
+use super::Connection;
+
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
 /// Longest time that a pooled connection stays unused; an older one may have been dropped
@@ -94,33 +95,17 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        let refused = |reason: String| {
-            Error::not_run(
-                ErrorKind::Unavailable,
-                format!("connecting to {address} failed: {reason}"),
-            )
-        };
-        let stream = timeout(CONNECT_TIMEOUT.into(), TcpStream::connect(address))
-            .await
-            .map_err(|_| refused(format!("no answer within {CONNECT_TIMEOUT}")))?
-            .map_err(|error| refused(error.to_string()))?;
-        // Nagle's algorithm only adds delay to a single small request; a failure to switch it
-        // off does not matter.
-        let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| refused(error.to_string()))?;
-        tokio::spawn(connection);
-        let lost = |reason: String| {
-            Error::may_have_run(
-                ErrorKind::EndpointFailed,
-                format!("request to {address} failed: {reason}"),
-            )
-        };
-        timeout(self.timeout.into(), sender.send_request(request))
-            .await
-            .map_err(|_| lost(format!("no answer within {}", self.timeout)))?
-            .map_err(|error| lost(error.to_string()))
+        let connection = self.connect(address).await?;
+        connection.send(request, self.timeout).await
+    }
+
+    /// Opens a new connection for one request.
+    ///
+    /// # Errors
+    ///
+    /// `NotRun` when no connection can be made.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
+        Connection::open(address, CONNECT_TIMEOUT).await
     }
 
     /// Reads a JSON document from `http://{address}{path}`.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,9 +4,11 @@
 //! run. The server bounds connections, header sizes and the time a sender may take.
 
 mod client;
+mod connection;
 mod event;
 mod server;
 
 pub use self::client::Client;
+pub use self::connection::Connection;
 pub use self::event::{Event, events};
 pub use self::server::Server;
--- /dev/null
+++ b/tests/integration/at_most_once.rs
@@ -0,0 +1,269 @@
+//! No key is executed twice, whatever fails between the caller and the endpoint.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::call_harness::{Answer, Contribution, fresh};
+use crate::harness::Cluster;
+
+/// Sends a call until it is answered or certainly did not run, and checks every answer.
+async fn persist(cluster: &Cluster, call: &Contribution, nodes: &[usize]) -> Answer {
+    for round in 0..16 {
+        let answer = call.send(cluster, nodes[round % nodes.len()]).await;
+        let executions = cluster.executions(&call.key).await;
+        assert!(executions <= 1, "{executions} executions after {answer:?}");
+        if answer.verdict.as_deref() == Some("not_run") {
+            assert_eq!(executions, 0, "{answer:?}");
+        }
+        if answer.ran() || answer.verdict.as_deref() == Some("not_run") {
+            return answer;
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    panic!("no final answer for {call:?}");
+}
+
+/// Guards against acting on the response of an append instead of the order in the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn appends_that_are_lost_late_or_repeated_execute_once() {
+    struct Case {
+        name: &'static str,
+        log: Value,
+    }
+    let cases = [
+        Case {
+            name: "the response is lost after the append took effect",
+            log: json!({ "lose_responses": 1 }),
+        },
+        Case {
+            name: "the append takes effect after an error",
+            log: json!({ "late_ms": 300, "late": 1 }),
+        },
+        Case {
+            name: "the append takes effect after its writer gave up",
+            log: json!({ "late_ms": 2_600, "late": 1 }),
+        },
+        Case {
+            name: "the same append twice",
+            log: json!({ "duplicate": 3 }),
+        },
+        Case {
+            name: "a slow log",
+            log: json!({ "delay_ms": 400 }),
+        },
+    ];
+    let cluster = Cluster::start(2, 0, 1).await;
+    cluster.await_calls().await;
+    for case in cases {
+        let call = fresh();
+        cluster.set_faults(cluster.log.address, case.log).await;
+        let answer = persist(&cluster, &call, &[0, 1]).await;
+        cluster.set_faults(cluster.log.address, json!({})).await;
+        assert!(answer.ran(), "{}: {answer:?}", case.name);
+        let again = persist(&cluster, &call, &[1]).await;
+        assert_eq!(again, answer, "{}: another response", case.name);
+    }
+}
+
+/// Guards against two nodes that both send the key they were given at the same instant.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_at_all_nodes_at_once_executes_once() {
+    let cluster = Cluster::start(3, 0, 2).await;
+    cluster.await_calls().await;
+    for _ in 0..20 {
+        let call = fresh();
+        let answers = futures::future::join_all((0..3).map(|node| call.send(&cluster, node))).await;
+        assert_eq!(cluster.executions(&call.key).await, 1);
+        let first = answers.iter().find(|a| a.ran()).expect("one is answered");
+        for answer in &answers {
+            assert!(answer == first || answer.verdict.as_deref() == Some("may_have_run"));
+        }
+    }
+}
+
+/// Guards against a node that sends after a pause although others were asked for the key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_writer_does_not_send_late() {
+    let cluster = Cluster::start(2, 0, 1).await;
+    cluster.await_calls().await;
+    let call = fresh().deadline(20_000);
+    cluster
+        .set_faults(cluster.log.address, json!({ "delay_ms": 300 }))
+        .await;
+    let paused = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        cluster.nodes[0].process.signal(libc::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        cluster.set_faults(cluster.log.address, json!({})).await;
+        let other = call.send(&cluster, 1).await;
+        let unsent = cluster.executions(&call.key).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cluster.nodes[0].process.signal(libc::SIGCONT);
+        (other, unsent)
+    };
+    let (first, (other, unsent)) = tokio::join!(call.send(&cluster, 0), paused);
+    assert!(other.is("conflict", "may_have_run"), "{other:?}");
+    assert_eq!(unsent, 0, "the pause began after the call was sent");
+    assert!(!first.ran(), "the permission to send outlived the pause");
+    let answer = persist(&cluster, &call, &[1, 0]).await;
+    assert!(
+        answer.ran() || answer.is("key_void", "not_run"),
+        "{answer:?}"
+    );
+}
+
+/// Guards against a second execution, or a wrong "not run", after the owner dies at any step.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_leaves_at_most_one_execution() {
+    struct Case {
+        name: &'static str,
+        log: Value,
+        plain: Value,
+        after_ms: u64,
+    }
+    let case = |name, log, plain, after_ms| Case {
+        name,
+        log,
+        plain,
+        after_ms,
+    };
+    let cases = [
+        case(
+            "append on its way",
+            json!({ "delay_ms": 400 }),
+            json!({}),
+            200,
+        ),
+        case(
+            "append late",
+            json!({ "late_ms": 600, "late": 1 }),
+            json!({}),
+            300,
+        ),
+        case("sent", json!({}), json!({ "delay_ms": 800 }), 300),
+        case("answered", json!({}), json!({}), 300),
+    ];
+    let mut cluster = Cluster::start_with(2, 0, 1, "dispatch_bound_ms: 700\n").await;
+    for Case {
+        name,
+        log,
+        plain,
+        after_ms,
+    } in cases
+    {
+        cluster.await_calls().await;
+        cluster.set_faults(cluster.log.address, log).await;
+        cluster.set_faults(cluster.plains[0].address, plain).await;
+        let call = fresh();
+        let sending = call.send(&cluster, 0);
+        // Ends early only in the case in which the call is answered.
+        let _ = tokio::time::timeout(Duration::from_millis(after_ms), sending).await;
+        cluster.nodes[0].process.kill();
+        cluster.set_faults(cluster.log.address, json!({})).await;
+        cluster
+            .set_faults(cluster.plains[0].address, json!({}))
+            .await;
+        let answer = call.send(&cluster, 1).await;
+        let verdict = answer.verdict.as_deref();
+        assert!(answer.ran() || verdict == Some("may_have_run"), "{name}");
+        assert!(cluster.executions(&call.key).await <= 1, "{name}");
+        cluster.restart(0);
+    }
+}
+
+/// Guards against a repetition after the endpoint's answer was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_not_repeated() {
+    let cluster = Cluster::start(2, 0, 2).await;
+    cluster.await_calls().await;
+    for plain in &cluster.plains {
+        cluster
+            .set_faults(plain.address, json!({ "lose_responses": 1 }))
+            .await;
+    }
+    let call = fresh().deadline(700);
+    for node in [0, 1, 0] {
+        let answer = call.send(&cluster, node).await;
+        assert_eq!(
+            answer.verdict.as_deref(),
+            Some("may_have_run"),
+            "{answer:?}"
+        );
+        assert_eq!(cluster.executions(&call.key).await, 1);
+    }
+}
+
+/// Guards against the HTTP client's own repetition of a request on a connection that the endpoint
+/// closes, and against the use of a pooled connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_closed_connection_is_not_retried() {
+    let cluster = Cluster::start(1, 0, 1).await;
+    cluster.await_calls().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&requests);
+    // Answers load reports and keeps those connections open; closes calls without an answer.
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = Arc::clone(&count);
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while let Ok(read @ 1..) = stream.read(&mut buffer).await {
+                    if buffer[..read].starts_with(b"POST") {
+                        count.fetch_add(1, Ordering::SeqCst);
+                        return;
+                    }
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+                    let _ = stream.write_all(answer).await;
+                }
+            });
+        }
+    });
+    let mut hosts = cluster.hosts();
+    hosts[0].address = address;
+    cluster.put_hosts(&hosts).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let call = fresh();
+    for _ in 0..3 {
+        let answer = call.send(&cluster, 0).await;
+        assert_eq!(
+            answer.verdict.as_deref(),
+            Some("may_have_run"),
+            "{answer:?}"
+        );
+        assert_eq!(requests.load(Ordering::SeqCst), 1);
+    }
+}
+
+/// Guards against a key that is forgotten when the log drops its records or all nodes restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn retention_and_a_restart_of_all_nodes_forget_nothing() {
+    let settings = "checkpoint_records: 20\ncheckpoint_interval_ms: 3000\n";
+    let mut cluster = Cluster::start_with(2, 0, 1, settings).await;
+    cluster.await_calls().await;
+    let first = fresh();
+    let answer = first.send(&cluster, 0).await;
+    assert!(answer.ran());
+    cluster
+        .set_faults(cluster.log.address, json!({ "keep": 150 }))
+        .await;
+    for round in 0..60 {
+        assert!(fresh().send(&cluster, round % 2).await.ran());
+    }
+    for node in &mut cluster.nodes {
+        node.process.kill();
+    }
+    cluster.restart(0);
+    cluster.restart(1);
+    cluster.await_calls().await;
+    for node in [0, 1] {
+        assert_eq!(first.send(&cluster, node).await, answer);
+    }
+    assert_eq!(cluster.executions(&first.key).await, 1);
+}
--- a/tests/integration/ledger.rs
+++ b/tests/integration/ledger.rs
@@ -8,7 +8,7 @@
     Action, Assembly, Digest, Effect, Fold, Key, Order, Outcome, Part, Plan, Record, State,
 };
 use almondpath::log::Offset;
-use almondpath::log::writer::{Group, Queue, Resolved, Stamp};
+use almondpath::log::writer::{Group, Queue, Stamp};
 use proptest::prelude::*;
 
 const NOW: Millis = Millis(1_900_000_000_000);
@@ -297,10 +297,8 @@
             if by.incarnation != this.queue.incarnation() {
                 continue;
             }
-            for (number, resolved) in this.queue.read(by.sequence) {
-                if let Resolved::Read(waiter) = resolved {
-                    self.resolve(writer, number, waiter, applied.effect, refused);
-                }
+            if let Some(waiter) = this.queue.read(by.sequence) {
+                self.resolve(writer, by.sequence, waiter, applied.effect, refused);
             }
         }
     }
--- /dev/null
+++ b/tests/integration/refusals.rs
@@ -0,0 +1,238 @@
+//! A refusal with "not run" is never followed or preceded by an execution.
+
+use std::time::Duration;
+
+use almondpath::clock::Millis;
+use serde_json::json;
+
+use crate::call_harness::{Answer, aged, fresh, post};
+use crate::harness::{ACCOUNT_TOKEN, Cluster, free_address};
+
+const JSON_LIMIT: usize = 1024 * 1024;
+
+/// Guards against a refusal path that claims "not run" without proof.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_refusal_of_a_request_has_a_verdict_that_holds() {
+    struct Case {
+        name: &'static str,
+        route: &'static str,
+        token: &'static str,
+        key: Option<String>,
+        headers: Vec<(&'static str, String)>,
+        body: String,
+        error: &'static str,
+        verdict: &'static str,
+    }
+    let base = || Case {
+        name: "",
+        route: "contribution",
+        token: ACCOUNT_TOKEN,
+        key: Some(fresh().key),
+        headers: Vec::new(),
+        body: "{}".to_owned(),
+        error: "",
+        verdict: "may_have_run",
+    };
+    let cluster = Cluster::start(1, 0, 1).await;
+    cluster.await_calls().await;
+    let used = fresh();
+    assert!(used.send(&cluster, 0).await.ran());
+    let old = aged(Millis(11 * 60_000)).key;
+    let random = "5c3b4b5e-7d35-4a4c-9a55-0d8a3a4b9a10".to_owned();
+    let ahead = almondpath::ledger::Key::new(
+        almondpath::clock::Clock::system().wall() + Millis(120_000),
+        1,
+    );
+    let cases = [
+        Case {
+            name: "wrong token",
+            token: "x",
+            error: "unauthorized",
+            ..base()
+        },
+        Case {
+            name: "unknown route",
+            route: "x",
+            error: "not_found",
+            ..base()
+        },
+        Case {
+            name: "no key",
+            key: None,
+            error: "key_missing",
+            verdict: "not_run",
+            ..base()
+        },
+        Case {
+            name: "not a UUIDv7",
+            key: Some(random),
+            error: "malformed",
+            verdict: "not_run",
+            ..base()
+        },
+        Case {
+            name: "old key",
+            key: Some(old),
+            error: "key_expired",
+            ..base()
+        },
+        Case {
+            name: "key ahead",
+            key: Some(ahead.to_string()),
+            error: "key_expired",
+            ..base()
+        },
+        Case {
+            name: "bad deadline",
+            headers: vec![("x-deadline-ms", "x".to_owned())],
+            error: "malformed",
+            ..base()
+        },
+        Case {
+            name: "large body",
+            body: "x".repeat(JSON_LIMIT + 1),
+            error: "too_large",
+            ..base()
+        },
+        Case {
+            name: "deadline passed",
+            headers: vec![("x-deadline-ms", "0".to_owned())],
+            error: "deadline_exceeded",
+            verdict: "not_run",
+            ..base()
+        },
+        Case {
+            name: "other body",
+            key: Some(used.key.clone()),
+            body: "{1}".to_owned(),
+            error: "key_reused",
+            verdict: "not_run",
+            ..base()
+        },
+    ];
+    for case in cases {
+        let mut headers = case.headers;
+        headers.push(("authorization", format!("Bearer {}", case.token)));
+        headers.extend(case.key.clone().map(|key| ("idempotency-key", key)));
+        let address = cluster.nodes[0].listen;
+        let answer = post(&cluster, address, case.route, &headers, &case.body).await;
+        assert!(
+            answer.is(case.error, case.verdict),
+            "{}: {answer:?}",
+            case.name
+        );
+        let key = case.key.unwrap_or_default();
+        let executed = u64::from(key == used.key);
+        assert_eq!(cluster.executions(&key).await, executed, "{}", case.name);
+    }
+}
+
+/// Guards against "not run" for a key that another node, or a later attempt, can still execute.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_without_an_endpoint_is_ruled_out_for_good() {
+    let cluster = Cluster::start(2, 0, 1).await;
+    cluster.await_calls().await;
+    let mut unreachable = cluster.hosts();
+    unreachable[0].address = free_address();
+    for hosts in [Vec::new(), unreachable] {
+        cluster.put_hosts(&hosts).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let call = fresh();
+        let answer = call.send(&cluster, 0).await;
+        assert!(answer.is("unavailable", "not_run"), "{answer:?}");
+        cluster.put_hosts(&cluster.hosts()).await;
+        cluster.await_calls().await;
+        for node in [0, 1] {
+            let answer = call.send(&cluster, node).await;
+            assert!(answer.is("key_void", "not_run"), "{answer:?}");
+        }
+        assert_eq!(cluster.executions(&call.key).await, 0);
+    }
+}
+
+/// Guards against a node that refuses for its own reasons with "not run" a key that another node
+/// executes a moment later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_at_one_node_does_not_deny_the_attempt_at_another() {
+    struct Case {
+        name: &'static str,
+        /// Deadline of the second attempt.
+        deadline_ms: u64,
+        log_down: bool,
+        restart: bool,
+    }
+    let cases = [
+        Case {
+            name: "deadline passed",
+            deadline_ms: 0,
+            log_down: false,
+            restart: false,
+        },
+        Case {
+            name: "log down",
+            deadline_ms: 5_000,
+            log_down: true,
+            restart: false,
+        },
+        Case {
+            name: "restarted",
+            deadline_ms: 5_000,
+            log_down: false,
+            restart: true,
+        },
+    ];
+    let mut cluster = Cluster::start(2, 0, 1).await;
+    for case in cases {
+        cluster.await_calls().await;
+        cluster
+            .set_faults(cluster.plains[0].address, json!({ "delay_ms": 1_500 }))
+            .await;
+        let call = fresh();
+        let first = async {
+            // The caller gives up long before the node does.
+            let sending = call.send(&cluster, 0);
+            tokio::time::timeout(Duration::from_millis(400), sending).await
+        };
+        assert!(first.await.is_err(), "{}", case.name);
+        if case.restart {
+            cluster.nodes[1].process.kill();
+            cluster.restart(1);
+            let node = &cluster.nodes[1];
+            cluster.await_ready(node).await;
+        }
+        let faults = json!({ "down": case.log_down });
+        cluster.set_faults(cluster.log.address, faults).await;
+        let second: Answer = call
+            .clone()
+            .deadline(case.deadline_ms)
+            .send(&cluster, 1)
+            .await;
+        cluster.set_faults(cluster.log.address, json!({})).await;
+        cluster
+            .set_faults(cluster.plains[0].address, json!({}))
+            .await;
+        assert!(
+            second.ran() || second.verdict.as_deref() == Some("may_have_run"),
+            "{}: {second:?}",
+            case.name
+        );
+        assert_eq!(cluster.executions(&call.key).await, 1, "{}", case.name);
+    }
+}
+
+/// Guards against "not run" while the node is at its limit of requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_overloaded_node_does_not_deny_a_key() {
+    let cluster = Cluster::start_with(1, 0, 1, "request_limit: 1\n").await;
+    cluster.await_calls().await;
+    cluster
+        .set_faults(cluster.plains[0].address, json!({ "delay_ms": 800 }))
+        .await;
+    let (first, second) = (fresh(), fresh());
+    let (answer, refused) = tokio::join!(first.send(&cluster, 0), async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        second.send(&cluster, 0).await
+    });
+    assert!(answer.ran());
+    assert!(refused.is("overloaded", "may_have_run"), "{refused:?}");
+}
