Decide rollouts by a sequential test on exchanged evidence

The test is conditional on the number of events per period (Fisher's noncentral hypergeometric), so that an unknown and changing failure rate drops out; a Shiryaev-Roberts mixture over start periods finds versions that turn bad later, with the false alarm probability bounded by Ville's inequality. Ruled out: a test against a remembered rate of the old version (a burst of failures of both versions trips it), and a last stage of 90% (at 10% control one failure says a fifth of what it says at 33%).

A suspected version gets at most 20% of the traffic.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,7 +3,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{call, dev, publish, serve};
+use super::{call, dev, publish, rollouts, serve};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -27,6 +27,7 @@
         .subcommand(serve::command())
         .subcommand(publish::command())
         .subcommand(call::command())
+        .subcommand(rollouts::command())
         .subcommand(dev::command())
 }
 
@@ -65,6 +66,7 @@
         Some(("serve", args)) => serve::run(args, json).await,
         Some(("publish", args)) => publish::run(args).await,
         Some(("call", args)) => call::run(args).await,
+        Some(("rollouts", args)) => rollouts::run(args),
         Some(("dev", args)) => dev::run(args, json).await,
         _ => unreachable!("clap accepts only the subcommands above"),
     }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod dev;
 mod logger;
 mod publish;
+mod rollouts;
 mod serve;
 
 pub use self::command::{command, run};
--- /dev/null
+++ b/src/cli/rollouts.rs
@@ -0,0 +1,52 @@
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::rollout::family;
+
+/// Members that the targets are stated for.
+const MEMBERS: &str = "252";
+
+pub(super) fn command() -> Command {
+    Command::new("rollouts")
+        .about("Runs the rollout policy and its baseline on a seeded family of rollouts")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(u64))
+                .default_value("1")
+                .help("Seed of the family"),
+        )
+        .arg(
+            Arg::new("count")
+                .long("count")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(usize))
+                .default_value(MEMBERS)
+                .help("Number of rollouts"),
+        )
+        .arg(
+            Arg::new("format")
+                .long("format")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .help("Format of the table"),
+        )
+        .after_help("Example:\n  almondpath rollouts --seed 7 --format json")
+}
+
+pub(super) fn run(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let seed = *args.get_one::<u64>("seed").expect("has a default");
+    let count = *args.get_one::<usize>("count").expect("has a default");
+    let table = family::run(seed, count);
+    if args
+        .get_one::<String>("format")
+        .is_some_and(|f| f == "json")
+    {
+        println!("{}", serde_json::to_string_pretty(&table.rows())?);
+    } else {
+        print!("{table}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/rollout/acceptance.rs
@@ -0,0 +1,27 @@
+use super::{Metric, Pair};
+
+/// Highest probability with which one stage accepts a harmful version, per metric and route.
+pub const FALSE_ACCEPT: f64 = 0.01;
+
+/// Returns whether the counters rule out that the new version is harmful.
+///
+/// The sequential probability ratio test of the old version's rate against the harmful rate
+/// [`Metric::harmful`], for each metric.
+#[must_use]
+pub fn accepts(pair: Pair) -> bool {
+    let needed = (1.0 / FALSE_ACCEPT).ln();
+    Metric::ALL
+        .into_iter()
+        .all(|metric| log_likelihood_good(pair, metric) >= needed)
+}
+
+fn log_likelihood_good(pair: Pair, metric: Metric) -> f64 {
+    let stratum = pair.stratum(metric);
+    // Half an event more keeps the rate away from 0 when nothing was observed yet.
+    let good = (f64::from(stratum.old_events) + 0.5) / (f64::from(stratum.old) + 1.0);
+    let good = good.clamp(0.005, 0.9);
+    let harmful = metric.harmful(good);
+    let events = f64::from(stratum.new_events);
+    let others = f64::from(stratum.new) - events;
+    events * (good / harmful).ln() + others * ((1.0 - good) / (1.0 - harmful)).ln()
+}
--- /dev/null
+++ b/src/rollout/arm.rs
@@ -0,0 +1,58 @@
+use serde::{Deserialize, Serialize};
+
+use super::{Metric, Stratum, Tally};
+
+/// One of the two versions that a rollout compares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Arm {
+    /// The version that served before.
+    Old,
+    /// The version that is rolled out.
+    New,
+}
+
+/// Counters of both versions on one route over the same period.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pair {
+    /// The version that served before.
+    pub old: Tally,
+    /// The version that is rolled out.
+    pub new: Tally,
+}
+
+impl Pair {
+    /// Returns the counters of one version.
+    pub fn arm_mut(&mut self, arm: Arm) -> &mut Tally {
+        match arm {
+            Arm::Old => &mut self.old,
+            Arm::New => &mut self.new,
+        }
+    }
+
+    /// Adds the counters of another pair.
+    pub fn add(&mut self, other: Self) {
+        self.old.add(other.old);
+        self.new.add(other.new);
+    }
+
+    /// Returns what was counted since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: Self) -> Self {
+        Self {
+            old: self.old.since(earlier.old),
+            new: self.new.since(earlier.new),
+        }
+    }
+
+    /// Returns the events of one metric in both versions.
+    #[must_use]
+    pub fn stratum(&self, metric: Metric) -> Stratum {
+        Stratum {
+            new: self.new.observed(metric),
+            new_events: self.new.events(metric),
+            old: self.old.observed(metric),
+            old_events: self.old.events(metric),
+        }
+    }
+}
--- /dev/null
+++ b/src/rollout/detector.rs
@@ -0,0 +1,54 @@
+use super::{Metric, Stratum, log_ratio};
+
+/// Highest probability with which a rollout of a tolerable version is tripped.
+pub const FALSE_TRIP: f64 = 0.01;
+
+/// Keeps the statistic finite; far above any threshold.
+const CEILING: f64 = 1e300;
+
+/// A sequential test that watches for a version that is bad from the start or turns bad later.
+///
+/// The statistic is a mixture of likelihood ratios, one starting at each period (Shiryaev-Roberts),
+/// half of the weight on the first period. Without a fault its expectation grows by 1 a period, so
+/// that it reaches `2 * periods / error` within `periods` with a probability of at most `error`
+/// (Ville's inequality). This holds for any event rate and any stopping rule.
+#[derive(Clone, Debug)]
+pub struct Detector {
+    metric: Metric,
+    statistics: [f64; 2],
+    threshold: f64,
+}
+
+impl Detector {
+    /// Creates a test over at most `periods` periods with this probability of a false alarm.
+    #[must_use]
+    pub fn new(metric: Metric, periods: u32, error: f64) -> Self {
+        let periods = f64::from(periods.max(1));
+        Self {
+            metric,
+            statistics: [periods; 2],
+            threshold: 2.0 * periods / error,
+        }
+    }
+
+    /// Takes in one period and returns whether the version is bad.
+    pub fn push(&mut self, stratum: Stratum) -> bool {
+        let tolerated = self.metric.tolerated();
+        let alternatives = self.metric.alternatives();
+        for (statistic, alternative) in self.statistics.iter_mut().zip(alternatives) {
+            let ratio = log_ratio(stratum, tolerated, alternative).exp();
+            *statistic = ((*statistic + 1.0) * ratio).min(CEILING);
+        }
+        self.mean() >= self.threshold
+    }
+
+    /// Returns how far the evidence has come towards a trip, on a log scale from 0 to 1.
+    #[must_use]
+    pub fn suspicion(&self) -> f64 {
+        (self.mean().max(1.0).ln() / self.threshold.ln()).clamp(0.0, 1.0)
+    }
+
+    fn mean(&self) -> f64 {
+        f64::midpoint(self.statistics[0], self.statistics[1])
+    }
+}
--- /dev/null
+++ b/src/rollout/family/mod.rs
@@ -0,0 +1,41 @@
+//! A seeded family of rollouts that drives the policy in virtual time.
+//!
+//! Each member has a service with 8 nodes, 4 routes and 5 endpoints per version, a fault of the
+//! new version or none, and a disturbance or none. The nodes run the functions that serve; requests
+//! and their outcomes are drawn from a seeded generator. [`run`] compares the policy with a
+//! fixed-schedule rollout on the same members.
+
+mod baseline;
+mod member;
+mod score;
+mod simulation;
+mod table;
+mod world;
+
+pub use self::member::{Disturbance, Fault, Member, members};
+pub use self::score::Score;
+pub use self::table::{Row, Table};
+
+/// Runs both policies on `count` members and returns their scores.
+#[must_use]
+pub fn run(seed: u64, count: usize) -> Table {
+    let members = members(seed, count);
+    let scores = |policy: fn(&Member) -> Score| parallel(&members, policy);
+    Table::new(scores(simulation::run), scores(baseline::run))
+}
+
+/// Applies `policy` to all members on all cores; the result doesn't depend on their number.
+fn parallel(members: &[Member], policy: fn(&Member) -> Score) -> Vec<Score> {
+    let threads = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
+    let share = members.len().div_ceil(threads).max(1);
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = members
+            .chunks(share)
+            .map(|chunk| scope.spawn(move || chunk.iter().map(policy).collect::<Vec<_>>()))
+            .collect();
+        workers
+            .into_iter()
+            .flat_map(|worker| worker.join().expect("a policy run doesn't panic"))
+            .collect()
+    })
+}
--- /dev/null
+++ b/src/rollout/family/simulation.rs
@@ -0,0 +1,243 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::log::Offset;
+
+use super::super::{
+    Arm, Choice, Monitor, Plan, Step, Trip, View, choose_version, endpoints_in_use,
+};
+use super::world::{Answer, ENDPOINTS, NODES, Request, World};
+use super::{Member, Score};
+
+const TICK: Millis = Millis(100);
+
+/// Time between two reports of a node, and the number of peers that get one.
+const REPORT_INTERVAL: Millis = Millis(1_000);
+const REPORT_PEERS: usize = 3;
+
+/// Share of the reports that get lost.
+const REPORT_LOSS: f64 = 0.05;
+
+/// Share of the messages about a trip that get lost, and the time after which they are repeated.
+const TRIP_LOSS: f64 = 0.2;
+const TRIP_REPEAT: Millis = Millis(500);
+
+/// Time until a node has read a record that was appended, in ticks: 1 to 4.
+const RECORD_TICKS: f64 = 4.0;
+
+/// Ticks after which the longest response has ended.
+const HORIZON: usize = 120;
+
+struct Node {
+    monitor: Monitor,
+    stage: u32,
+    sent: u32,
+    next_stage: Option<(u32, Millis)>,
+    trip_at: Option<Millis>,
+}
+
+struct Run {
+    world: World,
+    score: Score,
+    plan: Plan,
+    nodes: Vec<Node>,
+    answers: VecDeque<Vec<(Request, Arm, Answer)>>,
+    stage: u32,
+    stage_since: Millis,
+    done: bool,
+    trip: Option<Trip>,
+}
+
+/// Drives the policy through one member.
+pub(super) fn run(member: &Member) -> Score {
+    let mut run = Run::new(member);
+    let mut now = Millis::ZERO;
+    while now < member.window {
+        run.tick(now);
+        now += TICK;
+        let settled = run
+            .score
+            .tripped_at
+            .is_some_and(|at| now > at + Millis(10_000));
+        if settled {
+            break;
+        }
+    }
+    if !run.done || run.trip.is_some() {
+        run.score.rolled_back = true;
+        run.score.tripped_at.get_or_insert(member.window);
+    }
+    run.score
+}
+
+impl Run {
+    fn new(member: &Member) -> Self {
+        let world = World::new(member);
+        let routes: Vec<_> = (0..4)
+            .map(|route| (format!("route-{route}").into(), world.limits(route)))
+            .collect();
+        let node = || Node {
+            monitor: Monitor::new(Offset(1), "v2".into(), routes.clone(), member.window),
+            stage: 0,
+            sent: 0,
+            next_stage: None,
+            trip_at: None,
+        };
+        Self {
+            nodes: (0..NODES).map(|_| node()).collect(),
+            world,
+            score: Score::new(member),
+            plan: Plan::default(),
+            answers: (0..HORIZON).map(|_| Vec::new()).collect(),
+            stage: 0,
+            stage_since: Millis::ZERO,
+            done: false,
+            trip: None,
+        }
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.read_records(now);
+        for request in self.world.arrivals(now, TICK) {
+            self.dispatch(request, now);
+        }
+        self.finish(now);
+        for host in self.world.reported_losses(now, TICK) {
+            for node in &mut self.nodes {
+                node.monitor.host_lost(host, now);
+            }
+        }
+        if now.0.is_multiple_of(REPORT_INTERVAL.0) {
+            self.exchange();
+        }
+        self.evaluate(now);
+        self.advance(now);
+    }
+
+    /// Lets each node apply the records that have reached it.
+    fn read_records(&mut self, now: Millis) {
+        for node in &mut self.nodes {
+            if let Some((stage, at)) = node.next_stage
+                && now >= at
+            {
+                node.next_stage = None;
+                node.stage = stage;
+                node.sent = 0;
+                node.monitor.begin_stage();
+            }
+        }
+    }
+
+    fn dispatch(&mut self, request: Request, now: Millis) {
+        let node = &mut self.nodes[request.node];
+        let tripped = node.trip_at.is_some_and(|at| now >= at);
+        let choice = Choice {
+            stage: self.plan.stage(node.stage).filter(|_| !tripped),
+            sent: node.sent,
+            suspicion: node.monitor.suspicion(),
+            nodes: NODES as u32,
+        };
+        let share = choice.stage.map_or(0.0, |stage| stage.share);
+        let arm = choose_version(&choice, request.draw);
+        let placed = match arm {
+            Arm::New => (share, endpoints_in_use(share, ENDPOINTS)),
+            Arm::Old => (1.0 - share, ENDPOINTS),
+        };
+        if arm == Arm::New {
+            node.sent += 1;
+        }
+        let answer = self.world.send(request, arm, placed, now);
+        if arm == Arm::New {
+            self.score.count(answer.exposed, now);
+        }
+        let ticks = usize::try_from(answer.after.0 / TICK.0).unwrap_or(HORIZON);
+        self.answers[ticks.min(HORIZON - 1)].push((request, arm, answer));
+    }
+
+    fn finish(&mut self, now: Millis) {
+        let due = self.answers.pop_front().unwrap_or_default();
+        self.answers.push_back(Vec::new());
+        for (request, arm, answer) in due {
+            let monitor = &mut self.nodes[request.node].monitor;
+            monitor.record(request.route, arm, answer.outcome, answer.host, now);
+        }
+    }
+
+    /// Each node sends its counters to a few random peers.
+    fn exchange(&mut self) {
+        for from in 0..NODES {
+            let report = self.nodes[from].monitor.report(from as u64);
+            let name: Arc<str> = format!("node-{from}").into();
+            for _ in 0..REPORT_PEERS {
+                let step = 1 + (self.world.draw() * (NODES - 1) as f64) as usize;
+                if self.world.draw() >= REPORT_LOSS {
+                    let to = (from + step) % NODES;
+                    self.nodes[to].monitor.absorb(&name, &report);
+                }
+            }
+        }
+    }
+
+    fn evaluate(&mut self, now: Millis) {
+        for index in 0..NODES {
+            let Some(trip) = self.nodes[index].monitor.tick(now) else {
+                continue;
+            };
+            self.nodes[index].trip_at.get_or_insert(now);
+            self.score.tripped_at.get_or_insert(now);
+            if self.trip.is_none() {
+                self.notify(&trip, now);
+                self.trip = Some(trip);
+            }
+        }
+    }
+
+    /// Delivers a trip to the other nodes; a lost message is repeated.
+    fn notify(&mut self, trip: &Trip, now: Millis) {
+        for node in &mut self.nodes {
+            if !node.monitor.adopt(trip) {
+                continue;
+            }
+            let mut at = now + TICK;
+            while self.world.draw() < TRIP_LOSS {
+                at += TRIP_REPEAT;
+            }
+            node.trip_at.get_or_insert(at);
+        }
+    }
+
+    /// The node with the claim advances stages as far as the log allows.
+    fn advance(&mut self, now: Millis) {
+        if self.trip.is_some() || !self.world.log_up(now) || self.done {
+            return;
+        }
+        let holder = &self.nodes[0];
+        if holder.stage != self.stage {
+            return;
+        }
+        let view = View {
+            now,
+            stage: self.stage,
+            stage_since: self.stage_since,
+            deadline: self.score.member.window,
+            routes: holder.monitor.stage_counters(),
+            suspicion: holder.monitor.suspicion(),
+        };
+        match self.plan.next(&view) {
+            Step::Stay => {}
+            Step::Advance(stage) => {
+                self.stage = stage;
+                self.stage_since = now;
+                for node in &mut self.nodes {
+                    let ticks = 1 + (self.world.draw() * RECORD_TICKS) as u64;
+                    node.next_stage = Some((stage, now + Millis(ticks * TICK.0)));
+                }
+            }
+            Step::Done => {
+                self.done = true;
+                self.score.done_at = Some(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/rollout/family/world.rs
@@ -0,0 +1,246 @@
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::clock::Millis;
+
+use super::super::{Arm, Limits, Outcome};
+use super::{Disturbance, Fault, Member};
+
+/// Number of nodes.
+pub(super) const NODES: usize = 8;
+
+/// Endpoints per version.
+pub(super) const ENDPOINTS: usize = 5;
+
+/// Share of the requests on each route.
+const ROUTES: [f64; 4] = [0.45, 0.30, 0.15, 0.10];
+
+/// Median time to the first token on each route.
+const FIRST_MS: [f64; 4] = [150.0, 400.0, 250.0, 120.0];
+
+const GAP_US: f64 = 30_000.0;
+
+/// Spread of the time to the first token and of the token gap (of their logarithm).
+const SPREAD: (f64, f64) = (0.35, 0.12);
+const NOISY_SPREAD: (f64, f64) = (0.6, 0.2);
+
+/// The upper quartile of a normal distribution.
+const UPPER_QUARTILE: f64 = 0.674;
+
+/// How much capacity the endpoints of one version have beyond the mean rate.
+const HEADROOM: f64 = 1.6;
+
+/// Time during which requests to a lost host fail before the platform reports the loss.
+const LOSS_LAG: Millis = Millis(1_500);
+
+/// Time until lost hosts are replaced.
+const REPLACEMENT: Millis = Millis(8_000);
+
+/// Lost hosts of each version in a reclaim wave.
+const LOST: usize = 2;
+
+/// A request that is about to be sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Request {
+    pub(super) node: usize,
+    pub(super) route: usize,
+    pub(super) draw: f64,
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answer {
+    pub(super) outcome: Outcome,
+    /// Time until the outcome is known.
+    pub(super) after: Millis,
+    /// Identifies the endpoint's host.
+    pub(super) host: u64,
+    /// Whether the request met the fault of the version.
+    pub(super) exposed: bool,
+}
+
+/// Draws requests and their outcomes.
+pub(super) struct World {
+    member: Member,
+    rng: SmallRng,
+    noisy: bool,
+    phase: f64,
+}
+
+impl World {
+    pub(super) fn new(member: &Member) -> Self {
+        let mut rng = SmallRng::seed_from_u64(member.seed ^ 0x5eed);
+        Self {
+            member: *member,
+            phase: rng.random_range(0.0..std::f64::consts::TAU),
+            rng,
+            noisy: member.fault == Fault::Noisy,
+        }
+    }
+
+    /// Returns the time from which on a response counts as slow, per route.
+    pub(super) fn limits(&self, route: usize) -> Limits {
+        let (first, gap) = self.spread();
+        Limits {
+            first_ms: Millis((FIRST_MS[route] * (UPPER_QUARTILE * first).exp()) as u64),
+            gap_us: (GAP_US * (UPPER_QUARTILE * gap).exp()) as u64,
+        }
+    }
+
+    /// Returns the requests that arrive during the tick at `now`.
+    pub(super) fn arrivals(&mut self, now: Millis, tick: Millis) -> Vec<Request> {
+        let mean = self.rate(now) * tick.as_f64() / 1_000.0;
+        let (mut count, mut left) = (0, self.rng.random::<f64>());
+        let mut probability = (-mean).exp();
+        while left > probability && count < 1_000 {
+            left -= probability;
+            count += 1;
+            probability *= mean / f64::from(count);
+        }
+        (0..count).map(|_| self.request()).collect()
+    }
+
+    /// Draws the outcome of a request to `arm`, which gets `share` on `in_use` endpoints.
+    pub(super) fn send(
+        &mut self,
+        request: Request,
+        arm: Arm,
+        (share, in_use): (f64, usize),
+        now: Millis,
+    ) -> Answer {
+        let endpoint = self.rng.random_range(0..in_use.max(1));
+        let host = endpoint as u64 + if arm == Arm::New { 100 } else { 0 };
+        let since = self.since_reclaim(now);
+        if endpoint < LOST && since.is_some_and(|since| since < LOSS_LAG) {
+            return Answer {
+                outcome: Outcome::Unreachable,
+                after: Millis(20),
+                host,
+                exposed: false,
+            };
+        }
+        let capacity = HEADROOM * self.member.rate / ENDPOINTS as f64;
+        let load = share * self.rate(now) / in_use.max(1) as f64 / capacity;
+        let (failing, exposed) = self.failing(request.route, arm, load, now);
+        let (outcome, after) = if self.rng.random_bool(failing) {
+            (Outcome::Failed, Millis(200))
+        } else {
+            self.answered(request.route, arm, since.is_some())
+        };
+        Answer {
+            outcome,
+            after,
+            host,
+            exposed,
+        }
+    }
+
+    /// Returns the hosts whose loss the platform reports during the tick at `now`.
+    pub(super) fn reported_losses(&self, now: Millis, tick: Millis) -> Vec<u64> {
+        let Disturbance::Reclaims(at) = self.member.disturbance else {
+            return Vec::new();
+        };
+        let at = at + LOSS_LAG;
+        if now < at || now >= at + tick {
+            return Vec::new();
+        }
+        (0..LOST as u64)
+            .flat_map(|host| [host, host + 100])
+            .collect()
+    }
+
+    /// Returns whether the log can be used.
+    pub(super) fn log_up(&self, now: Millis) -> bool {
+        match self.member.disturbance {
+            Disturbance::LogOutage(from, to) => now < from || now >= to,
+            _ => true,
+        }
+    }
+
+    /// Returns a uniform number in [0, 1).
+    pub(super) fn draw(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    fn request(&mut self) -> Request {
+        let mut left: f64 = self.rng.random();
+        let route = ROUTES.iter().position(|share| {
+            left -= share;
+            left < 0.0
+        });
+        Request {
+            node: self.rng.random_range(0..NODES),
+            route: route.unwrap_or(0),
+            draw: self.rng.random(),
+        }
+    }
+
+    /// The rate swings by a third around its mean, once in 5 minutes.
+    fn rate(&self, now: Millis) -> f64 {
+        let angle = now.as_f64() / 300_000.0 * std::f64::consts::TAU + self.phase;
+        self.member.rate * (1.0 + 0.33 * angle.sin())
+    }
+
+    fn since_reclaim(&self, now: Millis) -> Option<Millis> {
+        match self.member.disturbance {
+            Disturbance::Reclaims(at) if now >= at && now < at + REPLACEMENT => Some(now - at),
+            _ => None,
+        }
+    }
+
+    fn spread(&self) -> (f64, f64) {
+        if self.noisy { NOISY_SPREAD } else { SPREAD }
+    }
+
+    /// Returns the probability of a failure and whether the version's fault shows.
+    fn failing(&self, route: usize, arm: Arm, load: f64, now: Millis) -> (f64, bool) {
+        // A burst of 10 s in every 100 s hits both versions.
+        let burst = self.noisy && now.0 % 100_000 < 10_000;
+        let base = match (self.noisy, burst) {
+            (true, true) => 0.15,
+            (true, false) => 0.02,
+            _ => 0.004,
+        };
+        if arm == Arm::Old {
+            return (base, false);
+        }
+        let fault = match self.member.fault {
+            Fault::AtOnce(failing) => failing,
+            Fault::Later(failing, at) if now >= at => failing,
+            Fault::UnderLoad(failing) if load > 0.45 => failing,
+            Fault::OneRoute(failing, faulty) if faulty == route => failing,
+            Fault::Slow(..) => return (base, true),
+            _ => return (base, false),
+        };
+        (fault, true)
+    }
+
+    fn answered(&mut self, route: usize, arm: Arm, overloaded: bool) -> (Outcome, Millis) {
+        let (slow_first, slow_gap) = match (arm, self.member.fault) {
+            (Arm::New, Fault::Slow(first, gap)) => (first, gap),
+            (Arm::New, Fault::Noisy) => (1.1, 1.02),
+            _ => (1.0, 1.0),
+        };
+        // The hosts that are left after a reclaim carry more, the new version's even more.
+        let overload = match (overloaded, arm) {
+            (true, Arm::New) => 1.8,
+            (true, Arm::Old) => 1.4,
+            _ => 1.0,
+        };
+        let (first_spread, gap_spread) = self.spread();
+        let first = FIRST_MS[route] * slow_first * overload * (first_spread * self.normal()).exp();
+        let gap = GAP_US * slow_gap * overload * (gap_spread * self.normal()).exp();
+        let outcome = Outcome::Answered {
+            first: Millis(first as u64),
+            gap_us: gap as u64,
+        };
+        // A response of 30 tokens.
+        (outcome, Millis((first + gap * 30.0 / 1_000.0) as u64))
+    }
+
+    /// Box-Muller transform.
+    fn normal(&mut self) -> f64 {
+        let radius = (-2.0 * (1.0 - self.rng.random::<f64>()).ln()).sqrt();
+        radius * (std::f64::consts::TAU * self.rng.random::<f64>()).cos()
+    }
+}
--- /dev/null
+++ b/src/rollout/plan.rs
@@ -0,0 +1,129 @@
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+
+use super::{CAUTION, Pair, accepts};
+
+/// Shortest time in a stage: nodes learn of it within a second and their reports take another few.
+const MIN_DWELL: Millis = Millis(5_000);
+
+/// Part of the time left that a stage may use before it moves on without full evidence.
+const DWELL_SHARE: u64 = 6;
+
+/// Requests below which a stage never moves on without full evidence.
+const MIN_REQUESTS: u32 = 20;
+
+/// Requests of the old version in the last stage below which a route is too quiet to be judged.
+const QUIET_ROUTE: u32 = 10;
+
+/// Largest delay with which an append still takes effect in nearly all cases; a `done` record is
+/// not written later than this before the deadline.
+const APPEND_MARGIN: Millis = Millis(5_000);
+
+/// How much of the traffic the new version gets.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stage {
+    /// Share of the requests, 0 to 1.
+    pub share: f64,
+    /// Most requests of all nodes together during the stage.
+    pub budget: Option<u32>,
+}
+
+/// The stages of a rollout.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    stages: Vec<Stage>,
+}
+
+/// What the controller of a rollout should do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing yet.
+    Stay,
+    /// Append the record of this stage.
+    Advance(u32),
+    /// Append the record that the rollout is done.
+    Done,
+}
+
+/// What the controller knows of a rollout.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// Now, on the clock of `deadline` and `stage_since`.
+    pub now: Millis,
+    /// Number of the stage in force, from 0.
+    pub stage: u32,
+    /// When the stage began.
+    pub stage_since: Millis,
+    /// When the rollout has to be done.
+    pub deadline: Millis,
+    /// Counters per route since the stage began.
+    pub routes: &'a [Pair],
+    /// Highest [`Detector::suspicion`](super::Detector::suspicion) of all tests.
+    pub suspicion: f64,
+}
+
+impl Default for Plan {
+    /// The first stages are bounded in requests. The last one keeps a third on the old version:
+    /// with less, a version that turns bad late would be compared with too few requests and expose
+    /// several times as many before the trip.
+    fn default() -> Self {
+        let stage = |share, budget| Stage { share, budget };
+        Self {
+            stages: vec![
+                stage(0.02, Some(64)),
+                stage(0.05, Some(200)),
+                stage(0.20, None),
+                stage(0.50, None),
+                stage(0.67, None),
+            ],
+        }
+    }
+}
+
+impl Plan {
+    /// Returns a stage by its number.
+    #[must_use]
+    pub fn stage(&self, number: u32) -> Option<Stage> {
+        self.stages.get(number as usize).copied()
+    }
+
+    /// Returns the number of the last stage.
+    #[must_use]
+    pub fn last(&self) -> u32 {
+        u32::try_from(self.stages.len() - 1).unwrap_or(u32::MAX)
+    }
+
+    /// Decides the next step of a rollout that is in progress and not tripped.
+    #[must_use]
+    pub fn next(&self, view: &View<'_>) -> Step {
+        let dwelt = view.now - view.stage_since;
+        if view.now >= view.deadline || dwelt < MIN_DWELL {
+            return Step::Stay;
+        }
+        let suspected = view.suspicion > CAUTION;
+        let mut all = Pair::default();
+        view.routes.iter().for_each(|pair| all.add(*pair));
+        if view.stage < self.last() {
+            let patience = Millis((view.deadline - view.now).0 / DWELL_SHARE);
+            let late = dwelt >= patience && all.new.requests >= MIN_REQUESTS;
+            // A spent budget yields no further evidence, so that only the next stage can clear up
+            // a suspicion.
+            let bounded = self.stage(view.stage).is_some_and(|s| s.budget.is_some());
+            let clear = accepts(all) && !suspected;
+            return if clear || (late && (bounded || !suspected)) {
+                Step::Advance(view.stage + 1)
+            } else {
+                Step::Stay
+            };
+        }
+        let judged = |pair: &&Pair| pair.old.requests + pair.new.requests >= QUIET_ROUTE;
+        let accepted =
+            !suspected && accepts(all) && view.routes.iter().filter(judged).all(|p| accepts(*p));
+        if accepted && view.now + APPEND_MARGIN < view.deadline {
+            Step::Done
+        } else {
+            Step::Stay
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/rollout_policy.rs
@@ -0,0 +1,243 @@
+//! The rollout policy: its error rates, what counts as evidence, and the seeded family.
+
+use almondpath::clock::Millis;
+use almondpath::log::Offset;
+use almondpath::rollout::{
+    Arm, Choice, Detector, Limits, Metric, Monitor, Outcome, Stage, Stratum, choose_version,
+    endpoints_in_use, family,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const OK: Outcome = Outcome::Answered {
+    first: Millis(100),
+    gap_us: 10_000,
+};
+const SLOW: Outcome = Outcome::Answered {
+    first: Millis(900),
+    gap_us: 10_000,
+};
+
+fn monitor() -> Monitor {
+    let limits = Limits {
+        first_ms: Millis(200),
+        gap_us: 20_000,
+    };
+    let routes = vec![("question".into(), limits), ("summary".into(), limits)];
+    Monitor::new(Offset(7), "v2".into(), routes, Millis::from_secs(600))
+}
+
+/// Guards the targets of the rollout policy against a change of the test, the stages or the
+/// exchange between nodes.
+#[test]
+fn the_family_meets_the_targets() {
+    let table = family::run(1, 252);
+    println!("{table}");
+    let rows = table.rows();
+    let row = |fault: &str| {
+        let found = rows
+            .iter()
+            .find(|r| r.policy == "sequential" && r.fault == fault);
+        found.expect("the row exists")
+    };
+    let (good, bad) = (row("all good"), row("all bad"));
+    assert!(good.rollouts + bad.rollouts >= 200);
+    assert!(good.done * 100 >= good.rollouts * 95);
+    assert!(good.rolled_back * 100 < good.rollouts * 2);
+    assert_eq!(bad.rolled_back, bad.rollouts);
+    assert!(bad.worst_exposed_percent <= 2.0);
+    assert!(bad.worst_after_percent < 0.1);
+    assert_eq!(bad.late, 0);
+}
+
+fn draw(rng: &mut SmallRng, requests: u32, rate: f64) -> u32 {
+    (0..requests)
+        .map(|_| u32::from(rng.random_bool(rate)))
+        .sum()
+}
+
+/// Guards the stated error rates: a wrong normalizer or threshold trips tolerable versions or
+/// misses harmful ones, also when the event rate of both versions changes in every period.
+#[test]
+fn the_detector_keeps_its_error_rates() {
+    struct Case {
+        metric: Metric,
+        odds: f64,
+        /// Range of trips out of 1,000 runs.
+        trips: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        // The bound is 10 of 1,000; 22 is exceeded with a probability below 0.001.
+        (Metric::Failures, Metric::Failures.tolerated(), 0..=22),
+        (Metric::FirstToken, Metric::FirstToken.tolerated(), 0..=22),
+        (Metric::Failures, 12.0, 990..=1_000),
+        (Metric::TokenGap, 8.0, 990..=1_000),
+    ];
+    let mut rng = SmallRng::seed_from_u64(11);
+    for (metric, odds, trips) in cases {
+        let case = Case {
+            metric,
+            odds,
+            trips,
+        };
+        let mut count = 0;
+        for _ in 0..1_000 {
+            let mut detector = Detector::new(case.metric, 100, 0.01);
+            let tripped = (0..100).any(|_| {
+                let old = rng.random_range(0.02..0.3);
+                let new = case.odds * old / (1.0 - old + case.odds * old);
+                detector.push(Stratum {
+                    new: 10,
+                    new_events: draw(&mut rng, 10, new),
+                    old: 10,
+                    old_events: draw(&mut rng, 10, old),
+                })
+            });
+            count += u32::from(tripped);
+        }
+        assert!(
+            case.trips.contains(&count),
+            "{:?} with odds {}: {count} of 1,000 tripped",
+            case.metric,
+            case.odds
+        );
+    }
+}
+
+/// Guards against reclaims that are held against a version, and against a crashing version that
+/// passes for a lost host.
+#[test]
+fn lost_hosts_do_not_count_but_crashes_do() {
+    struct Case {
+        name: &'static str,
+        outcome: Outcome,
+        reported_at: Option<u64>,
+        trips: bool,
+    }
+    let cases = [
+        Case {
+            name: "host lost, reported in time",
+            outcome: Outcome::Unreachable,
+            reported_at: Some(2_000),
+            trips: false,
+        },
+        Case {
+            name: "host never reported lost",
+            outcome: Outcome::Unreachable,
+            reported_at: None,
+            trips: true,
+        },
+        Case {
+            name: "errors of a host that is lost later",
+            outcome: Outcome::Failed,
+            reported_at: Some(2_000),
+            trips: true,
+        },
+        Case {
+            name: "cancelled by callers",
+            outcome: Outcome::Void,
+            reported_at: None,
+            trips: false,
+        },
+        Case {
+            name: "slow while hosts are missing",
+            outcome: SLOW,
+            reported_at: Some(0),
+            trips: false,
+        },
+        Case {
+            name: "slow with all hosts",
+            outcome: SLOW,
+            reported_at: None,
+            trips: true,
+        },
+        Case {
+            name: "healthy",
+            outcome: OK,
+            reported_at: None,
+            trips: false,
+        },
+    ];
+    for case in cases {
+        let mut monitor = monitor();
+        let mut tripped = false;
+        for now in (0..8_000).step_by(100).map(Millis) {
+            if case.reported_at == Some(now.0) {
+                monitor.host_lost(100, now);
+            }
+            monitor.record(0, Arm::New, case.outcome, 100, now);
+            monitor.record(0, Arm::Old, OK, 1, now);
+            tripped |= monitor.tick(now).is_some();
+        }
+        assert_eq!(tripped, case.trips, "{}", case.name);
+    }
+}
+
+/// Guards against evidence that is counted twice when reports are repeated or late, or that is
+/// lost when a node restarts.
+#[test]
+fn reports_add_up_once() {
+    let mut sender = monitor();
+    let mut receiver = monitor();
+    let name = "node-1".into();
+    let mut sent = Vec::new();
+    for _ in 0..5 {
+        for _ in 0..4 {
+            sender.record(0, Arm::New, OK, 1, Millis::ZERO);
+            sender.record(1, Arm::Old, Outcome::Failed, 1, Millis::ZERO);
+        }
+        sent.push(sender.report(1));
+    }
+    for index in [0, 2, 2, 1, 4, 3, 4, 0] {
+        receiver.absorb(&name, &sent[index]);
+    }
+    receiver.tick(Millis(500));
+    assert_eq!(receiver.stage_counters()[0].new.requests, 20);
+    assert_eq!(receiver.stage_counters()[1].old.failures, 20);
+
+    let mut restarted = monitor();
+    restarted.record(0, Arm::New, OK, 1, Millis::ZERO);
+    receiver.absorb(&name, &restarted.report(2));
+    receiver.tick(Millis(1_000));
+    assert_eq!(receiver.stage_counters()[0].new.requests, 21);
+}
+
+/// Guards against a first stage that exposes a share of a heavy load instead of a number of
+/// requests, and against load faults that only a full rollout would show.
+#[test]
+fn first_stages_are_bounded_in_requests() {
+    let stage = Stage {
+        share: 0.5,
+        budget: Some(64),
+    };
+    let mut sent = [0_u32; 8];
+    let mut rng = SmallRng::seed_from_u64(3);
+    for index in 0..10_000 {
+        let node = index % 8;
+        let choice = Choice {
+            stage: Some(stage),
+            sent: sent[node],
+            suspicion: 0.0,
+            nodes: 8,
+        };
+        let arm = choose_version(&choice, rng.random());
+        sent[node] += u32::from(arm == Arm::New);
+    }
+    assert_eq!(sent.iter().sum::<u32>(), 64);
+    let none = Choice {
+        stage: None,
+        sent: 0,
+        suspicion: 0.0,
+        nodes: 8,
+    };
+    assert_eq!(choose_version(&none, 0.0), Arm::Old);
+    for (share, endpoints, expected) in [
+        (0.02, 5, 1),
+        (0.2, 5, 1),
+        (0.67, 5, 4),
+        (1.0, 5, 5),
+        (0.5, 0, 0),
+    ] {
+        assert_eq!(endpoints_in_use(share, endpoints), expected);
+    }
+}
