--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,7 +3,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{call, check, completions, dev, dump, generate, publish, serve, status};
+use super::{call, check, completions, dev, dump, generate, publish, rollouts, serve, status};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -31,6 +31,7 @@
         .subcommand(status::command())
         .subcommand(dump::command())
         .subcommand(call::command())
+        .subcommand(rollouts::command())
         .subcommand(dev::command())
         .subcommand(completions::command())
         .after_help(
@@ -78,6 +79,7 @@
         Some(("status", args)) => status::run(args).await,
         Some(("dump", args)) => dump::run(args).await,
         Some(("call", args)) => call::run(args).await,
+        Some(("rollouts", args)) => rollouts::run(args),
         Some(("dev", args)) => dev::run(args, json).await,
         _ => unreachable!("clap accepts only the subcommands above"),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod node;
 pub mod peer;
 pub mod questionnaire;
+pub mod rollout;
 pub mod settings;
 pub mod standin;
 pub mod stream;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,3 +8,4 @@
 mod operators;
 mod peer;
 mod relay;
+mod rollout_policy;
