--- a/src/log/writer/committer.rs
+++ b/src/log/writer/committer.rs
@@ -1,9 +1,10 @@
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, Millis};
+use crate::error::Error;
 use crate::log::Service;
 use crate::verdict::Verdict;
 
@@ -15,6 +16,9 @@
 /// Bytes after which no further group is added to an append.
 const BATCH_BYTES: usize = 512 * 1024;
 
+/// Time within which a failed append is tried again at once; mostly a connection was closed.
+const QUICK_FAILURE: Millis = Millis(250);
+
 const FIRST_BACKOFF: Millis = Millis(50);
 const MAX_BACKOFF: Millis = Millis(1_000);
 
@@ -118,9 +122,9 @@
             return true;
         };
         let records = u64::try_from(batch.texts.len()).unwrap_or(u64::MAX);
-        let result = service.append(&self.stream, batch.texts.clone()).await;
+        let result = self.send(service, clock, &batch.texts).await;
         match result {
-            Ok(_) => {
+            Ok(()) => {
                 metrics::counter!("almondpath_log_appends_total").increment(1);
                 metrics::counter!("almondpath_log_records_total").increment(records);
                 true
@@ -138,6 +142,31 @@
     }
 }
 
+impl<R, W> Committer<R, W> {
+    /// Appends the texts, a second time when the first try fails quickly.
+    ///
+    /// Both copies carry the same numbers, so that the second has no effect if the first had.
+    async fn send<S>(&self, service: &S, clock: &Clock, texts: &[Arc<str>]) -> Result<(), Error>
+    where
+        S: Service,
+    {
+        let started = clock.now();
+        let Err(first) = service.append(&self.stream, texts.to_vec()).await else {
+            return Ok(());
+        };
+        if clock.now() - started > QUICK_FAILURE {
+            return Err(first);
+        }
+        match service.append(&self.stream, texts.to_vec()).await {
+            Ok(_) => Ok(()),
+            Err(second) => {
+                let verdict = second.verdict().combine(first.verdict());
+                Err(second.with_verdict(verdict))
+            }
+        }
+    }
+}
+
 /// Spreads the retries of many nodes over half to all of the delay.
 fn jittered(delay: Millis) -> Millis {
     Millis(rand::random_range(delay.0 / 2..=delay.0))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,6 +13,8 @@
 mod refusal;
 mod request;
 mod shard;
+mod status;
 mod takeover;
 
 pub use self::node::Node;
+pub use self::status::Status;
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -21,7 +21,10 @@
 
 /// Longest time that a pooled connection stays unused; an older one may have been dropped
 /// silently by something between the two ends.
-const IDLE_TIMEOUT: Millis = Millis(5_000);
+///
+/// Below the 5 s after which [`Server`](super::Server) closes an idle connection: at the same
+/// value a request now and then met a connection that was being closed, and failed.
+const IDLE_TIMEOUT: Millis = Millis(3_000);
 
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -184,7 +187,13 @@
             .map_err(|error| lost(error.to_string()))
     }
 
-    async fn json<T>(&self, request: Request<Full<Bytes>>) -> Result<T, Error>
+    /// Sends a request and reads a JSON document back.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get_json`]; an error that the other side sent as a document is returned as it
+    /// is.
+    pub async fn json<T>(&self, request: Request<Full<Bytes>>) -> Result<T, Error>
     where
         T: DeserializeOwned,
     {
