--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -18,6 +18,7 @@
 use super::Node;
 use super::refusal::refusal;
 use super::request::header;
+use super::shard::Summary;
 
 /// Largest body of a published configuration.
 const MAX_CONFIG_BYTES: u64 = 1024 * 1024;
@@ -40,8 +41,12 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+<<<<<<< HEAD
     own: Member,
     peers: Vec<Peer>,
+=======
+    calls: Vec<Summary>,
+>>>>>>> main
 }
 
 /// Returns the HTTP interface for operators.
@@ -141,6 +146,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            calls: self.calls.summary(),
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,16 +3,22 @@
 mod admin;
 mod answers;
 mod api;
+mod attempt;
 mod background;
 mod cluster;
 mod gossip;
+mod body_limit;
+mod calls;
+mod follow;
 mod model;
 mod node;
 mod plain;
 mod polls;
 mod refusal;
 mod request;
+mod shard;
 mod status;
+mod takeover;
 
 pub use self::node::Node;
 pub use self::status::Status;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -12,6 +12,14 @@
 const STALL: Millis = Millis(2_000);
 const DRAIN: Millis = Millis::from_secs(300);
 
+/// One stream: a node appends to each of them, and all appends share one budget.
+const CALL_SHARDS: u64 = 1;
+
+const RETRY_WINDOW: Millis = Millis::from_secs(600);
+const DISPATCH_BOUND: Millis = Millis(2_000);
+const CHECKPOINT_RECORDS: u64 = 1_000;
+const CHECKPOINT_INTERVAL: Millis = Millis::from_secs(300);
+
 /// One day, the upper bound of every length of time in the settings.
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 
@@ -44,6 +52,19 @@
     pub stall_ms: Millis,
     /// Longest time a graceful shutdown waits for open requests before it hands them over.
     pub drain_ms: Millis,
+    /// Number of streams that non-idempotent calls are spread over; must be the same on all nodes.
+    ///
+    /// Each node appends to each stream, so that more streams make the time between two appends
+    /// to one of them longer.
+    pub call_shards: u32,
+    /// Time for which an idempotency key can be used.
+    pub retry_window_ms: Millis,
+    /// Time from writing a dispatch record to sending, after which the node does not send.
+    pub dispatch_bound_ms: Millis,
+    /// Records in a calls stream after which it gets a checkpoint.
+    pub checkpoint_records: u64,
+    /// Time after which a calls stream gets a checkpoint; well below the log's retention time.
+    pub checkpoint_interval_ms: Millis,
 }
 
 impl Node {
@@ -91,6 +112,19 @@
                 as usize,
             stall_ms: section.millis_or("stall_ms", STALL, 100..=DAY_MS),
             drain_ms: section.millis_or("drain_ms", DRAIN, 0..=DAY_MS),
+            call_shards: section.integer_or("call_shards", CALL_SHARDS, 1..=64) as u32,
+            retry_window_ms: section.millis_or("retry_window_ms", RETRY_WINDOW, 1_000..=DAY_MS),
+            dispatch_bound_ms: section.millis_or("dispatch_bound_ms", DISPATCH_BOUND, 100..=60_000),
+            checkpoint_records: section.integer_or(
+                "checkpoint_records",
+                CHECKPOINT_RECORDS,
+                10..=1_000_000,
+            ),
+            checkpoint_interval_ms: section.millis_or(
+                "checkpoint_interval_ms",
+                CHECKPOINT_INTERVAL,
+                1_000..=DAY_MS,
+            ),
         }
     }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,11 +1,17 @@
 //! Integration tests, one file per feature.
 
+mod at_most_once;
 mod broken_files;
+mod call_harness;
 mod config_spread;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod ledger;
+mod log_outage;
 mod membership;
 mod operators;
 mod peer;
+mod refusals;
 mod relay;
+mod rollout_policy;
