Keep responses across engine and connection failures

A response was bound to the first connection to its engine: two seconds of silence made the engine count as failed, a lost engine ended in at most five restarts on whichever endpoint had the least load, which is the one that just died, and finished responses were removed by a sleeping task per request.

- `stream::Transcript` holds attempts and chunks and decides what a caller gets; chunks of earlier attempts and out of order are dropped, and a caller whose last chunk belongs to an abandoned sampling is told from which offset to restart.
Attempt numbers of a node that takes over start in a block of their own, because two nodes that both continue attempt 1 would otherwise both call the next one attempt 2.
Texts share one string instead of one allocation each.
- `stream::Store` bounds count, bytes and retention by settings.
- The driver re-attaches over a fresh connection when an engine is silent, treats it as failed only when that fails, avoids failed endpoints, waits while there is none, cancels streams that nobody reads or whose deadline has passed, and counts recomputed tokens.
- `reclaim::choose` decides between finishing, moving the KV cache and resuming.
- The engine test double has a prefix cache, export and import, cancel and stalled connections; each token carries a digest of the one before, so that a response joined from two samplings is recognized.

The property test first failed with a chunk of attempt 0 that was accepted before any attempt had begun.

--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -3,7 +3,9 @@
 mod endpoint;
 mod generate;
 mod table;
+mod transfer;
 
 pub use self::endpoint::{Endpoint, Host, Load, State};
 pub use self::generate::{Done, Generate, Start, Token};
 pub use self::table::{Key, Table};
+pub use self::transfer::{Export, Import};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod log;
 pub mod node;
+pub mod reclaim;
 pub mod settings;
 pub mod standin;
 pub mod stream;
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use uuid::Uuid;
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
@@ -10,10 +10,11 @@
 
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
+use crate::stream::Cursor;
 
 use super::refusal::refusal;
 use super::request::Request;
-use super::{Node, model, plain};
+use super::{Node, backup, model, plain};
 
 /// Time for which a caller may keep an address response.
 const ADDRESS_TTL_MS: u64 = 2_000;
@@ -30,12 +31,6 @@
     domain: Arc<str>,
 }
 
-#[derive(Debug, Deserialize)]
-struct Position {
-    #[serde(default)]
-    offset: u32,
-}
-
 /// Returns the HTTP interface for callers.
 pub(super) fn filter(
     node: Arc<Node>,
@@ -67,9 +62,10 @@
         .and(warp::query())
         .and(warp::header::headers_cloned())
         .and(with.clone())
-        .map(
-            |id, position: Position, headers: HeaderMap, node: Arc<Node>| {
-                resume(&node, id, position.offset, &headers).unwrap_or_else(|e| refusal(&e))
+        .then(
+            |id, cursor: Cursor, headers: HeaderMap, node: Arc<Node>| async move {
+                let result = resume(&node, id, cursor, &headers).await;
+                result.unwrap_or_else(|e| refusal(&e))
             },
         )
         .boxed();
@@ -114,7 +110,7 @@
         })?;
         let service = request.active.config.service(&request.route.service);
         match service.map(|service| service.kind) {
-            Some(Kind::Model) => model::call(&node, request, permit),
+            Some(Kind::Model) => model::call(&node, request, permit).await,
             Some(Kind::Plain) => plain::call(&node, request, permit).await,
             None => Err(Error::not_run(
                 ErrorKind::Unavailable,
@@ -125,19 +121,14 @@
     result.await.unwrap_or_else(|error| refusal(&error))
 }
 
-fn resume(node: &Arc<Node>, id: Uuid, offset: u32, headers: &HeaderMap) -> Result<Response, Error> {
+async fn resume(
+    node: &Arc<Node>,
+    id: Uuid,
+    cursor: Cursor,
+    headers: &HeaderMap,
+) -> Result<Response, Error> {
     let account = node.account(headers)?;
-    let entry = node
-        .streams
-        .get(id)
-        .filter(|entry| entry.account == account)
-        .ok_or_else(|| {
-            Error::may_have_run(
-                ErrorKind::NotFound,
-                format!("request {id} is not known here"),
-            )
-        })?;
-    Ok(model::follow(entry, offset))
+    backup::resume(node, id, &account, cursor).await
 }
 
 fn ready(node: &Node) -> Response {
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -29,6 +29,10 @@
     supervisor.spawn("hosts", move |token| poll_hosts(Arc::clone(&this), token));
     let this = Arc::clone(node);
     supervisor.spawn("load", move |token| poll_load(Arc::clone(&this), token));
+    let this = Arc::clone(node);
+    supervisor.spawn("streams", move |token| {
+        sweep_streams(Arc::clone(&this), token)
+    });
 }
 
 async fn tail_control(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
@@ -103,6 +107,15 @@
     Ok(())
 }
 
+/// Drops finished responses after their retention period.
+async fn sweep_streams(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    while !token.is_cancelled() {
+        node.streams.sweep(node.clock.now(), node.clock.wall());
+        pause(&token).await;
+    }
+    Ok(())
+}
+
 async fn pause(token: &CancellationToken) {
     tokio::select! {
         () = token.cancelled() => {}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,8 +3,14 @@
 mod admin;
 mod api;
 mod background;
+mod backup;
+mod drive;
+mod engine;
+mod follow;
+mod leaving;
 mod model;
 mod node;
+mod pace;
 mod plain;
 mod refusal;
 mod request;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -62,7 +62,7 @@
             access,
             active: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
-            streams: Store::default(),
+            streams: Store::new(settings.streams),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::stream::Limits;
 
 /// Settings of a `serve` process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -42,6 +43,12 @@
     /// Longest time a graceful shutdown waits for open requests before it hands them over.
     #[serde(default = "default_drain")]
     pub drain_ms: Millis,
+    /// Time from the first signal that an endpoint's host is leaving until the host is gone.
+    #[serde(default = "default_notice")]
+    pub notice_ms: Millis,
+    /// Bounds of the responses that the node holds.
+    #[serde(default)]
+    pub streams: Limits,
 }
 
 fn default_body_limit() -> u64 {
@@ -56,6 +63,10 @@
     Millis(2_000)
 }
 
+fn default_notice() -> Millis {
+    Millis::from_secs(5)
+}
+
 fn default_drain() -> Millis {
     Millis::from_secs(300)
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use futures::Stream;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Semaphore, watch};
 use uuid::Uuid;
@@ -12,12 +11,20 @@
 use warp::{Filter, Reply};
 
 use crate::clock::Millis;
-use crate::endpoint::{Done, Generate, Load, Start, Token};
+use crate::endpoint::{Export, Generate, Import, Load, Start};
+use crate::transport;
 
+use super::prefix_cache::{BYTES_PER_TOKEN, PrefixCache};
 use super::reply;
+use super::sampling::{Connection, Exported, Sampling, Stage};
 
 const SLOTS: u32 = 16;
 
+/// Time for which an ended stream can still be read.
+const RETENTION: Millis = Millis::from_secs(60);
+
+const IMPORT_TIMEOUT: Millis = Millis(2_000);
+
 /// Faults and speed of a model engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -32,6 +39,10 @@
     pub stall: bool,
     /// Reports that the endpoint is leaving.
     pub leaving: bool,
+    /// Sends nothing more on the connections that are open now, without closing them.
+    pub stall_connections: bool,
+    /// Refuses to export KV caches.
+    pub refuse_export: bool,
 }
 
 impl Default for EngineFaults {
@@ -42,6 +53,8 @@
             fail: false,
             stall: false,
             leaving: false,
+            stall_connections: false,
+            refuse_export: false,
         }
     }
 }
@@ -64,14 +77,9 @@
     slots: Arc<Semaphore>,
     streams: Mutex<HashMap<Arc<str>, Arc<Sampling>>>,
     faults: Mutex<EngineFaults>,
-}
-
-#[derive(Debug)]
-struct Sampling {
-    handle: Arc<str>,
-    tokens: Mutex<Vec<Arc<str>>>,
-    done: watch::Sender<bool>,
-    length: watch::Sender<usize>,
+    cache: Mutex<PrefixCache>,
+    stalls: watch::Sender<u64>,
+    http: transport::Client,
 }
 
 impl Engine {
@@ -87,6 +95,9 @@
                 slots: Arc::new(Semaphore::new(SLOTS as usize)),
                 streams: Mutex::default(),
                 faults: Mutex::default(),
+                cache: Mutex::default(),
+                stalls: watch::Sender::new(0),
+                http: transport::Client::new(IMPORT_TIMEOUT),
             }),
         }
     }
@@ -117,14 +128,24 @@
         let cancel = warp::path!("streams" / String)
             .and(warp::delete())
             .and(with.clone())
-            .map(|handle: String, this: Self| {
-                this.inner
-                    .streams
-                    .lock()
-                    .expect("streams lock")
-                    .remove(&*handle);
-                reply(StatusCode::OK, &serde_json::json!({})).into_response()
-            })
+            .map(|handle: String, this: Self| this.cancel(&handle))
+            .boxed();
+        let export = warp::path!("streams" / String / "export")
+            .and(warp::post())
+            .and(warp::header::<String>("host"))
+            .and(with.clone())
+            .map(|handle: String, host: String, this: Self| this.export(&handle, &host))
+            .boxed();
+        let import = warp::path!("import")
+            .and(warp::post())
+            .and(warp::body::json())
+            .and(with.clone())
+            .then(|body: Import, this: Self| async move { this.import(body).await })
+            .boxed();
+        let kv = warp::path!("kv" / String)
+            .and(warp::get())
+            .and(with.clone())
+            .map(|handle: String, this: Self| this.kv(&handle))
             .boxed();
         let load = warp::path!("load")
             .and(warp::get())
@@ -136,6 +157,9 @@
             .and(warp::body::json())
             .and(with)
             .map(|faults: EngineFaults, this: Self| {
+                if faults.stall_connections {
+                    this.inner.stalls.send_modify(|count| *count += 1);
+                }
                 *this.inner.faults.lock().expect("faults lock") = faults;
                 reply(StatusCode::OK, &serde_json::json!({})).into_response()
             })
@@ -145,6 +169,12 @@
             .unify()
             .or(cancel)
             .unify()
+            .or(export)
+            .unify()
+            .or(import)
+            .unify()
+            .or(kv)
+            .unify()
             .or(load)
             .unify()
             .or(faults)
@@ -155,75 +185,134 @@
             .unify()
     }
 
-    fn generate(&self, body: Generate) -> warp::reply::Response {
-        let faults = self.faults();
-        if faults.fail {
+    fn generate(&self, order: Generate) -> warp::reply::Response {
+        if self.faults().fail {
             return super::unavailable().into_response();
         }
+        let mut context = order.prompt.to_string();
+        context.extend(order.generated.iter().map(|text| &**text));
+        let mut cache = self.inner.cache.lock().expect("cache lock");
+        let cached = cache.lookup(&context);
+        drop(cache);
+        let total = order.prompt.len() / BYTES_PER_TOKEN + order.generated.len() + 1;
+        self.begin(order, cached.min(total - 1), total)
+    }
+
+    /// Starts a sampling that has `cached` of `total` tokens in its KV cache.
+    fn begin(&self, order: Generate, cached: usize, total: usize) -> warp::reply::Response {
         let handle: Arc<str> = Uuid::new_v4().to_string().into();
-        let sampling = Arc::new(Sampling {
-            handle: Arc::clone(&handle),
-            tokens: Mutex::new(body.generated.clone()),
-            done: watch::Sender::new(false),
-            length: watch::Sender::new(body.generated.len()),
-        });
-        self.inner
-            .streams
-            .lock()
-            .expect("streams lock")
-            .insert(Arc::clone(&handle), Arc::clone(&sampling));
-        let prefill_tokens =
-            u32::try_from(body.prompt.len() / 4 + body.generated.len() + 1).unwrap_or(u32::MAX);
+        let from = order.generated.len();
+        let sampling = Arc::new(Sampling::new(Arc::clone(&handle), order));
+        let mut streams = self.inner.streams.lock().expect("streams lock");
+        streams.insert(Arc::clone(&handle), Arc::clone(&sampling));
+        drop(streams);
         let start = Start {
             handle,
-            cached_tokens: 0,
-            prefill_tokens,
+            cached_tokens: u32::try_from(cached).unwrap_or(u32::MAX),
+            prefill_tokens: u32::try_from(total - cached).unwrap_or(u32::MAX),
         };
-        let from = body.generated.len();
-        tokio::spawn(
-            self.clone()
-                .sample(Arc::clone(&sampling), body, prefill_tokens),
-        );
-        sse::reply(sse::keep_alive().stream(follow(sampling, Some(start), from))).into_response()
+        let prefill = start.prefill_tokens;
+        tokio::spawn(self.clone().sample(Arc::clone(&sampling), prefill));
+        self.send(sampling, Some(start), from)
+    }
+
+    fn send(
+        &self,
+        sampling: Arc<Sampling>,
+        start: Option<Start>,
+        from: usize,
+    ) -> warp::reply::Response {
+        let connection = Connection {
+            sampling,
+            start,
+            from,
+            stalls: self.inner.stalls.subscribe(),
+        };
+        sse::reply(sse::keep_alive().stream(connection.events())).into_response()
     }
 
     fn attach(&self, handle: &str, from: usize) -> warp::reply::Response {
-        let streams = self.inner.streams.lock().expect("streams lock");
-        let Some(sampling) = streams.get(handle).cloned() else {
+        match self.find(handle) {
+            Some(sampling) => self.send(sampling, None, from),
+            None => super::missing().into_response(),
+        }
+    }
+
+    fn cancel(&self, handle: &str) -> warp::reply::Response {
+        if let Some(sampling) = self.find(handle) {
+            sampling.end(Stage::Cancelled);
+        }
+        reply(StatusCode::OK, &serde_json::json!({})).into_response()
+    }
+
+    fn export(&self, handle: &str, host: &str) -> warp::reply::Response {
+        let found = self.find(handle).filter(|_| !self.faults().refuse_export);
+        let Some(sampling) = found else {
             return super::missing().into_response();
         };
-        drop(streams);
-        sse::reply(sse::keep_alive().stream(follow(sampling, None, from))).into_response()
+        sampling.end(Stage::Exported);
+        let tokens = sampling.exported().tokens.len();
+        let export = Export {
+            kv: format!("{host}/{handle}").into(),
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+        };
+        reply(StatusCode::OK, &export).into_response()
+    }
+
+    fn kv(&self, handle: &str) -> warp::reply::Response {
+        match self.find(handle) {
+            Some(sampling) => reply(StatusCode::OK, &sampling.exported()).into_response(),
+            None => super::missing().into_response(),
+        }
     }
 
-    async fn sample(self, sampling: Arc<Sampling>, body: Generate, prefill_tokens: u32) {
+    /// Reads an exported KV cache from the engine that its name gives, and continues from it.
+    async fn import(&self, import: Import) -> warp::reply::Response {
+        let Some((address, handle)) = import.kv.split_once('/') else {
+            return super::missing().into_response();
+        };
+        let Ok(address) = address.parse() else {
+            return super::missing().into_response();
+        };
+        let path = format!("/kv/{handle}");
+        let exported = self.inner.http.get_json::<Exported>(address, &path).await;
+        let Ok(Exported { order, tokens }) = exported else {
+            return super::unavailable().into_response();
+        };
+        let order = Generate {
+            attempt: import.attempt,
+            generated: tokens,
+            ..order
+        };
+        let total = order.prompt.len() / BYTES_PER_TOKEN + order.generated.len();
+        self.begin(order, total, total)
+    }
+
+    fn find(&self, handle: &str) -> Option<Arc<Sampling>> {
+        let streams = self.inner.streams.lock().expect("streams lock");
+        streams.get(handle).cloned()
+    }
+
+    async fn sample(self, sampling: Arc<Sampling>, prefill_tokens: u32) {
         self.inner.queued.fetch_add(1, Ordering::SeqCst);
         let permit = Arc::clone(&self.inner.slots).acquire_owned().await;
         self.inner.queued.fetch_sub(1, Ordering::SeqCst);
         let prefill = self.faults().prefill_ms.0 * u64::from(prefill_tokens) / 1_000;
         tokio::time::sleep(Millis(prefill).into()).await;
-        let sampling_name = &sampling.handle[..8];
-        for offset in body.generated.len()..body.max_tokens as usize {
+        for _ in sampling.order.generated.len()..sampling.order.max_tokens as usize {
             tokio::time::sleep(self.faults().token_ms.into()).await;
-            while self.faults().stall {
+            while self.faults().stall && sampling.stage() == Stage::Running {
                 tokio::time::sleep(Millis(20).into()).await;
             }
-            let cancelled = !self
-                .inner
-                .streams
-                .lock()
-                .expect("streams lock")
-                .contains_key(&sampling.handle);
-            if cancelled {
+            if !sampling.step() {
                 break;
             }
-            let text = format!("w{offset}.{sampling_name} ").into();
-            sampling.tokens.lock().expect("tokens lock").push(text);
-            sampling.length.send_replace(offset + 1);
         }
-        sampling.done.send_replace(true);
-        sampling.length.send_modify(|_| ());
+        sampling.end(Stage::Done);
         drop(permit);
+        tokio::time::sleep(RETENTION.into()).await;
+        let mut streams = self.inner.streams.lock().expect("streams lock");
+        streams.remove(&sampling.handle);
     }
 
     fn load(&self) -> Load {
@@ -249,54 +338,3 @@
     #[serde(default)]
     from: usize,
 }
-
-/// Streams the events of a sampling from an offset on.
-fn follow(
-    sampling: Arc<Sampling>,
-    start: Option<Start>,
-    from: usize,
-) -> impl Stream<Item = Result<sse::Event, Infallible>> + Send + Sync + 'static {
-    let length = sampling.length.subscribe();
-    futures::stream::unfold(
-        (sampling, start, from, length, false),
-        |(sampling, start, from, mut length, ended)| async move {
-            if let Some(start) = start {
-                let event = json_event("start", &start);
-                return Some((Ok(event), (sampling, None, from, length, false)));
-            }
-            if ended {
-                return None;
-            }
-            loop {
-                length.borrow_and_update();
-                let token = sampling
-                    .tokens
-                    .lock()
-                    .expect("tokens lock")
-                    .get(from)
-                    .cloned();
-                if let Some(text) = token {
-                    let offset = u32::try_from(from).unwrap_or(u32::MAX);
-                    let event = json_event("token", &Token { offset, text });
-                    return Some((Ok(event), (sampling, None, from + 1, length, false)));
-                }
-                if *sampling.done.borrow() {
-                    let tokens = u32::try_from(from).unwrap_or(u32::MAX);
-                    let event = json_event("done", &Done { tokens });
-                    return Some((Ok(event), (sampling, None, from, length, true)));
-                }
-                if length.changed().await.is_err() {
-                    return None;
-                }
-            }
-        },
-    )
-}
-
-fn json_event<T>(name: &str, data: &T) -> sse::Event
-where
-    T: Serialize,
-{
-    let data = serde_json::to_string(data).unwrap_or_default();
-    sse::Event::default().event(name).data(data)
-}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,11 +7,15 @@
 mod log;
 mod plain;
 mod platform;
+mod prefix_cache;
+mod sampling;
+mod token_text;
 
 pub use self::engine::{Engine, EngineFaults};
 pub use self::log::{Log, LogFaults};
 pub use self::plain::{Plain, PlainFaults};
 pub use self::platform::{Platform, PlatformFaults};
+pub use self::token_text::token_text;
 
 use std::convert::Infallible;
 
--- a/src/stream/entry.rs
+++ b/src/stream/entry.rs
@@ -1,107 +1,245 @@
-use std::sync::Arc;
+use std::mem::size_of;
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
-use uuid::Uuid;
-
-use crate::error::Error;
-
-/// One generated token of a response.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Chunk {
-    /// Attempt that generated it, from 1.
-    pub attempt: u32,
-    /// Position in the response, from 0.
-    pub offset: u32,
-    /// The text.
-    pub text: Arc<str>,
-}
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+
+use super::{Batch, Chunk, Cursor, Follower, Phase, Progress, Snapshot, Source, Transcript, Work};
 
-/// Where a response is in its life.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Phase {
-    /// More chunks will come.
-    Running,
-    /// The response is complete.
-    Done,
-    /// The response failed.
-    Failed(Error),
+/// Who serves a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// This node generates it and serves its callers.
+    Owner,
+    /// Another node does; this one holds a copy.
+    Backup,
 }
 
 /// A response and its progress.
 #[derive(Debug)]
 pub struct Entry {
-    /// Id of the request.
-    pub id: Uuid,
-    /// Client account that may read it.
-    pub account: Arc<str>,
-    state: std::sync::Mutex<State>,
+    work: Work,
+    state: Mutex<State>,
     progress: watch::Sender<u64>,
+    followers: watch::Sender<usize>,
+    released: CancellationToken,
 }
 
 #[derive(Debug)]
 struct State {
-    attempt: u32,
-    chunks: Vec<Chunk>,
-    phase: Phase,
+    transcript: Transcript,
+    source: Option<Source>,
+    role: Role,
+    touched: Millis,
 }
 
+/// Creation and accessors.
 impl Entry {
-    /// Creates an empty response.
+    /// Creates the empty response to a request that this node serves.
+    #[must_use]
+    pub fn new(work: Work, now: Millis) -> Self {
+        Self::with_state(work, now, Role::Owner, Transcript::default(), None)
+    }
+
+    /// Creates a backup copy.
     #[must_use]
-    pub fn new(id: Uuid, account: Arc<str>) -> Self {
+    pub fn backup(snapshot: Snapshot, now: Millis) -> Self {
+        let mut transcript = Transcript::default();
+        transcript.apply(&snapshot.progress);
+        let source = snapshot.progress.source;
+        Self::with_state(snapshot.work, now, Role::Backup, transcript, source)
+    }
+
+    fn with_state(
+        work: Work,
+        now: Millis,
+        role: Role,
+        transcript: Transcript,
+        source: Option<Source>,
+    ) -> Self {
         Self {
-            id,
-            account,
-            state: std::sync::Mutex::new(State {
-                attempt: 0,
-                chunks: Vec::new(),
-                phase: Phase::Running,
+            work,
+            state: Mutex::new(State {
+                transcript,
+                source,
+                role,
+                touched: now,
             }),
             progress: watch::Sender::new(0),
+            followers: watch::Sender::new(0),
+            released: CancellationToken::new(),
         }
     }
 
+    /// Returns the request.
+    #[must_use]
+    pub fn work(&self) -> &Work {
+        &self.work
+    }
+
+    /// Returns who serves the response.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.lock().role
+    }
+
+    /// Returns the engine stream that the response is read from.
+    #[must_use]
+    pub fn source(&self) -> Option<Source> {
+        self.lock().source.clone()
+    }
+
+    /// Returns the number of chunks.
+    #[must_use]
+    pub fn len(&self) -> u32 {
+        self.lock().transcript.len()
+    }
+
+    /// Returns whether there is no chunk yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the phase.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        self.lock().transcript.phase().clone()
+    }
+
+    /// Returns when the response was created, last copied or finished, on the monotonic clock.
+    #[must_use]
+    pub fn touched(&self) -> Millis {
+        self.lock().touched
+    }
+
+    /// Returns the memory in bytes that the request and the response take.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        size_of::<Self>() + self.work.prompt.len() + self.lock().transcript.bytes()
+    }
+
+    /// Returns the texts so far.
+    #[must_use]
+    pub fn texts(&self) -> Vec<Arc<str>> {
+        self.lock().transcript.texts(0).map(Arc::from).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("stream state lock")
+    }
+}
+
+/// Writing by the holder.
+impl Entry {
     /// Begins the next attempt, which continues after the chunks so far, and returns its number.
     pub fn begin(&self) -> u32 {
-        let mut state = self.state.lock().expect("stream state lock");
-        state.attempt += 1;
-        state.attempt
+        self.lock().transcript.begin()
+    }
+
+    /// Returns the number of the present attempt; 0 before the first.
+    #[must_use]
+    pub fn attempt(&self) -> u32 {
+        self.lock().transcript.attempt()
     }
 
-    /// Appends a chunk; one of an earlier attempt or not at the end is dropped.
-    pub fn push(&self, chunk: Chunk) -> bool {
-        let mut state = self.state.lock().expect("stream state lock");
-        let expected = state.chunks.len();
-        if chunk.attempt != state.attempt || chunk.offset as usize != expected {
+    /// Sets the engine stream that the response is read from.
+    pub fn set_source(&self, source: Option<Source>) {
+        self.lock().source = source;
+        self.notify();
+    }
+
+    /// Appends a chunk; one of another attempt, out of order or after the end is dropped.
+    pub fn push(&self, chunk: &Chunk) -> bool {
+        let pushed = self.lock().transcript.push(chunk);
+        if pushed {
+            self.notify();
+        }
+        pushed
+    }
+
+    /// Ends the response.
+    pub fn finish(&self, phase: Phase, now: Millis) {
+        let mut state = self.lock();
+        state.transcript.finish(phase);
+        state.touched = now;
+        drop(state);
+        self.notify();
+    }
+
+    /// Stops the task that generates the response, because another node continues it.
+    pub fn release(&self) {
+        self.released.cancel();
+    }
+
+    /// Returns a token that is cancelled by [`Entry::release`].
+    #[must_use]
+    pub fn released(&self) -> &CancellationToken {
+        &self.released
+    }
+}
+
+/// Backup copies.
+impl Entry {
+    /// Applies the holder's progress; see [`Transcript::apply`]. False as well when this node
+    /// serves the response itself.
+    pub fn apply(&self, progress: &Progress, now: Millis) -> bool {
+        let mut state = self.lock();
+        if state.role == Role::Owner || !state.transcript.apply(progress) {
             return false;
         }
-        state.chunks.push(chunk);
+        state.source.clone_from(&progress.source);
+        state.touched = now;
         drop(state);
         self.notify();
         true
     }
 
-    /// Ends the response.
-    pub fn finish(&self, phase: Phase) {
-        self.state.lock().expect("stream state lock").phase = phase;
-        self.notify();
+    /// Makes this node serve the response; false when it does so already. `salt` is a random
+    /// number.
+    pub fn take_over(&self, salt: u16, now: Millis) -> bool {
+        let mut state = self.lock();
+        if state.role == Role::Owner {
+            return false;
+        }
+        state.role = Role::Owner;
+        state.touched = now;
+        state.transcript.take_over(salt);
+        true
     }
 
-    /// Returns the chunks from `offset` on, and the phase.
+    /// Returns the part of the response from an offset on.
     #[must_use]
-    pub fn read(&self, offset: u32) -> (Vec<Chunk>, Phase) {
-        let state = self.state.lock().expect("stream state lock");
-        let chunks = state.chunks.get(offset as usize..).unwrap_or_default();
-        (chunks.to_vec(), state.phase.clone())
+    pub fn since(&self, offset: u32) -> Progress {
+        let state = self.lock();
+        Progress {
+            id: self.work.id,
+            runs: state.transcript.runs().to_vec(),
+            offset,
+            texts: state.transcript.texts(offset).map(String::from).collect(),
+            source: state.source.clone(),
+            phase: state.transcript.phase().clone(),
+        }
     }
 
-    /// Returns the texts so far.
+    /// Returns the whole response.
     #[must_use]
-    pub fn texts(&self) -> Vec<Arc<str>> {
-        let state = self.state.lock().expect("stream state lock");
-        state.chunks.iter().map(|c| Arc::clone(&c.text)).collect()
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            work: self.work.clone(),
+            progress: self.since(0),
+        }
+    }
+}
+
+/// Reading by callers.
+impl Entry {
+    /// Returns what follows for a caller; see [`Transcript::read`].
+    #[must_use]
+    pub fn read(&self, cursor: Cursor) -> Batch {
+        self.lock().transcript.read(cursor)
     }
 
     /// Returns a receiver that changes with each chunk and with the end.
@@ -110,6 +248,29 @@
         self.progress.subscribe()
     }
 
+    /// Registers a caller that reads the response.
+    #[must_use]
+    pub fn follow(self: &Arc<Self>) -> Follower {
+        self.followers.send_modify(|count| *count += 1);
+        Follower::new(Arc::clone(self))
+    }
+
+    /// Returns the number of callers that read the response.
+    #[must_use]
+    pub fn followers(&self) -> usize {
+        *self.followers.borrow()
+    }
+
+    /// Returns a receiver of the number of callers that read the response.
+    #[must_use]
+    pub fn watch_followers(&self) -> watch::Receiver<usize> {
+        self.followers.subscribe()
+    }
+
+    pub(super) fn unfollow(&self) {
+        self.followers.send_modify(|count| *count -= 1);
+    }
+
     fn notify(&self) {
         self.progress.send_modify(|version| *version += 1);
     }
--- /dev/null
+++ b/src/stream/snapshot.rs
@@ -0,0 +1,39 @@
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use super::{Phase, Source, Work};
+
+/// An attempt and the offset of the first chunk that it generates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Offset of its first chunk.
+    pub start: u32,
+}
+
+/// A part of a response on its way to a backup copy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Id of the request.
+    pub id: Uuid,
+    /// All attempts that have generated chunks, and the present one.
+    pub runs: Vec<Run>,
+    /// Offset of the first text.
+    pub offset: u32,
+    /// Texts of the chunks from `offset` on.
+    pub texts: Vec<String>,
+    /// The engine stream that the response is read from.
+    pub source: Option<Source>,
+    /// Phase after these chunks.
+    pub phase: Phase,
+}
+
+/// A whole response on its way to another node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The request.
+    pub work: Work,
+    /// The response so far, from offset 0.
+    pub progress: Progress,
+}
--- a/src/stream/store.rs
+++ b/src/stream/store.rs
@@ -1,47 +1,135 @@
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use uuid::Uuid;
 
-use super::Entry;
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+
+use super::{Entry, Limits, Phase, Snapshot, Work};
+
+/// Time after which a caller that was refused for lack of room may try again.
+const RETRY_AFTER: Millis = Millis(1_000);
 
 /// The responses that a node holds, by request id.
 #[derive(Debug, Default)]
 pub struct Store {
+    limits: Limits,
     entries: Mutex<HashMap<Uuid, Arc<Entry>>>,
+    /// Memory at the last sweep, and of the responses created since; what responses grow between
+    /// two sweeps is not in it, because a sum over all of them for each token would be too slow.
+    bytes: AtomicUsize,
 }
 
 impl Store {
-    /// Creates the response of a new request; none when the id is in use.
-    pub fn create(&self, id: Uuid, account: Arc<str>) -> Option<Arc<Entry>> {
-        let mut entries = self.entries.lock().expect("stream store lock");
+    /// Creates an empty store.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Creates the response of a new request.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` when the id is in use, `Overloaded` when the store is full.
+    pub fn create(&self, work: Work, now: Millis) -> Result<Arc<Entry>, Error> {
+        let id = work.id;
+        self.insert(id, Entry::new(work, now), now)
+    }
+
+    /// Keeps a backup copy; one that is held already is brought up to date.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` when this node serves the response itself, `Overloaded` when the store is full.
+    pub fn hold(&self, snapshot: Snapshot, now: Millis) -> Result<Arc<Entry>, Error> {
+        let id = snapshot.work.id;
+        if let Some(entry) = self.get(id) {
+            return if entry.apply(&snapshot.progress, now) {
+                Ok(entry)
+            } else {
+                Err(in_use())
+            };
+        }
+        self.insert(id, Entry::backup(snapshot, now), now)
+    }
+
+    fn insert(&self, id: Uuid, entry: Entry, now: Millis) -> Result<Arc<Entry>, Error> {
+        let mut entries = self.lock();
         if entries.contains_key(&id) {
-            return None;
+            return Err(in_use());
         }
-        let entry = Arc::new(Entry::new(id, account));
+        if self.is_full(&entries) {
+            self.evict(&mut entries, now);
+            if self.is_full(&entries) {
+                return Err(
+                    Error::not_run(ErrorKind::Overloaded, "no more responses can be held")
+                        .with_retry_after(RETRY_AFTER),
+                );
+            }
+        }
+        self.bytes.fetch_add(entry.bytes(), Ordering::Relaxed);
+        let entry = Arc::new(entry);
         entries.insert(id, Arc::clone(&entry));
-        Some(entry)
+        Ok(entry)
+    }
+
+    fn is_full(&self, entries: &HashMap<Uuid, Arc<Entry>>) -> bool {
+        entries.len() >= self.limits.count
+            || self.bytes.load(Ordering::Relaxed) >= self.limits.bytes
     }
 
     /// Returns a response.
     #[must_use]
     pub fn get(&self, id: Uuid) -> Option<Arc<Entry>> {
-        self.entries
-            .lock()
-            .expect("stream store lock")
-            .get(&id)
-            .cloned()
+        self.lock().get(&id).cloned()
     }
 
     /// Drops a response.
     pub fn remove(&self, id: Uuid) {
-        self.entries.lock().expect("stream store lock").remove(&id);
+        self.lock().remove(&id);
+    }
+
+    /// Drops finished responses whose retention period is over and copies whose deadline has
+    /// passed without an end.
+    pub fn sweep(&self, now: Millis, wall: Millis) {
+        let retention = self.limits.retention_ms;
+        let mut entries = self.lock();
+        entries.retain(|_, entry| entry.work().deadline + retention > wall);
+        self.evict(&mut entries, now);
+    }
+
+    fn evict(&self, entries: &mut HashMap<Uuid, Arc<Entry>>, now: Millis) {
+        entries.retain(|_, entry| {
+            entry.phase() == Phase::Running
+                || entry.followers() > 0
+                || now - entry.touched() < self.limits.retention_ms
+        });
+        let bytes = entries.values().map(|entry| entry.bytes()).sum();
+        self.bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns all responses.
+    #[must_use]
+    pub fn all(&self) -> Vec<Arc<Entry>> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Returns the memory in bytes that all requests and responses take.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.lock().values().map(|entry| entry.bytes()).sum()
     }
 
     /// Returns the number of responses held.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.entries.lock().expect("stream store lock").len()
+        self.lock().len()
     }
 
     /// Returns whether no response is held.
@@ -49,4 +137,12 @@
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Uuid, Arc<Entry>>> {
+        self.entries.lock().expect("stream store lock")
+    }
+}
+
+fn in_use() -> Error {
+    Error::not_run(ErrorKind::Conflict, "the request id is in use")
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,3 +3,4 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod whole_response;
