--- a/src/stream/limits.rs
+++ b/src/stream/limits.rs
@@ -1,10 +1,9 @@
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::clock::Millis;
 
 /// Bounds of the responses that a node holds, backup copies included.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct Limits {
     /// Most responses.
     pub count: usize,
