Let callers fail over, reconnect and restart

The caller used the first address only and gave up when its connection ended, so that every reclaimed entry host was a failed call. It now sends the request to the next address when one refuses, fails or stays silent, with the same idempotency key and the greatest verdict of all attempts; and it continues a streamed response by request id, offset and attempt, follows `moved`, and drops what a `restart` abandons.

Each attempt to start a request has an id of its own: repeating the id at another node was ruled out, because both nodes could accept it and generate two samplings of one response.

--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -7,7 +7,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::WrapErr;
 
-use crate::client::{Client, Reply};
+use crate::client::{Client, Part, Reply};
 use crate::verdict::Verdict;
 
 /// Exit code of a call that did not run.
@@ -74,8 +74,11 @@
     let client = Client::new(nodes.collect(), token.trim().into());
     let key = args.get_one::<String>("key").map(String::as_str);
     let result = client
-        .call(route, key, Bytes::from(body.clone()), |text| {
-            print!("{text}");
+        .call(route, key, Bytes::from(body.clone()), |part| {
+            match part {
+                Part::Text(text) => print!("{text}"),
+                Part::Restart(text) => print!("\n(restarted)\n{text}"),
+            }
             // A failure to print shows in the command's output itself.
             let _ = std::io::stdout().flush();
         })
--- a/src/client/client.rs
+++ b/src/client/client.rs
@@ -2,24 +2,34 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::StreamExt;
-use hyper::Method;
 use hyper::header::HeaderValue;
-use serde::Deserialize;
 
-use crate::clock::Millis;
+use crate::clock::{Clock, Millis};
 use crate::error::{Error, ErrorKind};
-use crate::stream::Chunk;
 use crate::transport;
 
-const TIMEOUT: Millis = Millis(30_000);
+use super::Part;
+use super::directory::Directory;
+use super::follow;
+use super::post::{Answer, Post};
+
+/// Time for a whole call, retries and reconnects included, unless the caller says otherwise.
+const DEADLINE: Millis = Millis::from_secs(600);
+
+/// Time without a byte after which a connection counts as stalled. Nodes send keep-alives every
+/// second; the rest allows for a lost packet and a paused process.
+const SILENCE: Millis = Millis(3_000);
 
 /// A caller with the token of a client account.
 #[derive(Clone, Debug)]
 pub struct Client {
-    http: transport::Client,
+    pub(super) http: transport::Client,
+    pub(super) clock: Clock,
+    pub(super) silence: Millis,
     nodes: Vec<SocketAddr>,
     token: Arc<str>,
+    deadline: Millis,
+    session: Arc<str>,
 }
 
 /// The response to a call.
@@ -31,52 +41,68 @@
     Body(Bytes),
 }
 
-#[derive(Debug, Deserialize)]
-struct Addresses {
-    addresses: Vec<Address>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Address {
-    address: SocketAddr,
-}
-
+/// Construction.
 impl Client {
     /// Creates a caller that knows these nodes.
     #[must_use]
     pub fn new(nodes: Vec<SocketAddr>, token: Arc<str>) -> Self {
         Self {
-            http: transport::Client::new(TIMEOUT),
+            http: transport::Client::new(DEADLINE),
+            clock: Clock::system(),
+            silence: SILENCE,
             nodes,
             token,
+            deadline: DEADLINE,
+            session: uuid::Uuid::new_v4().to_string().into(),
         }
     }
 
+    /// Replaces the time for a whole call, retries and reconnects included; 10 minutes by default.
+    #[must_use]
+    pub fn with_deadline(mut self, deadline: Millis) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// Replaces the time without a byte after which a connection counts as stalled.
+    #[must_use]
+    pub fn with_silence(mut self, silence: Millis) -> Self {
+        self.silence = silence;
+        self
+    }
+
+    /// Replaces the session, a random name by default; calls of one session prefer one node.
+    #[must_use]
+    pub fn with_session(mut self, session: Arc<str>) -> Self {
+        self.session = session;
+        self
+    }
+}
+
+/// Calls.
+impl Client {
     /// Asks the known nodes in turn which addresses to use.
     ///
     /// # Errors
     ///
     /// Fails when none of them answers.
     pub async fn resolve(&self) -> Result<Vec<SocketAddr>, Error> {
-        let mut last = Error::not_run(ErrorKind::Unavailable, "no node is known");
-        for node in &self.nodes {
-            match self
-                .http
-                .get_json::<Addresses>(*node, "/v1/addresses")
-                .await
-            {
-                Ok(found) => return Ok(found.addresses.iter().map(|a| a.address).collect()),
-                Err(error) => last = error,
-            }
+        let mut directory = self.directory();
+        let mut found = vec![directory.next(self.clock.now()).await?];
+        while let Some(address) = directory.pop() {
+            found.push(address);
         }
-        Err(last)
+        Ok(found)
     }
 
     /// Calls a route and collects the response; `progress` sees each piece of text.
     ///
+    /// A call that may have run is sent again with the same idempotency key. A call without a key
+    /// is sent again as well: nodes refuse non-idempotent routes without one.
+    ///
     /// # Errors
     ///
-    /// Fails with the verdict of the node, or with the client's own when the node is gone.
+    /// Fails with the greatest verdict of all attempts.
     pub async fn call<F>(
         &self,
         route: &str,
@@ -85,68 +111,43 @@
         mut progress: F,
     ) -> Result<Reply, Error>
     where
-        F: FnMut(&str),
+        F: FnMut(Part<'_>),
     {
-        let address = *self
-            .resolve()
-            .await?
-            .first()
-            .ok_or_else(|| Error::not_run(ErrorKind::Unavailable, "no address to use"))?;
-        let path = format!("/v1/routes/{route}");
-        let mut request = self.http.request(Method::POST, address, &path, body)?;
-        let headers = request.headers_mut();
-        headers.insert("authorization", header(&format!("Bearer {}", self.token))?);
-        if let Some(key) = key {
-            headers.insert("idempotency-key", header(key)?);
-        }
-        let response = self.http.send(request).await?;
-        let streamed = response
-            .headers()
-            .get("content-type")
-            .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
-        if streamed {
-            return follow(response, &mut progress).await;
-        }
-        let status = response.status();
-        let body = self.http.body(response).await?;
-        if status.is_success() {
-            return Ok(Reply::Body(body));
+        let until = self.clock.now() + self.deadline;
+        let mut directory = self.directory();
+        loop {
+            let post = Post::new(self, route, key, body.clone(), until);
+            let (id, response) = match post.send(&mut directory).await? {
+                Answer::Body(body) => return Ok(Reply::Body(body)),
+                Answer::Stream(id, response) => (id, response),
+            };
+            let followed = follow::follow(self, &mut directory, id, response, until, &mut progress);
+            if let Some(text) = followed.await? {
+                return Ok(Reply::Text(text));
+            }
+            // No node knows the request any more; it starts again from nothing.
+            progress(Part::Restart(""));
         }
-        Err(serde_json::from_slice(&body).unwrap_or_else(|_| {
-            Error::may_have_run(ErrorKind::EndpointFailed, format!("status {status}"))
-        }))
     }
-}
 
-async fn follow<F>(
-    response: hyper::Response<hyper::body::Incoming>,
-    progress: &mut F,
-) -> Result<Reply, Error>
-where
-    F: FnMut(&str),
-{
-    let mut events = transport::events(response.into_body());
-    let mut text = String::new();
-    while let Some(event) = events.next().await {
-        let event = event?;
-        match event.name.as_str() {
-            "chunk" => {
-                let chunk: Chunk = event.parse()?;
-                progress(&chunk.text);
-                text.push_str(&chunk.text);
-            }
-            "done" => return Ok(Reply::Text(text)),
-            "error" => return Err(event.parse()?),
-            _ => {}
-        }
+    fn directory(&self) -> Directory {
+        Directory::new(
+            self.http.clone(),
+            self.nodes.clone(),
+            Arc::clone(&self.session),
+        )
+    }
+
+    pub(super) fn authorization(&self) -> Result<HeaderValue, Error> {
+        header(&format!("Bearer {}", self.token))
+    }
+
+    pub(super) fn session(&self) -> Result<HeaderValue, Error> {
+        header(&self.session)
     }
-    Err(Error::may_have_run(
-        ErrorKind::EndpointFailed,
-        "the response was cut off",
-    ))
 }
 
-fn header(text: &str) -> Result<HeaderValue, Error> {
+pub(super) fn header(text: &str) -> Result<HeaderValue, Error> {
     HeaderValue::from_str(text).map_err(|_| {
         Error::not_run(
             ErrorKind::Malformed,
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -1,5 +1,15 @@
-//! A complete caller: asks for addresses, connects, follows the response.
+//! A complete caller: asks for addresses, connects, follows the response and reconnects.
+//!
+//! The caller survives nodes that leave, die or stop answering: it uses the next address, and
+//! continues a streamed response by the request's id, offset and attempt.
 
 mod client;
+mod directory;
+mod follow;
+mod part;
+mod post;
+mod text;
 
 pub use self::client::{Client, Reply};
+pub use self::part::Part;
+pub use self::text::Text;
--- a/src/transport/event.rs
+++ b/src/transport/event.rs
@@ -6,7 +6,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
+use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
 /// One server-sent event.
@@ -37,24 +39,47 @@
     }
 }
 
+/// A sequence of server-sent events.
+pub type Events = Pin<Box<dyn Stream<Item = Result<Event, Error>> + Send>>;
+
 /// Reads server-sent events from a response body; keep-alive comments are skipped.
-pub fn events(body: Incoming) -> Pin<Box<dyn Stream<Item = Result<Event, Error>> + Send>> {
+pub fn events(body: Incoming) -> Events {
+    let frames = body.into_data_stream();
+    parse(frames.map(|frame| frame.map_err(|error| error.to_string())))
+}
+
+/// As [`events`], and fails when no byte arrives for `silence`; keep-alive comments count.
+pub fn live_events(body: Incoming, silence: Millis) -> Events {
     let frames = body.into_data_stream();
-    Box::pin(
-        frames
-            .map(|frame| frame.map(|data: Bytes| data))
-            .eventsource()
-            .map(|item| {
-                item.map(|event| Event {
-                    name: event.event,
-                    data: event.data,
-                })
-                .map_err(|error| {
-                    Error::may_have_run(
-                        ErrorKind::EndpointFailed,
-                        format!("the event stream was cut off: {error}"),
-                    )
-                })
-            }),
-    )
+    parse(futures::stream::unfold(
+        Some(frames),
+        move |frames| async move {
+            let mut frames = frames?;
+            match timeout(silence.into(), frames.next()).await {
+                Ok(frame) => {
+                    let frame = frame?.map_err(|error| error.to_string());
+                    Some((frame, Some(frames)))
+                }
+                Err(_) => Some((Err(format!("nothing for {silence}")), None)),
+            }
+        },
+    ))
+}
+
+fn parse<S>(frames: S) -> Events
+where
+    S: Stream<Item = Result<Bytes, String>> + Send + 'static,
+{
+    Box::pin(frames.eventsource().map(|item| {
+        item.map(|event| Event {
+            name: event.event,
+            data: event.data,
+        })
+        .map_err(|error| {
+            Error::may_have_run(
+                ErrorKind::EndpointFailed,
+                format!("the event stream was cut off: {error}"),
+            )
+        })
+    }))
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,5 +8,5 @@
 mod server;
 
 pub use self::client::Client;
-pub use self::event::{Event, events};
+pub use self::event::{Event, Events, events, live_events};
 pub use self::server::Server;
