--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -1,5 +1,6 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::{ArgMatches, Command};
 use tokio::signal::unix::{SignalKind, signal};
@@ -22,11 +23,28 @@
     let file = args.get_one::<PathBuf>("file").expect("required by clap");
     let settings = settings::Node::load(file)?;
     let token = CancellationToken::new();
-    cancel_on_signal(token.clone())?;
-    Node::new(settings, logger(json), token)?.run().await?;
+    let node = Node::new(settings, logger(json), token)?;
+    leave_on_signal(Arc::clone(&node))?;
+    node.run().await?;
     Ok(ExitCode::SUCCESS)
 }
 
+/// Drains the node on the first SIGTERM or SIGINT, and hands its calls over on the second.
+fn leave_on_signal(node: Arc<Node>) -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            node.leave();
+        }
+    });
+    Ok(())
+}
+
 /// Cancels the token on SIGTERM or SIGINT.
 pub(super) fn cancel_on_signal(token: CancellationToken) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -1,23 +1,32 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
 
 use crate::access::Identity;
+use crate::clock::Millis;
 use crate::control::Active;
 use crate::endpoint::Endpoint;
 use crate::error::{Error, ErrorKind};
 
 use super::Node;
+use super::life::Stage;
 use super::refusal::refusal;
 use super::request::header;
 
+/// Notice that the host will be reclaimed after this time.
+#[derive(Debug, Deserialize)]
+struct Notice {
+    deadline_ms: Millis,
+}
+
 #[derive(Debug, Serialize)]
 struct Dump {
     node: Arc<str>,
+    stage: Stage,
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
@@ -41,7 +50,7 @@
     let dump = warp::path!("admin" / "dump")
         .and(warp::get())
         .and(warp::header::headers_cloned())
-        .and(with)
+        .and(with.clone())
         .map(
             |headers: HeaderMap, node: Arc<Node>| match operator(&node, &headers) {
                 Ok(()) => warp::reply::json(&node.dump()).into_response(),
@@ -49,7 +58,43 @@
             },
         )
         .boxed();
-    metrics.or(dump).unify().recover(recover).unify()
+    let notice = warp::path!("admin" / "notice")
+        .and(warp::post())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::json())
+        .and(with.clone())
+        .map(|headers: HeaderMap, body: Notice, node: Arc<Node>| {
+            leave(&node, &headers, |node| node.notice(body.deadline_ms))
+        })
+        .boxed();
+    let drain = warp::path!("admin" / "drain")
+        .and(warp::post())
+        .and(warp::header::headers_cloned())
+        .and(with)
+        .map(|headers: HeaderMap, node: Arc<Node>| leave(&node, &headers, Node::ask_drain))
+        .boxed();
+    metrics
+        .or(dump)
+        .unify()
+        .or(notice)
+        .unify()
+        .or(drain)
+        .unify()
+        .recover(recover)
+        .unify()
+}
+
+fn leave<F>(node: &Node, headers: &HeaderMap, how: F) -> Response
+where
+    F: FnOnce(&Node),
+{
+    match operator(node, headers) {
+        Ok(()) => {
+            how(node);
+            warp::reply::with_status("leaving\n", StatusCode::ACCEPTED).into_response()
+        }
+        Err(error) => refusal(&error),
+    }
 }
 
 fn operator(node: &Node, headers: &HeaderMap) -> Result<(), Error> {
@@ -67,6 +112,7 @@
         let endpoints = self.endpoints.lock().expect("endpoints lock");
         Dump {
             node: Arc::clone(&self.settings.name),
+            stage: self.life.stage(),
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -12,6 +12,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::stream::Cursor;
 
+use super::life::Stage;
 use super::refusal::refusal;
 use super::request::Request;
 use super::{Node, backup, model, plain};
@@ -104,6 +105,7 @@
 
 async fn call(node: Arc<Node>, route: &str, headers: HeaderMap, body: Bytes) -> Response {
     let result = async {
+        node.check_open()?;
         let request = Request::parse(&node, route, headers, body)?;
         let permit = Arc::clone(&node.permits).try_acquire_owned().map_err(|_| {
             Error::not_run(ErrorKind::Overloaded, "too many requests are in flight")
@@ -132,7 +134,7 @@
 }
 
 fn ready(node: &Node) -> Response {
-    if node.active.load().is_some() && !node.token.is_cancelled() {
+    if node.active.load().is_some() && node.life.stage() == Stage::Serving {
         return "ready\n".into_response();
     }
     warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE).into_response()
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -9,7 +9,7 @@
 use crate::log::Service as _;
 use crate::supervisor::Supervisor;
 
-use super::Node;
+use super::{Node, backup};
 
 /// Time between two reads of the host list and of the endpoints' load.
 const POLL_INTERVAL: Millis = Millis(500);
@@ -33,6 +33,14 @@
     supervisor.spawn("streams", move |token| {
         sweep_streams(Arc::clone(&this), token)
     });
+    let this = Arc::clone(node);
+    supervisor.spawn("progress", move |token| {
+        backup::send_progress(Arc::clone(&this), token)
+    });
+    let this = Arc::clone(node);
+    supervisor.spawn("owners", move |token| {
+        backup::watch_owners(Arc::clone(&this), token)
+    });
 }
 
 async fn tail_control(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
--- /dev/null
+++ b/src/node/backup/copies.rs
@@ -0,0 +1,204 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use slog::info;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use crate::clock::Millis;
+use crate::error::Error;
+use crate::node::{Node, drive};
+use crate::stream::{self, Entry, Holder, Phase};
+
+use super::message::{Batch, Find, Found, Handover, Hold, Receipt, decode, encode};
+
+/// Time between two looks at the owners of copies.
+const WATCH_INTERVAL: Millis = Millis(200);
+
+/// Time without progress or heartbeat, which come every 500 ms, after which an owner is asked.
+const OWNER_SILENCE: Millis = Millis(1_500);
+
+/// Time within which an owner that was silent has to answer.
+const OWNER_BOUND: Millis = Millis(1_000);
+
+/// Candidates of each failure domain that are asked for a request.
+const FINDERS: usize = 2;
+
+/// Stores a copy, and returns the number of its chunks.
+pub(in crate::node) fn on_hold(node: &Node, payload: &Bytes) -> Result<Bytes, Error> {
+    let Hold { owner, snapshot } = decode(payload)?;
+    let now = node.clock.now();
+    node.copies.heard(&owner, now);
+    let entry = node.streams.hold(snapshot, owner, now)?;
+    encode(&entry.len())
+}
+
+/// Adds progress to copies.
+pub(in crate::node) fn on_progress(node: &Node, payload: &Bytes) -> Result<Bytes, Error> {
+    let Batch { owner, items } = decode(payload)?;
+    let now = node.clock.now();
+    node.copies.heard(&owner, now);
+    let receipts: Vec<Receipt> = items
+        .iter()
+        .map(|item| match node.streams.get(item.id) {
+            Some(entry) if entry.is_served() => Receipt::Served,
+            Some(entry) if entry.owner().as_ref() != Some(&owner) => Receipt::Unknown,
+            Some(entry) if entry.apply(item, &owner, now) => Receipt::Stored(entry.len()),
+            _ => Receipt::Unknown,
+        })
+        .collect();
+    encode(&receipts)
+}
+
+/// Takes streams over, and returns the ids of those that this node serves now.
+pub(in crate::node) fn on_handover(node: &Arc<Node>, payload: &Bytes) -> Result<Bytes, Error> {
+    let Handover { owner, snapshots } = decode(payload)?;
+    let mut taken = Vec::new();
+    for snapshot in snapshots {
+        let id = snapshot.work.id;
+        if node.streams.get(id).is_some_and(|e| e.is_served()) {
+            // The answer to the first delivery of this message was lost.
+            taken.push(id);
+        } else if let Ok(entry) = node.streams.hold(snapshot, owner.clone(), node.clock.now()) {
+            node.take_over(&entry, "handover");
+            taken.push(id);
+        }
+    }
+    encode(&taken)
+}
+
+/// Says where the responses to requests are.
+pub(in crate::node) fn on_find(node: &Node, payload: &Bytes) -> Result<Bytes, Error> {
+    let Find { ids, account } = decode(payload)?;
+    let found: Vec<Option<Found>> = ids
+        .iter()
+        .map(|id| {
+            let entry = node.streams.get(*id)?;
+            let readable = account.as_ref().is_none_or(|a| *a == entry.work().account);
+            let serves = entry.is_served();
+            (readable && (serves || entry.owner().is_some())).then(|| Found {
+                address: node.settings.listen,
+                serves,
+            })
+        })
+        .collect();
+    encode(&found)
+}
+
+/// When the owners of this node's copies were last heard.
+#[derive(Debug, Default)]
+pub(in crate::node) struct Copies {
+    heard: std::sync::Mutex<HashMap<Holder, Millis>>,
+}
+
+impl Copies {
+    pub(super) fn heard(&self, owner: &Holder, now: Millis) {
+        let mut heard = self.heard.lock().expect("owners lock");
+        heard.insert(owner.clone(), now);
+    }
+
+    fn is_silent(&self, owner: &Holder, now: Millis) -> bool {
+        let heard = self.heard.lock().expect("owners lock");
+        heard.get(owner).is_none_or(|at| now - *at >= OWNER_SILENCE)
+    }
+
+    fn retain(&self, owners: &HashMap<Holder, Vec<Arc<Entry>>>) {
+        let mut heard = self.heard.lock().expect("owners lock");
+        heard.retain(|owner, _| owners.contains_key(owner));
+    }
+}
+
+/// Takes over the copies whose owners are gone, until `token` is cancelled.
+pub(in crate::node) async fn watch_owners(
+    node: Arc<Node>,
+    token: CancellationToken,
+) -> eyre::Result<()> {
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            () = tokio::time::sleep(WATCH_INTERVAL.into()) => {}
+        }
+        let mut owners: HashMap<Holder, Vec<Arc<Entry>>> = HashMap::new();
+        for entry in node.streams.all() {
+            if entry.phase() == Phase::Running
+                && let Some(owner) = entry.owner()
+            {
+                owners.entry(owner).or_default().push(entry);
+            }
+        }
+        node.copies.retain(&owners);
+        owners.retain(|owner, _| node.copies.is_silent(owner, node.clock.now()));
+        let checks = owners
+            .into_iter()
+            .map(|(owner, entries)| node.check_owner(owner, entries));
+        futures::future::join_all(checks).await;
+    }
+}
+
+/// Takeover.
+impl Node {
+    /// Asks a silent owner whether it still serves, and takes over what it does not.
+    pub(super) async fn check_owner(self: &Arc<Self>, owner: Holder, entries: Vec<Arc<Entry>>) {
+        let ids = entries.iter().map(|entry| entry.work().id).collect();
+        let answers = self.ask(&owner, ids, None).await;
+        if answers.is_some() {
+            self.copies.heard(&owner, self.clock.now());
+        }
+        for (index, entry) in entries.iter().enumerate() {
+            let found = answers.as_ref().and_then(|all| *all.get(index)?);
+            if found.is_some_and(|found| found.serves) {
+                continue;
+            }
+            if !self.is_served_elsewhere(entry, &owner).await {
+                self.take_over(entry, "silent");
+            } else if entry.owner().as_ref() == Some(&owner) {
+                self.streams.remove(entry.work().id);
+            }
+        }
+    }
+
+    /// Returns whether a node other than `owner` has taken the response over already.
+    async fn is_served_elsewhere(self: &Arc<Self>, entry: &Entry, owner: &Holder) -> bool {
+        let work = entry.work();
+        let others = self.finders(work.id).into_iter();
+        let others = others.filter(|node| node.peer != owner.peer);
+        let asks = others.map(|node| async move { self.ask(&node, vec![work.id], None).await });
+        let answers = futures::future::join_all(asks).await;
+        let mut found = answers.into_iter().flatten().flatten().flatten();
+        found.any(|found| found.serves)
+    }
+
+    /// Makes this node serve a response of which it has a copy.
+    pub(super) fn take_over(self: &Arc<Self>, entry: &Arc<Entry>, why: &'static str) {
+        if !entry.take_over(rand::random(), self.clock.now()) {
+            return;
+        }
+        metrics::counter!("almondpath_streams_taken_over_total", "why" => why).increment(1);
+        info!(self.log, "stream taken over"; "request" => entry.work().id.to_string(), "why" => why);
+        if entry.phase() != Phase::Running {
+            return;
+        }
+        drive::spawn(self, Arc::clone(entry), None);
+        self.place_later(Arc::clone(entry));
+    }
+
+    /// Returns the nodes that may know a request.
+    pub(super) fn finders(&self, id: Uuid) -> Vec<Holder> {
+        stream::finders(id, FINDERS, &self.neighbours())
+    }
+
+    /// Asks a node for requests; none when it does not answer.
+    pub(super) async fn ask(
+        &self,
+        node: &Holder,
+        ids: Vec<Uuid>,
+        account: Option<Arc<str>>,
+    ) -> Option<Vec<Option<Found>>> {
+        let find = Find { ids, account };
+        let peers = self.peers()?;
+        let answer = timeout(OWNER_BOUND.into(), peers.find(node.peer, &find));
+        answer.await.ok()?.ok()
+    }
+}
--- /dev/null
+++ b/src/node/drain.rs
@@ -0,0 +1,125 @@
+use std::sync::Arc;
+
+use slog::info;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+
+use super::Node;
+use super::life::{Draining, HandingOver, Leaving, Life, Stage, Wanted};
+
+/// Time for which callers may still come with an address that they asked for before.
+const ADDRESS_TTL: Millis = Millis(2_000);
+
+/// Time for a handover that an operator asked for by a second signal, or that ends a drain.
+const HANDOVER_BOUND: Millis = Millis::from_secs(10);
+
+/// Part of a notice that is kept for the end of the process.
+const MARGIN: Millis = Millis(300);
+
+/// Time between two looks at what is left.
+const LOOK_INTERVAL: Millis = Millis(20);
+
+/// Leads a node from serving to its end; returns when the process can end.
+pub(super) async fn run(node: Arc<Node>) {
+    tokio::select! {
+        () = node.token.cancelled() => return,
+        () = live(&node) => {}
+    }
+    info!(node.log, "nothing is left to serve");
+    node.token.cancel();
+}
+
+async fn live(node: &Arc<Node>) {
+    let life = node.life.start();
+    match life.asked().await {
+        Leaving::Drain(life) => drain(node, life).await,
+        Leaving::HandOver(life) => hand_over(node, life).await,
+    }
+}
+
+async fn drain(node: &Arc<Node>, life: Life<'_, Draining>) {
+    info!(node.log, "draining"; "streams" => node.running().len());
+    node.announce_leaving();
+    let bound = tokio::select! {
+        () = node.drained() => None,
+        bound = life.hurried() => Some(bound),
+        () = sleep(node.settings.drain_ms.into()) => Some(HANDOVER_BOUND),
+    };
+    match bound {
+        Some(bound) => hand_over(node, life.hand_over(bound)).await,
+        None => life.stop(),
+    }
+}
+
+async fn hand_over(node: &Arc<Node>, life: Life<'_, HandingOver>) {
+    node.announce_leaving();
+    let bound = life.state.bound - MARGIN;
+    let work = async {
+        // What no node takes over now may be taken over by one that comes later.
+        while node.hand_over().await > 0 {
+            sleep(LOOK_INTERVAL.into()).await;
+        }
+        node.idle().await;
+    };
+    if timeout(bound.into(), work).await.is_err() {
+        metrics::counter!("almondpath_handover_timeouts_total").increment(1);
+    }
+    life.stop();
+}
+
+impl Node {
+    /// Returns an error when the node no longer takes new requests.
+    ///
+    /// While it drains, it takes them for as long as callers may hold its address.
+    pub(super) fn check_open(&self) -> Result<(), Error> {
+        let open = match self.life.stage() {
+            Stage::Serving => true,
+            Stage::Draining => !self.expired.is_cancelled(),
+            Stage::HandingOver | Stage::Stopped => false,
+        };
+        if open {
+            return Ok(());
+        }
+        Err(Error::not_run(ErrorKind::Leaving, "this node is leaving")
+            .with_retry_after(Millis::ZERO))
+    }
+
+    /// Asks for a drain, or for a handover when one was asked for before.
+    pub fn leave(&self) {
+        self.life.ask_more(HANDOVER_BOUND);
+    }
+
+    /// Asks for a drain; has no further effect when asked again.
+    pub(super) fn ask_drain(&self) {
+        self.life.ask(Wanted::Drain);
+    }
+
+    /// Asks to be gone within `bound`, because the host will be.
+    pub(super) fn notice(&self, bound: Millis) {
+        self.life.ask(Wanted::HandOver(bound));
+    }
+
+    /// Waits until callers have stopped to come and all calls are complete.
+    async fn drained(&self) {
+        sleep(ADDRESS_TTL.into()).await;
+        self.expired.cancel();
+        self.idle().await;
+    }
+
+    /// Waits until no call is open, no caller reads, and backup nodes have all responses.
+    async fn idle(&self) {
+        while !(self.running().is_empty()
+            && self.permits.available_permits() == self.settings.request_limit
+            && self
+                .streams
+                .all()
+                .iter()
+                .all(|entry| entry.followers() == 0)
+            && self.replication.is_settled())
+        {
+            sleep(LOOK_INTERVAL.into()).await;
+        }
+    }
+}
--- a/src/node/drive.rs
+++ b/src/node/drive.rs
@@ -84,7 +84,7 @@
         let left = entry.work().deadline - node.clock.wall();
         let result = tokio::select! {
             biased;
-            () = entry.released().cancelled() => None,
+            () = entry.released() => None,
             result = self.generate() => Some(result),
             () = tokio::time::sleep(left.into()) => Some(Err(Error::may_have_run(
                 ErrorKind::DeadlineExceeded,
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -51,6 +51,11 @@
     reply(events)
 }
 
+/// Sends a caller to other nodes.
+pub(super) fn moved(addresses: &[SocketAddr]) -> Response {
+    reply(futures::stream::iter([Ok(moved_event(addresses))]))
+}
+
 fn reply<S>(events: S) -> Response
 where
     S: Stream<Item = Result<sse::Event, Infallible>> + Send + Sync + 'static,
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -47,7 +47,7 @@
     let follower = entry.follow();
     drive::spawn(node, Arc::clone(&entry), Some(permit));
     if let Err(error) = node.replicate(&entry).await {
-        entry.release();
+        entry.release(true);
         node.streams.remove(request.id);
         if let Some(source) = entry.source() {
             node.cancel(source);
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -19,11 +19,17 @@
 use crate::supervisor::Supervisor;
 use crate::transport;
 
-use super::{admin, api, background};
+use super::backup::{Copies, Replication};
+use super::life::Control;
+use super::{admin, api, background, drain};
 
 /// Time within which an endpoint has to send its response headers.
 const ENDPOINT_TIMEOUT: Millis = Millis(10_000);
 
+/// Time for which open connections can delay the end of the process: a caller that does not read
+/// would delay it without end, and can continue at another node.
+const STOP_BOUND: Millis = Millis(2_000);
+
 /// The state that the tasks of one node process share.
 #[derive(Debug)]
 pub struct Node {
@@ -34,6 +40,11 @@
     pub(super) active: ArcSwapOption<Active>,
     pub(super) endpoints: Mutex<Table>,
     pub(super) streams: Store,
+    pub(super) life: Control,
+    /// Cancelled during a drain when callers can no longer hold this node's address.
+    pub(super) expired: CancellationToken,
+    pub(super) replication: Replication,
+    pub(super) copies: Copies,
     pub(super) permits: Arc<Semaphore>,
     pub(super) http: transport::Client,
     pub(super) log_service: log::Client,
@@ -63,6 +74,10 @@
             active: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             streams: Store::new(settings.streams),
+            life: Control::default(),
+            expired: CancellationToken::new(),
+            replication: Replication::default(),
+            copies: Copies::default(),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
@@ -88,7 +103,18 @@
             .run(admin::filter(Arc::clone(&self)), self.token.clone());
         let api =
             transport::Server::new(callers).run(api::filter(Arc::clone(&self)), self.token.clone());
-        tokio::join!(admin, api, supervisor.join());
+        let serving = async {
+            tokio::join!(admin, api, supervisor.join());
+        };
+        let stopping = async {
+            self.token.cancelled().await;
+            tokio::time::sleep(STOP_BOUND.into()).await;
+        };
+        tokio::spawn(drain::run(Arc::clone(&self)));
+        tokio::select! {
+            () = serving => {}
+            () = stopping => info!(self.log, "connections cut off"),
+        }
         info!(self.log, "stopped");
         Ok(())
     }
--- a/src/stream/entry.rs
+++ b/src/stream/entry.rs
@@ -2,11 +2,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
 
 use crate::clock::Millis;
 
-use super::{Batch, Chunk, Cursor, Follower, Phase, Progress, Snapshot, Source, Transcript, Work};
+use super::{
+    Batch, Chunk, Cursor, Follower, Holder, Phase, Progress, Snapshot, Source, Transcript, Work,
+};
 
 /// Who serves a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,7 +25,7 @@
     state: Mutex<State>,
     progress: watch::Sender<u64>,
     followers: watch::Sender<usize>,
-    released: CancellationToken,
+    released: watch::Sender<bool>,
 }
 
 #[derive(Debug)]
@@ -32,47 +33,46 @@
     transcript: Transcript,
     source: Option<Source>,
     role: Role,
+    owner: Option<Holder>,
     touched: Millis,
 }
 
-/// Creation and accessors.
+/// Creation.
 impl Entry {
     /// Creates the empty response to a request that this node serves.
     #[must_use]
     pub fn new(work: Work, now: Millis) -> Self {
-        Self::with_state(work, now, Role::Owner, Transcript::default(), None)
-    }
-
-    /// Creates a backup copy.
-    #[must_use]
-    pub fn backup(snapshot: Snapshot, now: Millis) -> Self {
-        let mut transcript = Transcript::default();
-        transcript.apply(&snapshot.progress);
-        let source = snapshot.progress.source;
-        Self::with_state(snapshot.work, now, Role::Backup, transcript, source)
-    }
-
-    fn with_state(
-        work: Work,
-        now: Millis,
-        role: Role,
-        transcript: Transcript,
-        source: Option<Source>,
-    ) -> Self {
         Self {
             work,
             state: Mutex::new(State {
-                transcript,
-                source,
-                role,
+                transcript: Transcript::default(),
+                source: None,
+                role: Role::Owner,
+                owner: None,
                 touched: now,
             }),
             progress: watch::Sender::new(0),
             followers: watch::Sender::new(0),
-            released: CancellationToken::new(),
+            released: watch::Sender::new(false),
         }
     }
 
+    /// Creates a backup copy of a response that `owner` serves.
+    #[must_use]
+    pub fn backup(snapshot: Snapshot, owner: Holder, now: Millis) -> Self {
+        let entry = Self::new(snapshot.work, now);
+        let mut state = entry.lock();
+        state.role = Role::Backup;
+        state.owner = Some(owner);
+        state.transcript.apply(&snapshot.progress);
+        state.source = snapshot.progress.source;
+        drop(state);
+        entry
+    }
+}
+
+/// Accessors.
+impl Entry {
     /// Returns the request.
     #[must_use]
     pub fn work(&self) -> &Work {
@@ -85,6 +85,13 @@
         self.lock().role
     }
 
+    /// Returns whether callers get the response here: this node generates it or has completed it.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        let state = self.lock();
+        state.role == Role::Owner && !matches!(state.transcript.phase(), Phase::Moved(_))
+    }
+
     /// Returns the engine stream that the response is read from.
     #[must_use]
     pub fn source(&self) -> Option<Source> {
@@ -169,34 +176,46 @@
         self.notify();
     }
 
-    /// Stops the task that generates the response, because another node continues it.
-    pub fn release(&self) {
-        self.released.cancel();
+    /// Stops the task that generates the response, because another node continues it; `false`
+    /// allows a new task, because no other node did.
+    pub fn release(&self, released: bool) {
+        self.released.send_replace(released);
     }
 
-    /// Returns a token that is cancelled by [`Entry::release`].
-    #[must_use]
-    pub fn released(&self) -> &CancellationToken {
-        &self.released
+    /// Returns when [`Entry::release`] is called.
+    pub async fn released(&self) {
+        // The sender lives as long as the entry.
+        let _ = self
+            .released
+            .subscribe()
+            .wait_for(|released| *released)
+            .await;
     }
 }
 
 /// Backup copies.
 impl Entry {
-    /// Applies the holder's progress; see [`Transcript::apply`]. False as well when this node
+    /// Applies the owner's progress; see [`Transcript::apply`]. False as well when this node
     /// serves the response itself.
-    pub fn apply(&self, progress: &Progress, now: Millis) -> bool {
+    pub fn apply(&self, progress: &Progress, owner: &Holder, now: Millis) -> bool {
         let mut state = self.lock();
         if state.role == Role::Owner || !state.transcript.apply(progress) {
             return false;
         }
         state.source.clone_from(&progress.source);
+        state.owner = Some(owner.clone());
         state.touched = now;
         drop(state);
         self.notify();
         true
     }
 
+    /// Returns the node that serves the response, when this one holds a copy.
+    #[must_use]
+    pub fn owner(&self) -> Option<Holder> {
+        self.lock().owner.clone()
+    }
+
     /// Makes this node serve the response; false when it does so already. `salt` is a random
     /// number.
     pub fn take_over(&self, salt: u16, now: Millis) -> bool {
@@ -205,6 +224,7 @@
             return false;
         }
         state.role = Role::Owner;
+        state.owner = None;
         state.touched = now;
         state.transcript.take_over(salt);
         true
@@ -248,6 +268,12 @@
         self.progress.subscribe()
     }
 
+    /// Returns a number that grows with each change.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        *self.progress.borrow()
+    }
+
     /// Registers a caller that reads the response.
     #[must_use]
     pub fn follow(self: &Arc<Self>) -> Follower {
--- /dev/null
+++ b/src/stream/holder.rs
@@ -0,0 +1,19 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A node process that holds responses or may hold them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// Name of the node.
+    pub name: Arc<str>,
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// Failure domain of its host.
+    pub domain: Arc<str>,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Address for callers.
+    pub listen: SocketAddr,
+}
--- a/src/stream/mod.rs
+++ b/src/stream/mod.rs
@@ -4,10 +4,12 @@
 //! connection continues at the offset it has reached. [`Transcript`] decides what a caller gets;
 //! [`Store`] bounds how much is held.
 
+mod candidates;
 mod chunk;
 mod cursor;
 mod entry;
 mod follower;
+mod holder;
 mod limits;
 mod phase;
 mod snapshot;
@@ -16,10 +18,12 @@
 mod transcript;
 mod work;
 
+pub use self::candidates::{backups, finders};
 pub use self::chunk::Chunk;
 pub use self::cursor::{Batch, Cursor, Restart};
 pub use self::entry::{Entry, Role};
 pub use self::follower::Follower;
+pub use self::holder::Holder;
 pub use self::limits::Limits;
 pub use self::phase::Phase;
 pub use self::snapshot::{Progress, Run, Snapshot};
--- a/src/stream/store.rs
+++ b/src/stream/store.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
-use super::{Entry, Limits, Phase, Snapshot, Work};
+use super::{Entry, Holder, Limits, Phase, Snapshot, Work};
 
 /// Time after which a caller that was refused for lack of room may try again.
 const RETRY_AFTER: Millis = Millis(1_000);
@@ -47,16 +47,28 @@
     /// # Errors
     ///
     /// `Conflict` when this node serves the response itself, `Overloaded` when the store is full.
-    pub fn hold(&self, snapshot: Snapshot, now: Millis) -> Result<Arc<Entry>, Error> {
+    pub fn hold(
+        &self,
+        snapshot: Snapshot,
+        owner: Holder,
+        now: Millis,
+    ) -> Result<Arc<Entry>, Error> {
         let id = snapshot.work.id;
-        if let Some(entry) = self.get(id) {
-            return if entry.apply(&snapshot.progress, now) {
+        let known = self.get(id);
+        if known
+            .as_ref()
+            .is_some_and(|entry| matches!(entry.phase(), Phase::Moved(_)))
+        {
+            // The response comes back to a node that had given it away.
+            self.remove(id);
+        } else if let Some(entry) = known {
+            return if entry.apply(&snapshot.progress, &owner, now) {
                 Ok(entry)
             } else {
                 Err(in_use())
             };
         }
-        self.insert(id, Entry::backup(snapshot, now), now)
+        self.insert(id, Entry::backup(snapshot, owner, now), now)
     }
 
     fn insert(&self, id: Uuid, entry: Entry, now: Millis) -> Result<Arc<Entry>, Error> {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,6 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
-mod whole_response;
 mod peer;
 mod relay;
+mod whole_response;
