--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -1,26 +1,37 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
 
 use crate::access::Identity;
-use crate::clock::Millis;
-use crate::control::Active;
+use crate::config::Config;
+use crate::control::{self, Active};
 use crate::endpoint::Endpoint;
 use crate::error::{Error, ErrorKind};
+use crate::log::Offset;
 
-use super::Node;
 use super::life::Stage;
 use super::refusal::refusal;
 use super::request::header;
+use super::{Node, stop};
+
+/// Largest body of a published configuration.
+const MAX_CONFIG_BYTES: u64 = 1024 * 1024;
 
-/// Notice that the host will be reclaimed after this time.
 #[derive(Debug, Deserialize)]
-struct Notice {
-    deadline_ms: Millis,
+#[serde(deny_unknown_fields)]
+struct Publication {
+    base: Option<Offset>,
+    config: Config,
+}
+
+#[derive(Debug, Serialize)]
+struct Published {
+    version: Offset,
 }
 
 #[derive(Debug, Serialize)]
@@ -41,6 +52,7 @@
 + Sync
 + 'static
 + use<> {
+    let stop = stop::filter(Arc::clone(&node));
     let with = warp::any().map(move || Arc::clone(&node));
     let metrics = warp::path!("metrics")
         .and(warp::get())
@@ -53,53 +65,63 @@
         .and(with.clone())
         .map(
             |headers: HeaderMap, node: Arc<Node>| match operator(&node, &headers) {
-                Ok(()) => warp::reply::json(&node.dump()).into_response(),
+                Ok(_) => warp::reply::json(&node.dump()).into_response(),
                 Err(error) => refusal(&error),
             },
         )
         .boxed();
-    let notice = warp::path!("admin" / "notice")
-        .and(warp::post())
+    let status = warp::path!("admin" / "status")
+        .and(warp::get())
         .and(warp::header::headers_cloned())
-        .and(warp::body::json())
         .and(with.clone())
-        .map(|headers: HeaderMap, body: Notice, node: Arc<Node>| {
-            leave(&node, &headers, |node| node.notice(body.deadline_ms))
-        })
+        .map(
+            |headers: HeaderMap, node: Arc<Node>| match operator(&node, &headers) {
+                Ok(_) => warp::reply::json(&node.status()).into_response(),
+                Err(error) => refusal(&error),
+            },
+        )
         .boxed();
-    let drain = warp::path!("admin" / "drain")
+    let publish = warp::path!("admin" / "publish")
         .and(warp::post())
         .and(warp::header::headers_cloned())
+        .and(warp::body::content_length_limit(MAX_CONFIG_BYTES))
+        .and(warp::body::bytes())
         .and(with)
-        .map(|headers: HeaderMap, node: Arc<Node>| leave(&node, &headers, Node::ask_drain))
+        .then(|headers, body: Bytes, node: Arc<Node>| async move {
+            publish(&node, &headers, &body)
+                .await
+                .unwrap_or_else(|error| refusal(&error))
+        })
         .boxed();
     metrics
         .or(dump)
         .unify()
-        .or(notice)
+        .or(status)
+        .unify()
+        .or(publish)
         .unify()
-        .or(drain)
+        .or(stop)
         .unify()
         .recover(recover)
         .unify()
 }
 
-fn leave<F>(node: &Node, headers: &HeaderMap, how: F) -> Response
-where
-    F: FnOnce(&Node),
-{
-    match operator(node, headers) {
-        Ok(()) => {
-            how(node);
-            warp::reply::with_status("leaving\n", StatusCode::ACCEPTED).into_response()
-        }
-        Err(error) => refusal(&error),
-    }
+async fn publish(node: &Node, headers: &HeaderMap, body: &[u8]) -> Result<Response, Error> {
+    let name = operator(node, headers)?;
+    let publication: Publication = serde_json::from_slice(body)
+        .map_err(|error| Error::not_run(ErrorKind::Malformed, format!("body: {error}")))?;
+    let Publication { base, config } = publication;
+    let version = control::publish(&node.log_service, &name, base, config).await?;
+    Ok(warp::reply::json(&Published { version }).into_response())
 }
 
-fn operator(node: &Node, headers: &HeaderMap) -> Result<(), Error> {
-    match node.access.identify(header(headers, "authorization")) {
-        Some(Identity::Operator(_)) => Ok(()),
+pub(super) fn operator(node: &Node, headers: &HeaderMap) -> Result<Arc<str>, Error> {
+    match node
+        .access
+        .load()
+        .identify(header(headers, "authorization"))
+    {
+        Some(Identity::Operator(name)) => Ok(name),
         _ => Err(Error::not_run(
             ErrorKind::Unauthorized,
             "an operator's token is required",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,5 +16,8 @@
 mod plain;
 mod refusal;
 mod request;
+mod status;
+mod stop;
 
 pub use self::node::Node;
+pub use self::status::Status;
