--- /dev/null
+++ b/benches/streams.rs
@@ -0,0 +1,225 @@
+//! Time that a node adds to a call, and memory of open streams, with the processes that serve.
+//!
+//! `cargo bench --bench streams` starts two nodes in different failure domains and the test
+//! doubles, and prints two tables.
+
+use std::time::{Duration, Instant};
+
+use almondpath::endpoint::Generate;
+use almondpath::transport;
+use futures::StreamExt;
+use hdrhistogram::Histogram;
+use hyper::Method;
+use serde_json::json;
+use uuid::Uuid;
+
+#[allow(dead_code, reason = "shared with the integration tests")]
+#[path = "../tests/integration/harness.rs"]
+mod harness;
+
+use harness::{ACCOUNT_TOKEN, Cluster};
+
+/// Tokens of a short call.
+const TOKENS: u32 = 16;
+
+/// Calls of each caller and way.
+const CALLS: usize = 60;
+
+const CALLERS: [usize; 4] = [1, 4, 16, 64];
+
+/// Open streams at which the memory is read.
+const STREAMS: [usize; 4] = [0, 500, 1_000, 2_000];
+
+/// Bytes of the prompt of an open stream.
+const PROMPT_BYTES: usize = 2_048;
+
+#[derive(Clone, Copy)]
+enum Way {
+    Direct,
+    Node,
+}
+
+/// Times of calls, in microseconds.
+struct Times {
+    first: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+impl Times {
+    fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("a valid precision");
+        Self {
+            first: histogram(),
+            whole: histogram(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.first.add(&other.first).expect("the same bounds");
+        self.whole.add(&other.whole).expect("the same bounds");
+    }
+}
+
+fn main() {
+    // `cargo test --all-targets` runs benches without `--bench`; there is nothing to test here.
+    if !std::env::args().any(|arg| arg == "--bench") {
+        return;
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        added_time().await;
+        memory().await;
+    });
+}
+
+async fn added_time() {
+    let cluster = Cluster::start(2, 4, 0).await;
+    for engine in &cluster.engines {
+        let faults = json!({ "token_ms": 1, "prefill_ms": 0 });
+        cluster.set_faults(engine.address, faults).await;
+    }
+    println!("| callers | way | first token p50 us | p99 us | whole p50 us | p99 us | calls/s |");
+    println!("|---|---|---|---|---|---|---|");
+    for callers in CALLERS {
+        let http = transport::Client::new(almondpath::clock::Millis(30_000));
+        let started = Instant::now();
+        let tasks: Vec<_> = (0..callers)
+            .map(|index| {
+                let engine = cluster.engines[index % cluster.engines.len()].address;
+                let node = cluster.nodes[index % cluster.nodes.len()].listen;
+                tokio::spawn(caller(http.clone(), engine, node))
+            })
+            .collect();
+        let (mut direct, mut node) = (Times::new(), Times::new());
+        for task in tasks {
+            let (one, other) = task.await.expect("no panic");
+            direct.add(&one);
+            node.add(&other);
+        }
+        let calls = (2 * callers * CALLS) as f64 / started.elapsed().as_secs_f64();
+        for (name, times) in [("direct", &direct), ("node", &node)] {
+            println!(
+                "| {callers} | {name} | {} | {} | {} | {} | {calls:.0} |",
+                times.first.value_at_quantile(0.5),
+                times.first.value_at_quantile(0.99),
+                times.whole.value_at_quantile(0.5),
+                times.whole.value_at_quantile(0.99),
+            );
+        }
+        println!(
+            "| {callers} | added | {} | {} | {} | {} | |",
+            added(&direct.first, &node.first, 0.5),
+            added(&direct.first, &node.first, 0.99),
+            added(&direct.whole, &node.whole, 0.5),
+            added(&direct.whole, &node.whole, 0.99),
+        );
+    }
+}
+
+fn added(direct: &Histogram<u64>, node: &Histogram<u64>, quantile: f64) -> i64 {
+    let of = |times: &Histogram<u64>| i64::try_from(times.value_at_quantile(quantile)).unwrap_or(0);
+    of(node) - of(direct)
+}
+
+/// Calls both ways in turn, so that both meet the same load of the machine.
+async fn caller(
+    http: transport::Client,
+    engine: std::net::SocketAddr,
+    node: std::net::SocketAddr,
+) -> (Times, Times) {
+    let (mut direct, mut through) = (Times::new(), Times::new());
+    for _ in 0..CALLS {
+        call(&http, engine, Way::Direct, &mut direct).await;
+        call(&http, node, Way::Node, &mut through).await;
+    }
+    (direct, through)
+}
+
+async fn call(
+    http: &transport::Client,
+    address: std::net::SocketAddr,
+    way: Way,
+    times: &mut Times,
+) {
+    let prompt = Uuid::new_v4().to_string();
+    let (path, body) = match way {
+        Way::Direct => {
+            let order = Generate {
+                request_id: Uuid::new_v4(),
+                attempt: 1,
+                prompt: prompt.into(),
+                generated: Vec::new(),
+                max_tokens: TOKENS,
+                priority: 0,
+            };
+            ("/generate", json!(order))
+        }
+        Way::Node => (
+            "/v1/routes/question",
+            json!({ "prompt": prompt, "max_tokens": TOKENS }),
+        ),
+    };
+    let started = Instant::now();
+    let response = post(http, address, path, &body).await;
+    let mut events = transport::events(response.into_body());
+    let mut first = true;
+    while let Some(event) = events.next().await {
+        let event = event.expect("the stream is complete");
+        assert_ne!(event.name, "error", "{}", event.data);
+        if first && matches!(event.name.as_str(), "token" | "chunk") {
+            first = false;
+            record(&mut times.first, started.elapsed());
+        }
+    }
+    record(&mut times.whole, started.elapsed());
+}
+
+async fn post(
+    http: &transport::Client,
+    address: std::net::SocketAddr,
+    path: &str,
+    body: &serde_json::Value,
+) -> hyper::Response<hyper::body::Incoming> {
+    let mut request = http
+        .request(Method::POST, address, path, body.to_string().into())
+        .expect("a valid request");
+    let token = format!("Bearer {ACCOUNT_TOKEN}").parse().expect("a header");
+    request.headers_mut().insert("authorization", token);
+    let response = http.send(request).await.expect("an answer");
+    assert!(response.status().is_success(), "{}", response.status());
+    response
+}
+
+fn record(times: &mut Histogram<u64>, time: Duration) {
+    let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+    times.record(micros).expect("the histogram resizes");
+}
+
+/// Opens streams whose engines have no free slot, and reads the memory of the owner and of the
+/// node with the copies.
+async fn memory() {
+    let cluster = Cluster::start(2, 1, 0).await;
+    let faults = json!({ "stall": true });
+    cluster.set_faults(cluster.engines[0].address, faults).await;
+    let http = transport::Client::new(almondpath::clock::Millis(30_000));
+    let body = json!({ "prompt": "x".repeat(PROMPT_BYTES), "max_tokens": 256 });
+    let mut open = Vec::new();
+    println!("\n| open streams | owner KiB | copies KiB |");
+    println!("|---|---|---|");
+    for streams in STREAMS {
+        while open.len() < streams {
+            let node = cluster.nodes[0].listen;
+            open.push(post(&http, node, "/v1/routes/summary", &body).await);
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let [owner, copies] = [0, 1].map(|node| resident_kib(cluster.nodes[node].process.id()));
+        println!("| {streams} | {owner} | {copies} |");
+    }
+}
+
+fn resident_kib(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0)
+}
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::log::Offset;
 
+use super::held::{Held, held};
 use super::life::Stage;
 use super::refusal::refusal;
 use super::request::header;
@@ -41,6 +42,7 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    responses: Vec<Held>,
 }
 
 /// Returns the HTTP interface for operators.
@@ -138,6 +140,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            responses: held(self),
         }
     }
 }
--- a/src/node/backup/copies.rs
+++ b/src/node/backup/copies.rs
@@ -78,7 +78,7 @@
             let entry = node.streams.get(*id)?;
             let readable = account.as_ref().is_none_or(|a| *a == entry.work().account);
             let serves = entry.is_served();
-            (readable && (serves || entry.owner().is_some())).then(|| Found {
+            (readable && (serves || entry.owner().is_some())).then_some(Found {
                 address: node.settings.listen,
                 serves,
             })
--- a/src/node/backup/replication.rs
+++ b/src/node/backup/replication.rs
@@ -67,7 +67,7 @@
     }
 
     /// Returns the node that holds the copy of a response.
-    pub(super) fn backup(&self, id: Uuid) -> Option<Holder> {
+    pub(in crate::node) fn backup(&self, id: Uuid) -> Option<Holder> {
         self.lock().slots.get(&id)?.backup.clone()
     }
 
@@ -202,7 +202,9 @@
             () = tokio::time::sleep(Duration::from(BATCH_INTERVAL)) => {}
         }
         round += 1;
-        let batches = node.replication.collect(round % HEARTBEAT_BATCHES == 0);
+        let batches = node
+            .replication
+            .collect(round.is_multiple_of(HEARTBEAT_BATCHES));
         for (backup, entries) in batches {
             let node = Arc::clone(&node);
             tokio::spawn(async move { node.send_batch(backup, entries).await });
--- /dev/null
+++ b/src/node/held.rs
@@ -0,0 +1,44 @@
+use std::sync::Arc;
+
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::stream::{Phase, Role};
+
+use super::Node;
+
+/// Most responses in a dump.
+const LIMIT: usize = 256;
+
+/// What a dump says about a response.
+#[derive(Debug, Serialize)]
+pub(super) struct Held {
+    id: Uuid,
+    account: Arc<str>,
+    role: Role,
+    owner: Option<Arc<str>>,
+    backup: Option<Arc<str>>,
+    phase: Phase,
+    attempt: u32,
+    tokens: u32,
+    bytes: usize,
+}
+
+/// Returns the responses that a node holds, up to a limit.
+pub(super) fn held(node: &Node) -> Vec<Held> {
+    let mut all = node.streams.all();
+    all.truncate(LIMIT);
+    all.iter()
+        .map(|entry| Held {
+            id: entry.work().id,
+            account: Arc::clone(&entry.work().account),
+            role: entry.role(),
+            owner: entry.owner().map(|owner| owner.name),
+            backup: node.replication.backup(entry.work().id).map(|b| b.name),
+            phase: entry.phase(),
+            attempt: entry.attempt(),
+            tokens: entry.len(),
+            bytes: entry.bytes(),
+        })
+        .collect()
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,11 +3,13 @@
 mod admin;
 mod api;
 mod background;
+#[allow(dead_code, unused_imports, reason = "called by the peer handler")]
 mod backup;
 mod drain;
 mod drive;
 mod engine;
 mod follow;
+mod held;
 mod leaving;
 mod life;
 mod model;
--- a/src/stream/entry.rs
+++ b/src/stream/entry.rs
@@ -10,7 +10,8 @@
 };
 
 /// Who serves a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Role {
     /// This node generates it and serves its callers.
     Owner,
--- /dev/null
+++ b/tests/integration/accepted_work.rs
@@ -0,0 +1,196 @@
+//! Accepted work survives reclaims: of engines, of entry hosts, of both, and one after the other.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::harness::Cluster;
+use crate::streaming::Streaming;
+
+/// Tokens of each response: 1.5 s at the engine test double's pace.
+const TOKENS: usize = 150;
+
+/// Tokens that the caller has received when the fault happens.
+const BEFORE: usize = 20;
+
+/// What happens to an engine that generates.
+struct EngineCase {
+    name: &'static str,
+    notice_ms: u64,
+    faults: serde_json::Value,
+    kill: bool,
+    /// Bounds of the recomputed tokens: the prompt has 100, the response 150.
+    recomputed: std::ops::RangeInclusive<f64>,
+}
+
+/// Guards against a response that is lost or started again when its engine's host is reclaimed,
+/// and against recomputation where the engine could finish or export.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_survive_the_reclaim_of_an_engine() {
+    let cases = [
+        EngineCase {
+            name: "killed without notice",
+            notice_ms: 5_000,
+            faults: json!({}),
+            kill: true,
+            recomputed: 100.0..=251.0,
+        },
+        EngineCase {
+            name: "notice, long enough to finish",
+            notice_ms: 10_000,
+            faults: json!({ "leaving": true }),
+            kill: false,
+            recomputed: 0.0..=0.0,
+        },
+        EngineCase {
+            name: "notice, KV export",
+            notice_ms: 700,
+            faults: json!({ "leaving": true }),
+            kill: true,
+            recomputed: 0.0..=0.0,
+        },
+        EngineCase {
+            name: "notice, no KV export",
+            notice_ms: 700,
+            faults: json!({ "leaving": true, "refuse_export": true }),
+            kill: true,
+            recomputed: 100.0..=251.0,
+        },
+    ];
+    for case in cases {
+        let settings = format!("notice_ms: {}\n", case.notice_ms);
+        let mut cluster = Cluster::start_with(2, 2, 0, &settings).await;
+        let streaming = Streaming::start(cluster.caller(&[0, 1]), case.name, TOKENS);
+        streaming.pieces(BEFORE).await;
+        let engine = cluster.busy_engine().await;
+        if case.faults["leaving"] == true {
+            let address = cluster.engines[engine].address;
+            cluster.set_faults(address, case.faults.clone()).await;
+            tokio::time::sleep(Duration::from_millis(800)).await;
+        }
+        if case.kill {
+            cluster.engines[engine].process.kill();
+        }
+        streaming.complete(case.name).await;
+        let recomputed = cluster
+            .metric(&[0, 1], "almondpath_recomputed_tokens_total")
+            .await;
+        println!("engine, {}: {recomputed} tokens recomputed", case.name);
+        assert!(case.recomputed.contains(&recomputed), "{}", case.name);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    /// The process is killed.
+    Kill,
+    /// A reclaim notice, and the process has the time to hand over.
+    Notice,
+    /// A reclaim notice, and the process is killed at once.
+    NoticeAndKill,
+}
+
+/// Losses of entry hosts, one after the other.
+struct HostCase {
+    name: &'static str,
+    /// Who is lost and how: the owner of the response or the node with the copy.
+    losses: &'static [(&'static str, Loss)],
+    /// Whether the engines in the failure domain of the first loss are killed as well.
+    engines: bool,
+}
+
+async fn survive(case: &HostCase) {
+    let mut cluster = Cluster::start(6, 3, 0).await;
+    let caller = cluster.caller(&[0, 1, 2, 3, 4, 5]);
+    let streaming = Streaming::start(caller, case.name, TOKENS);
+    streaming.pieces(BEFORE).await;
+    let mut lost = Vec::new();
+    for (index, (role, loss)) in case.losses.iter().enumerate() {
+        let victim = cluster.holder(role, &lost).await;
+        lost.push(victim);
+        if !matches!(loss, Loss::Kill) {
+            cluster.notice(victim, 3_000).await;
+        }
+        if !matches!(loss, Loss::Notice) {
+            cluster.nodes[victim].process.kill();
+        }
+        if case.engines && index == 0 {
+            // Hosts of one failure domain have the same index modulo three.
+            cluster.nodes[(victim + 3) % 6].process.kill();
+            cluster.engines[victim % 3].process.kill();
+            lost.push((victim + 3) % 6);
+        }
+        if index + 1 < case.losses.len() {
+            let next = cluster.holder("owner", &lost).await;
+            println!("  node {next} serves after the loss of {lost:?}");
+        }
+    }
+    let restarts = streaming.restarts();
+    streaming.complete(case.name).await;
+    let left: Vec<usize> = (0..6).filter(|node| !lost.contains(node)).collect();
+    let recomputed = cluster
+        .metric(&left, "almondpath_recomputed_tokens_total")
+        .await;
+    println!(
+        "entry host, {}: {recomputed} tokens recomputed, {restarts} restarts seen by then",
+        case.name
+    );
+    if !case.engines {
+        assert_eq!(
+            recomputed, 0.0,
+            "{}: the engine's stream goes on",
+            case.name
+        );
+    }
+}
+
+/// Guards against a response that ends with the entry host that serves it.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_survive_the_loss_of_an_entry_host() {
+    let cases = [
+        HostCase {
+            name: "notice",
+            losses: &[("owner", Loss::Notice)],
+            engines: false,
+        },
+        HostCase {
+            name: "killed",
+            losses: &[("owner", Loss::Kill)],
+            engines: false,
+        },
+        HostCase {
+            name: "killed during its handover",
+            losses: &[("owner", Loss::NoticeAndKill)],
+            engines: false,
+        },
+    ];
+    for case in &cases {
+        survive(case).await;
+    }
+}
+
+/// Guards against a copy that is not renewed after the first loss, or that is in the failure domain
+/// that is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_survive_several_losses() {
+    let cases = [
+        HostCase {
+            name: "a whole failure domain with its engines",
+            losses: &[("owner", Loss::Kill)],
+            engines: true,
+        },
+        HostCase {
+            name: "backup node, then owner",
+            losses: &[("backup", Loss::Kill), ("owner", Loss::Kill)],
+            engines: false,
+        },
+        HostCase {
+            name: "a second reclaim hits the node that took over",
+            losses: &[("owner", Loss::Notice), ("owner", Loss::NoticeAndKill)],
+            engines: false,
+        },
+    ];
+    for case in &cases {
+        survive(case).await;
+    }
+}
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -45,6 +45,11 @@
         Self { child }
     }
 
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal, for example `libc::SIGSTOP`.
     pub(crate) fn signal(&self, signal: i32) {
         let pid = i32::try_from(self.child.id()).expect("process ids fit an i32");
@@ -114,6 +119,16 @@
 impl Cluster {
     /// Starts a cluster with the `dev` configuration and waits until all nodes are ready.
     pub(crate) async fn start(nodes: usize, engines: usize, plains: usize) -> Self {
+        Self::start_with(nodes, engines, plains, "").await
+    }
+
+    /// As [`Cluster::start`], with further lines in the nodes' settings.
+    pub(crate) async fn start_with(
+        nodes: usize,
+        engines: usize,
+        plains: usize,
+        settings: &str,
+    ) -> Self {
         let doubles = |kind: &str, count: usize| (0..count).map(|_| double(kind)).collect();
         let directory = tempfile::tempdir().expect("a temporary directory");
         let mut cluster = Self {
@@ -127,7 +142,7 @@
         };
         cluster.await_doubles().await;
         cluster.put_hosts(&cluster.hosts()).await;
-        cluster.start_nodes(nodes);
+        cluster.start_nodes(nodes, settings);
         cluster.publish("examples/dev/config.yaml").await;
         for node in &cluster.nodes {
             cluster.await_ready(node).await;
@@ -227,7 +242,7 @@
         self.directory.path().join("tokens.yaml")
     }
 
-    fn start_nodes(&mut self, count: usize) {
+    fn start_nodes(&mut self, count: usize, more: &str) {
         let ports: Vec<[SocketAddr; 3]> = (0..count)
             .map(|_| [free_address(), free_address(), free_address()])
             .collect();
@@ -239,7 +254,7 @@
             let name = format!("node-{index}");
             let text = format!(
                 "name: {name}\nfailure_domain: {}\nlisten: {listen}\nadmin: {admin}\n\
-                 peer: {peer}\nseeds: [{}]\nlog_service: {}\nplatform: {}\ntoken_file: {}\n",
+                 peer: {peer}\nseeds: [{}]\nlog_service: {}\nplatform: {}\ntoken_file: {}\n{more}",
                 domain(index),
                 seeds.join(", "),
                 self.log.address,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one file per feature.
 
+mod accepted_work;
 mod broken_files;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
@@ -7,5 +8,8 @@
 mod membership;
 mod operators;
 mod peer;
+mod planned_stop;
 mod relay;
+mod stalled_connections;
+mod streaming;
 mod whole_response;
--- /dev/null
+++ b/tests/integration/planned_stop.rs
@@ -0,0 +1,159 @@
+//! A planned stop interrupts no call.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use almondpath::client::{Client, Part};
+use almondpath::clock::Millis;
+use almondpath::error::Error;
+use serde_json::json;
+use tokio::task::JoinSet;
+use uuid::Uuid;
+
+use crate::harness::{Cluster, Process};
+use crate::streaming::Streaming;
+
+/// Time for one call of the load; a planned stop must not make callers wait for long.
+const CALL_DEADLINE: Millis = Millis(15_000);
+
+/// Callers that call one after the other until they are stopped.
+struct Load {
+    callers: JoinSet<Vec<String>>,
+    stop: Arc<AtomicBool>,
+    calls: Arc<AtomicUsize>,
+}
+
+impl Load {
+    /// Starts callers on all nodes: of a model route, an idempotent and a non-idempotent one.
+    fn start(cluster: &Cluster, callers: usize) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let calls = Arc::new(AtomicUsize::new(0));
+        let all: Vec<usize> = (0..cluster.nodes.len()).collect();
+        let mut set = JoinSet::new();
+        for index in 0..callers {
+            let client = cluster.caller(&all).with_deadline(CALL_DEADLINE);
+            let (stop, calls) = (Arc::clone(&stop), Arc::clone(&calls));
+            set.spawn(async move {
+                let mut failures = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    if let Err(error) = call(&client, index).await {
+                        failures.push(format!("caller {index}: {error}"));
+                    }
+                    calls.fetch_add(1, Ordering::SeqCst);
+                }
+                failures
+            });
+        }
+        Self {
+            callers: set,
+            stop,
+            calls,
+        }
+    }
+
+    /// Ends the load, and asserts that enough calls were made and none failed.
+    async fn finish(self, least: usize) {
+        self.stop.store(true, Ordering::SeqCst);
+        let failures: Vec<String> = self
+            .callers
+            .join_all()
+            .await
+            .into_iter()
+            .flatten()
+            .collect();
+        let calls = self.calls.load(Ordering::SeqCst);
+        println!("{calls} calls, {} failed", failures.len());
+        assert!(failures.is_empty(), "{failures:#?}");
+        assert!(calls >= least, "only {calls} calls were made");
+    }
+}
+
+async fn call(client: &Client, index: usize) -> Result<(), Error> {
+    let key = Uuid::now_v7().to_string();
+    let (route, key, body) = match index % 4 {
+        0 => ("contribution", Some(key.as_str()), json!({})),
+        1 => ("balance", None, json!({})),
+        _ => (
+            "question",
+            None,
+            json!({ "prompt": format!("caller {index}"), "max_tokens": 10 }),
+        ),
+    };
+    let body = body.to_string().into();
+    client.call(route, key, body, |_| ()).await.map(|_| ())
+}
+
+/// Guards against a stop that cuts off what runs longer than the drain limit, a call in flight or
+/// a caller that reads slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_under_load_interrupts_nothing() {
+    for second_signal in [false, true] {
+        let mut cluster = Cluster::start_with(3, 2, 1, "drain_ms: 2500\n").await;
+        let faults = json!({ "delay_ms": 1_500 });
+        cluster.set_faults(cluster.plains[0].address, faults).await;
+        let all = cluster.caller(&[0, 1, 2]);
+        let review = Streaming::start(all.clone(), "review", 500);
+        review.pieces(10).await;
+        let owner = cluster.holder("owner", &[]).await;
+        let load = Load::start(&cluster, 8);
+        let own = cluster.caller(&[owner]);
+        let payout = tokio::spawn(async move {
+            let key = Uuid::now_v7().to_string();
+            own.call("contribution", Some(&key), "{}".into(), |_| ())
+                .await
+        });
+        let slow = tokio::spawn(async move {
+            let body = json!({ "prompt": "slow", "max_tokens": 100 }).to_string();
+            let mut text = String::new();
+            let read = |part: Part<'_>| {
+                // Blocks the task that reads, as a slow caller does.
+                std::thread::sleep(Duration::from_millis(40));
+                if let Part::Text(piece) = part {
+                    text.push_str(piece);
+                }
+            };
+            all.call("summary", None, body.into(), read).await
+        });
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let process = &mut cluster.nodes[owner].process;
+        process.signal(libc::SIGTERM);
+        if second_signal {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            process.signal(libc::SIGTERM);
+        }
+        assert!(process.ended().await, "the node ends without an error");
+        review.complete("review").await;
+        payout
+            .await
+            .expect("no panic")
+            .expect("the payout is answered");
+        slow.await
+            .expect("no panic")
+            .expect("the slow reader gets all");
+        load.finish(20).await;
+    }
+}
+
+/// Guards against a call that fails while every node is replaced, two at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_of_all_nodes_fails_no_call() {
+    let mut cluster = Cluster::start(8, 3, 1).await;
+    let load = Load::start(&cluster, 16);
+    for pair in 0..4 {
+        let nodes = [pair, pair + 4];
+        for node in nodes {
+            cluster.nodes[node].process.signal(libc::SIGTERM);
+        }
+        for node in nodes {
+            let node = &mut cluster.nodes[node];
+            assert!(node.process.ended().await, "the node ends without an error");
+            let settings = node.settings.to_str().expect("a UTF-8 path");
+            node.process = Process::start(&["serve", settings]);
+        }
+        for node in nodes {
+            cluster.await_ready(&cluster.nodes[node]).await;
+        }
+    }
+    load.finish(200).await;
+}
--- /dev/null
+++ b/tests/integration/stalled_connections.rs
@@ -0,0 +1,129 @@
+//! Connections that stall without being closed, while new ones work.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use almondpath::client::Client;
+use almondpath::transport;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use warp::Filter;
+
+use crate::harness::{ACCOUNT_TOKEN, Cluster};
+use crate::relay::{Mode, Relay};
+use crate::streaming::Streaming;
+
+const TOKENS: usize = 150;
+
+/// Time that the tokens take at the engine test double's pace, and the slack of a busy machine.
+const GENERATION: Duration = Duration::from_millis(1_500 + 3_000);
+
+/// Silence after which the caller opens a fresh connection, its default.
+const CALLER_BOUND: Duration = Duration::from_millis(3_000);
+
+/// Silence after which a node opens a fresh connection to an engine, the default of `stall_ms`.
+const ENGINE_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Guards against a caller that waits for ever on a connection that is open but dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_leaves_a_stalled_connection() {
+    let cluster = Cluster::start(1, 1, 0).await;
+    let relay = Relay::start(cluster.nodes[0].listen).await;
+    let directory = directory(relay.address).await;
+    let caller = Client::new(vec![directory], ACCOUNT_TOKEN.into());
+    let started = Instant::now();
+    let streaming = Streaming::start(caller, "stalled caller", TOKENS);
+    streaming.pieces(20).await;
+    let before = relay.accepted();
+    relay.set(Mode::FreezeOld);
+    streaming.complete("stalled caller").await;
+    assert!(relay.accepted() > before, "a fresh connection was made");
+    let bound = GENERATION + CALLER_BOUND;
+    assert!(started.elapsed() < bound, "took {:?}", started.elapsed());
+}
+
+struct EngineCase {
+    name: &'static str,
+    /// Whether the relay freezes the connections, or the engine stops to write to them.
+    relayed: bool,
+    /// Tokens received when the connections stall; none means before the request.
+    after: Option<usize>,
+}
+
+/// Guards against an engine that counts as failed, with all its streams computed again, because
+/// some connections to it stalled.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_leaves_stalled_connections_and_keeps_the_engine() {
+    let cases = [
+        EngineCase {
+            name: "frozen in between, mid-stream",
+            relayed: true,
+            after: Some(20),
+        },
+        EngineCase {
+            name: "frozen in between, before the request",
+            relayed: true,
+            after: None,
+        },
+        EngineCase {
+            name: "silent engine, mid-stream",
+            relayed: false,
+            after: Some(20),
+        },
+    ];
+    for case in cases {
+        // One engine only: another one can't make up for it.
+        let cluster = Cluster::start(1, 1, 0).await;
+        let engine = cluster.engines[0].address;
+        let relay = Relay::start(engine).await;
+        let mut hosts = cluster.hosts();
+        hosts[0].address = relay.address;
+        cluster.put_hosts(&hosts).await;
+        Streaming::start(cluster.caller(&[0]), "warm-up", 1)
+            .complete("warm-up")
+            .await;
+        // The node reads the host list twice a second.
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+        if case.after.is_none() {
+            relay.set(Mode::FreezeOld);
+        }
+        let started = Instant::now();
+        let streaming = Streaming::start(cluster.caller(&[0]), case.name, TOKENS);
+        if let Some(after) = case.after {
+            streaming.pieces(after).await;
+            if case.relayed {
+                relay.set(Mode::FreezeOld);
+            } else {
+                let faults = json!({ "stall_connections": true });
+                cluster.set_faults(engine, faults).await;
+            }
+        }
+        streaming.complete(case.name).await;
+        let took = started.elapsed();
+        assert!(took < GENERATION + ENGINE_BOUND, "{}: {took:?}", case.name);
+        for metric in [
+            "almondpath_recomputed_tokens_total",
+            "almondpath_attempt_failures_total",
+        ] {
+            let value = cluster.metric(&[0], metric).await;
+            assert_eq!(value, 0.0, "{}: {metric}", case.name);
+        }
+    }
+}
+
+/// Serves address responses that name one address.
+async fn directory(address: SocketAddr) -> SocketAddr {
+    let body = json!({
+        "addresses": [{ "address": address, "domain": "a" }],
+        "ttl_ms": 2_000,
+    });
+    let filter = warp::path!("v1" / "addresses")
+        .map(move || warp::reply::json(&body))
+        .recover(|_| async { Ok::<_, Infallible>("") });
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let bound = listener.local_addr().expect("a bound address");
+    tokio::spawn(transport::Server::new(listener).run(filter, CancellationToken::new()));
+    bound
+}
