--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod generate;
 mod logger;
 mod publish;
+mod rollouts;
 mod serve;
 mod status;
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -13,3 +13,4 @@
 mod stalled_connections;
 mod streaming;
 mod whole_response;
+mod rollout_policy;
