--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod node;
 pub mod peer;
 pub mod questionnaire;
+pub mod reclaim;
 pub mod rollout;
 pub mod settings;
 pub mod standin;
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -5,6 +5,7 @@
 use crate::log::Offset;
 
 use super::Node;
+use super::life::Stage;
 
 /// What a node tells operators about itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -25,7 +26,7 @@
     /// Returns the node's status.
     pub(super) fn status(&self) -> Status {
         let active = self.active.load_full();
-        let state = if self.token.is_cancelled() {
+        let state = if self.life.stage() != Stage::Serving {
             "stopping"
         } else if active.is_some() {
             "ready"
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -10,5 +10,5 @@
 
 pub use self::client::Client;
 pub use self::connection::Connection;
-pub use self::event::{Event, events};
+pub use self::event::{Event, Events, events, live_events};
 pub use self::server::Server;
