--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -73,12 +73,7 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight.
-    pub(super) fn choose(&self, service: &str) -> Option<(Key, SocketAddr)> {
-        self.choose_except(service, &[])
-    }
-
-    /// As [`Node::choose`], without the endpoints in `avoid`.
+    /// Chooses the endpoint with the fewest requests in flight, without those in `avoid`.
     pub(super) fn choose_except(&self, service: &str, avoid: &[Key]) -> Option<(Key, SocketAddr)> {
         let endpoints = self.endpoints.lock().expect("endpoints lock");
         endpoints
