--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, one file per feature.
 
 mod accepted_work;
+mod addresses;
 mod at_most_once;
 mod broken_files;
 mod call_harness;
@@ -8,6 +9,7 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod leaving;
 mod ledger;
 mod log_outage;
 mod membership;
