--- a/src/membership/peer.rs
+++ b/src/membership/peer.rs
@@ -30,6 +30,17 @@
         }
     }
 
+    /// Takes over what it says about itself; answers to probes do not repeat the demand, which
+    /// saves 144 bytes/s at five client accounts.
+    pub(super) fn hear(&mut self, mut header: Header) {
+        if header.demand.is_empty()
+            && let Some(known) = self.header.take()
+        {
+            header.demand = known.demand;
+        }
+        self.header = Some(header);
+    }
+
     /// Returns whether it may get new work: alive, and not announced as leaving.
     #[must_use]
     pub fn is_available(&self) -> bool {
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -17,8 +17,11 @@
 /// Statements about other nodes in the answer to a node that is joining.
 const JOIN_MEMBERS: usize = 128;
 
-/// Answers after which a node no longer asks for many statements.
-const JOIN_ANSWERS: u32 = 8;
+/// Answers without a new node after which a node no longer asks for many statements, and the most
+/// answers for which it does. With a fixed number of 8 answers, 4 of 369 nodes were still unknown
+/// five minutes after 370 nodes had started together.
+const JOIN_QUIET_ANSWERS: u32 = 8;
+const JOIN_ANSWERS: u32 = 64;
 
 /// What a message from another node changed.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -47,6 +50,7 @@
     outbox: Outbox,
     schedule: Schedule,
     answers: u32,
+    quiet_answers: u32,
     rng: SmallRng,
 }
 
@@ -60,6 +64,7 @@
             outbox: Outbox::new(),
             schedule: Schedule::new(seeds),
             answers: 0,
+            quiet_answers: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -172,7 +177,7 @@
     /// Builds the probe of a node or the answer to one; `to` is its name, if it is known.
     pub fn message(&mut self, now: Millis, to: Option<&str>, mut header: Header) -> Message {
         header.incarnation = self.roster.own.incarnation;
-        header.joining = self.answers < JOIN_ANSWERS;
+        header.joining = self.is_joining();
         header.draining |= self.roster.own.state == State::Leaving;
         let mut message = Message {
             header,
@@ -238,7 +243,7 @@
         let name = self.roster.name(message.header.incarnation).cloned();
         if let Some(peer) = name.and_then(|name| self.roster.get_mut(&name)) {
             peer.heard_at = Some(now);
-            peer.header = Some(message.header);
+            peer.hear(message.header);
             received.sender = Some(peer.member.peer);
         }
         received
@@ -246,14 +251,26 @@
 
     /// Takes over what the answer to a probe says.
     pub fn answered(&mut self, now: Millis, message: Message) -> Received {
+        let known = self.roster.peers().count();
+        let received = self.receive(now, message);
         self.answers = self.answers.saturating_add(1);
-        self.receive(now, message)
+        if self.roster.peers().count() > known {
+            self.quiet_answers = 0;
+        } else {
+            self.quiet_answers = self.quiet_answers.saturating_add(1);
+        }
+        received
+    }
+
+    fn is_joining(&self) -> bool {
+        self.quiet_answers < JOIN_QUIET_ANSWERS && self.answers < JOIN_ANSWERS
     }
 
     /// Builds the answer to a probe that was taken over with [`View::receive`].
     pub fn answer(&mut self, now: Millis, from: u64, joining: bool, header: Header) -> Message {
         let name = self.roster.name(from).cloned();
         let mut message = self.message(now, name.as_deref(), header);
+        message.header.demand.clear();
         if joining {
             let skip = self.rng.random_range(0..self.roster.live());
             let peers = self.roster.peers().map(|p| &p.member);
@@ -281,7 +298,7 @@
             Merge::Old => false,
             Merge::New => {
                 // A node that is joining learns what the others know already.
-                if self.answers >= JOIN_ANSWERS {
+                if !self.is_joining() {
                     self.outbox.member(passed_on, self.roster.live());
                 }
                 leaving
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -31,6 +31,7 @@
 pub use self::handler::Handler;
 pub use self::method::Method;
 pub use self::thread::spawn;
+pub use self::wire::encoded_bytes;
 
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL: u16 = 1;
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -77,6 +77,15 @@
     to.set_listen(member.listen.to_string());
 }
 
+/// Returns the bytes of a message as the content of a call or of its answer, without the frames of
+/// the RPC protocol.
+#[must_use]
+pub fn encoded_bytes(message: &Message) -> usize {
+    let mut builder = capnp::message::Builder::new_default();
+    encode(message, builder.init_root());
+    capnp::serialize::compute_serialized_size_in_words(&builder) * 8
+}
+
 /// Reads a message.
 ///
 /// # Errors
--- a/tests/integration/membership.rs
+++ b/tests/integration/membership.rs
@@ -4,7 +4,7 @@
 
 use almondpath::clock::Millis;
 use almondpath::log::Offset;
-use almondpath::membership::{Header, Member, Message, State, TICK, View};
+use almondpath::membership::{Header, Member, Message, Notice, State, TICK, View};
 use proptest::prelude::*;
 
 use crate::harness::seeded;
@@ -173,3 +173,39 @@
         "the known node was not probed"
     );
 }
+
+/// Guards against a notice that is not passed on beyond the node that it was told to.
+#[test]
+fn a_notice_reaches_all_nodes_within_the_bound() {
+    let mut views: Vec<View> = (0..3)
+        .map(|name| View::new(member(name, 10, 1, State::Alive), vec![address(7_000)], 7))
+        .collect();
+    let notice = Notice {
+        host: "host-1".into(),
+        incarnation: 5,
+    };
+    let mut reached = vec![true, false, false];
+    let mut now = Millis(0);
+    let bound = Millis(3_000);
+    for round in 0..30 {
+        if round == 20 {
+            assert!(views[0].notice(notice.clone()));
+        }
+        now += TICK;
+        for from in 0..3 {
+            let Some(target) = views[from].tick(now) else {
+                continue;
+            };
+            let to = usize::from(target.address.port() - 7_000);
+            let ask = views[from].message(now, target.name.as_deref(), header());
+            let sender = ask.header.incarnation;
+            reached[to] |= views[to].receive(now, ask).notices.contains(&notice);
+            let answer = views[to].answer(now, sender, false, header());
+            reached[from] |= views[from].answered(now, answer).notices.contains(&notice);
+        }
+        if now >= Millis(21 * TICK.0) + bound {
+            break;
+        }
+    }
+    assert_eq!(reached, [true; 3]);
+}
