Test takeover, late deadlines and unprovable refusals

Tests that slept a fixed time now wait until the call has reached the endpoint: one failed on the loaded machine because the log went down before the call was recorded.

--- a/tests/integration/at_most_once.rs
+++ b/tests/integration/at_most_once.rs
@@ -4,6 +4,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use almondpath::clock::{Clock, Millis};
+use almondpath::ledger::{Action, Blob, Digest, Key, Order};
+use almondpath::log::writer::{self, Stamp as _};
+use almondpath::log::{self, Service as _};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -93,12 +97,12 @@
     cluster.await_calls().await;
     let call = fresh().deadline(20_000);
     cluster
-        .set_faults(cluster.log.address, json!({ "delay_ms": 300 }))
+        .set_faults(cluster.log.address, json!({ "delay_ms": 900 }))
         .await;
     let paused = async {
-        tokio::time::sleep(Duration::from_millis(150)).await;
+        tokio::time::sleep(Duration::from_millis(450)).await;
         cluster.nodes[0].process.signal(libc::SIGSTOP);
-        tokio::time::sleep(Duration::from_millis(600)).await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
         cluster.set_faults(cluster.log.address, json!({})).await;
         let other = call.send(&cluster, 1).await;
         let unsent = cluster.executions(&call.key).await;
@@ -267,3 +271,36 @@
     }
     assert_eq!(cluster.executions(&first.key).await, 1);
 }
+
+/// Guards against an accepted call that nobody runs because its node is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_call_of_a_lost_node_is_taken_over() {
+    let cluster = Cluster::start(3, 0, 1).await;
+    cluster.await_calls().await;
+    let call = fresh();
+    let now = Clock::system().wall();
+    let accept = Action::Accept {
+        key: Key::parse(&call.key).expect("a key"),
+        digest: Digest::of("demo", "contribution", b"{}"),
+        order: Box::new(Order {
+            account: "demo".into(),
+            route: "contribution".into(),
+            deadline: now + Millis(20_000),
+            body: Some(Blob("{}".into())),
+        }),
+        horizon: Millis::ZERO,
+    };
+    let writer = writer::Key {
+        incarnation: 1,
+        sequence: 1,
+    };
+    let log = log::Client::new(cluster.log.address);
+    let appended = log.append("calls-0", vec![accept.stamp(writer, now)]);
+    appended.await.expect("the log service answers");
+    cluster.await_execution(&call).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for node in 0..3 {
+        assert!(call.send(&cluster, node).await.ran());
+    }
+    assert_eq!(cluster.executions(&call.key).await, 1);
+}
--- a/tests/integration/call_harness.rs
+++ b/tests/integration/call_harness.rs
@@ -111,6 +111,14 @@
         self.nodes[node].process = Process::start(&["serve", settings]);
     }
 
+    /// Waits until a key has reached the endpoint.
+    pub(crate) async fn await_execution(&self, call: &Contribution) {
+        eventually("the call reaches the endpoint", async || {
+            self.executions(&call.key).await == 1
+        })
+        .await;
+    }
+
     /// Waits until every node's calls streams can be used.
     pub(crate) async fn await_calls(&self) {
         for node in 0..self.nodes.len() {
--- a/tests/integration/log_outage.rs
+++ b/tests/integration/log_outage.rs
@@ -78,11 +78,11 @@
     let cluster = Cluster::start(2, 0, 1).await;
     cluster.await_calls().await;
     cluster
-        .set_faults(cluster.plains[0].address, json!({ "delay_ms": 800 }))
+        .set_faults(cluster.plains[0].address, json!({ "delay_ms": 1_500 }))
         .await;
     let call = fresh();
     let (answer, ()) = tokio::join!(call.send(&cluster, 0), async {
-        tokio::time::sleep(Duration::from_millis(400)).await;
+        cluster.await_execution(&call).await;
         cluster
             .set_faults(cluster.log.address, json!({ "down": true }))
             .await;
--- a/tests/integration/refusals.rs
+++ b/tests/integration/refusals.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::call_harness::{Answer, aged, fresh, post};
-use crate::harness::{ACCOUNT_TOKEN, Cluster, free_address};
+use crate::harness::{ACCOUNT_TOKEN, Cluster, eventually, free_address};
 
 const JSON_LIMIT: usize = 1024 * 1024;
 
@@ -132,6 +132,18 @@
 async fn a_call_without_an_endpoint_is_ruled_out_for_good() {
     let cluster = Cluster::start(2, 0, 1).await;
     cluster.await_calls().await;
+    let append_refused = json!({ "refuse_appends": true });
+    cluster.put_hosts(&[]).await;
+    cluster
+        .set_faults(cluster.log.address, append_refused)
+        .await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let answer = fresh().send(&cluster, 0).await;
+    assert!(
+        answer.is("unavailable", "may_have_run"),
+        "no proof: {answer:?}"
+    );
+    cluster.set_faults(cluster.log.address, json!({})).await;
     let mut unreachable = cluster.hosts();
     unreachable[0].address = free_address();
     for hosts in [Vec::new(), unreachable] {
@@ -188,12 +200,11 @@
             .set_faults(cluster.plains[0].address, json!({ "delay_ms": 1_500 }))
             .await;
         let call = fresh();
-        let first = async {
-            // The caller gives up long before the node does.
-            let sending = call.send(&cluster, 0);
-            tokio::time::timeout(Duration::from_millis(400), sending).await
-        };
-        assert!(first.await.is_err(), "{}", case.name);
+        // The caller gives up long before the node does.
+        tokio::select! {
+            answer = call.send(&cluster, 0) => panic!("{}: {answer:?}", case.name),
+            () = cluster.await_execution(&call) => {}
+        }
         if case.restart {
             cluster.nodes[1].process.kill();
             cluster.restart(1);
@@ -226,13 +237,32 @@
     let cluster = Cluster::start_with(1, 0, 1, "request_limit: 1\n").await;
     cluster.await_calls().await;
     cluster
-        .set_faults(cluster.plains[0].address, json!({ "delay_ms": 800 }))
+        .set_faults(cluster.plains[0].address, json!({ "delay_ms": 1_500 }))
         .await;
     let (first, second) = (fresh(), fresh());
     let (answer, refused) = tokio::join!(first.send(&cluster, 0), async {
-        tokio::time::sleep(Duration::from_millis(300)).await;
+        cluster.await_execution(&first).await;
         second.send(&cluster, 0).await
     });
     assert!(answer.ran());
     assert!(refused.is("overloaded", "may_have_run"), "{refused:?}");
 }
+
+/// Guards against a call that is sent after its deadline, because recording it took too long.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_that_passes_while_recording_prevents_sending() {
+    let cluster = Cluster::start(1, 0, 1).await;
+    cluster.await_calls().await;
+    cluster
+        .set_faults(cluster.log.address, json!({ "delay_ms": 600 }))
+        .await;
+    let call = fresh().deadline(300);
+    let answer = call.send(&cluster, 0).await;
+    assert!(answer.is("deadline_exceeded", "may_have_run"), "{answer:?}");
+    cluster.set_faults(cluster.log.address, json!({})).await;
+    eventually("the call is ruled out", async || {
+        call.send(&cluster, 0).await.is("key_void", "not_run")
+    })
+    .await;
+    assert_eq!(cluster.executions(&call.key).await, 0);
+}
