--- a/src/node/backup/resume.rs
+++ b/src/node/backup/resume.rs
@@ -7,7 +7,7 @@
 use warp::reply::Response;
 
 use crate::error::{Error, ErrorKind};
-use crate::node::{Node, follow};
+use crate::node::{Node, response};
 use crate::stream::{Cursor, Entry, Phase};
 
 /// Continues the response to a caller that has received what `cursor` says.
@@ -25,7 +25,7 @@
         return Ok(node.serve(&entry, cursor).await);
     }
     match node.locate(id, account).await {
-        Some(address) => Ok(follow::moved(&[address])),
+        Some(address) => Ok(response::moved(&[address])),
         None => Err(Error::may_have_run(
             ErrorKind::NotFound,
             format!("request {id} is not known"),
@@ -41,11 +41,11 @@
             let answers = self.ask(&owner, vec![entry.work().id], None).await;
             let found = answers.and_then(|answers| *answers.first()?);
             if found.is_some_and(|found| found.serves) {
-                return follow::moved(&[owner.listen]);
+                return response::moved(&[owner.listen]);
             }
             self.take_over(entry, "caller");
         }
-        follow::follow(entry.follow(), cursor)
+        response::follow(entry.follow(), cursor)
     }
 
     /// Finds the node that serves a response, or one with a copy.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,7 +8,7 @@
 mod drain;
 mod drive;
 mod engine;
-mod follow;
+mod response;
 mod held;
 mod leaving;
 mod life;
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -11,7 +11,7 @@
 use crate::stream::{Cursor, Work};
 
 use super::request::Request;
-use super::{Node, drive, follow};
+use super::{Node, drive, response};
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,7 +35,7 @@
                 deadline: known.work().deadline,
                 ..work
             }) {
-            Ok(follow::follow(known.follow(), Cursor::default()))
+            Ok(response::follow(known.follow(), Cursor::default()))
         } else {
             Err(Error::not_run(
                 ErrorKind::Conflict,
@@ -54,7 +54,7 @@
         }
         return Err(error);
     }
-    Ok(follow::follow(follower, Cursor::default()))
+    Ok(response::follow(follower, Cursor::default()))
 }
 
 fn work(node: &Node, request: &Request) -> Result<Work, Error> {
