--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -18,6 +18,7 @@
 use super::life::Stage;
 use super::refusal::refusal;
 use super::request::header;
+use super::shard::Summary;
 use super::{Node, stop};
 
 /// Largest body of a published configuration.
@@ -42,6 +43,7 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    calls: Vec<Summary>,
     responses: Vec<Held>,
 }
 
@@ -140,6 +142,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            calls: self.calls.summary(),
             responses: held(self),
         }
     }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -20,6 +20,7 @@
 use crate::transport;
 
 use super::backup::{Copies, Replication};
+use super::calls::{self, Calls};
 use super::life::Control;
 use super::{admin, api, background, drain};
 
@@ -50,6 +51,7 @@
     pub(super) permits: Arc<Semaphore>,
     pub(super) http: transport::Client,
     pub(super) log_service: log::Client,
+    pub(super) calls: Calls,
     pub(super) metrics: PrometheusHandle,
     pub(super) token: CancellationToken,
 }
@@ -84,6 +86,7 @@
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
+            calls: Calls::new(&settings),
             metrics,
             token,
             settings,
@@ -101,6 +104,7 @@
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
+        calls::spawn(&self, &mut supervisor);
         info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
         let admin = transport::Server::new(operators)
             .run(admin::filter(Arc::clone(&self)), self.token.clone());
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -12,7 +12,7 @@
 mod token_text;
 
 pub use self::engine::{Engine, EngineFaults};
-pub use self::log::{Log, LogFaults};
+pub use self::log::{Log, LogFaults, LogStats};
 pub use self::plain::{Plain, PlainFaults};
 pub use self::platform::{Platform, PlatformFaults};
 pub use self::token_text::token_text;
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -122,7 +122,7 @@
         Self::start_with(nodes, engines, plains, "").await
     }
 
-    /// As [`Cluster::start`], with further lines in the nodes' settings.
+    /// Starts a cluster whose nodes have these additional settings, in YAML.
     pub(crate) async fn start_with(
         nodes: usize,
         engines: usize,
@@ -242,7 +242,7 @@
         self.directory.path().join("tokens.yaml")
     }
 
-    fn start_nodes(&mut self, count: usize, more: &str) {
+    fn start_nodes(&mut self, count: usize, extra: &str) {
         let ports: Vec<[SocketAddr; 3]> = (0..count)
             .map(|_| [free_address(), free_address(), free_address()])
             .collect();
@@ -254,7 +254,7 @@
             let name = format!("node-{index}");
             let text = format!(
                 "name: {name}\nfailure_domain: {}\nlisten: {listen}\nadmin: {admin}\n\
-                 peer: {peer}\nseeds: [{}]\nlog_service: {}\nplatform: {}\ntoken_file: {}\n{more}",
+                 peer: {peer}\nseeds: [{}]\nlog_service: {}\nplatform: {}\ntoken_file: {}\n{extra}",
                 domain(index),
                 seeds.join(", "),
                 self.log.address,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,14 +1,19 @@
 //! Integration tests, one file per feature.
 
 mod accepted_work;
+mod at_most_once;
 mod broken_files;
+mod call_harness;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod ledger;
+mod log_outage;
 mod membership;
 mod operators;
 mod peer;
 mod planned_stop;
+mod refusals;
 mod relay;
 mod rollout_policy;
 mod stalled_connections;
