--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,7 +11,7 @@
 mod drain;
 mod drive;
 mod engine;
-mod follow;
+mod response;
 mod held;
 mod leaving;
 mod life;
