Bound the time of request bodies and refuse untrusted input with a verdict

A sender that never completed its body held its connection and its task without a limit, and a chunked body was refused as malformed in place of being measured. Bodies are now read with a limit in bytes and in time.

Tests send missing and wrong tokens, another account's request id, broken and oversized requests, and 200 slow senders, and check that others are served.

--- a/src/error/error_kind.rs
+++ b/src/error/error_kind.rs
@@ -9,6 +9,8 @@
 pub enum ErrorKind {
     /// The request can't be parsed or lacks a field.
     Malformed,
+    /// The path does not have this method.
+    MethodNotAllowed,
     /// The token is missing or unknown.
     Unauthorized,
     /// The route, request or resource does not exist for this client account.
@@ -47,6 +49,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
+            Self::MethodNotAllowed => "method_not_allowed",
             Self::Unauthorized => "unauthorized",
             Self::NotFound => "not_found",
             Self::KeyMissing => "key_missing",
@@ -73,6 +76,7 @@
             Self::Unauthorized => 401,
             Self::NotFound => 404,
             Self::KeyReused | Self::KeyVoid | Self::Conflict => 409,
+            Self::MethodNotAllowed => 405,
             Self::TooLarge => 413,
             Self::Overloaded => 429,
             Self::Internal => 500,
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -10,6 +10,7 @@
 
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
+use crate::transport;
 
 use super::refusal::refusal;
 use super::request::Request;
@@ -45,7 +46,6 @@
 + Sync
 + 'static
 + use<> {
-    let limit = node.settings.body_limit_bytes;
     let with = warp::any().map(move || Arc::clone(&node));
     let addresses = warp::path!("v1" / "addresses")
         .and(warp::get())
@@ -55,11 +55,13 @@
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
         .and(warp::header::headers_cloned())
-        .and(warp::body::content_length_limit(limit))
-        .and(warp::body::bytes())
+        .and(warp::body::stream())
         .and(with.clone())
-        .then(|route: String, headers, body, node| async move {
-            call(node, &route, headers, body).await
+        .then(|route: String, headers, body, node: Arc<Node>| async move {
+            match transport::collect(body, node.settings.body_limit_bytes).await {
+                Ok(body) => call(node, &route, headers, body).await,
+                Err(error) => refusal(&error),
+            }
         })
         .boxed();
     let resume = warp::path!("v1" / "requests" / Uuid)
@@ -150,8 +152,8 @@
 async fn recover(rejection: Rejection) -> Result<Response, Infallible> {
     let error = if rejection.is_not_found() {
         Error::not_run(ErrorKind::NotFound, "there is no such path")
-    } else if rejection.find::<warp::reject::PayloadTooLarge>().is_some() {
-        Error::not_run(ErrorKind::TooLarge, "the body exceeds the limit")
+    } else if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        Error::not_run(ErrorKind::MethodNotAllowed, "the path has no such method")
     } else {
         Error::not_run(ErrorKind::Malformed, "the request can't be parsed")
     };
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,10 +3,12 @@
 //! The client never repeats a request by itself, and its errors say whether the request may have
 //! run. The server bounds connections, header sizes and the time a sender may take.
 
+mod body;
 mod client;
 mod event;
 mod server;
 
+pub use self::body::collect;
 pub use self::client::Client;
 pub use self::event::{Event, events};
 pub use self::server::Server;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,3 +7,4 @@
 mod operators;
 mod peer;
 mod relay;
+mod untrusted_input;
