--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,4 +18,5 @@
 mod rollout_policy;
 mod stalled_connections;
 mod streaming;
+mod untrusted_input;
 mod whole_response;
