--- a/src/node/backup/neighbours.rs
+++ b/src/node/backup/neighbours.rs
@@ -1,3 +1,6 @@
+use std::sync::Arc;
+
+use crate::membership::Member;
 use crate::node::Node;
 use crate::peer;
 use crate::stream::Holder;
@@ -5,25 +8,32 @@
 impl Node {
     /// Returns this process.
     pub(in crate::node) fn own(&self) -> Holder {
-        Holder {
-            name: self.settings.name.clone(),
-            incarnation: 0,
-            domain: self.settings.failure_domain.clone(),
-            peer: self.settings.peer,
-            listen: self.settings.listen,
-        }
+        holder(self.cluster.view().own())
     }
 
     /// Returns the other nodes that may get new work.
     pub(super) fn neighbours(&self) -> Vec<Holder> {
-        Vec::new()
+        let view = self.cluster.view();
+        view.available().map(|peer| holder(&peer.member)).collect()
     }
 
     /// Tells the other nodes that this one is leaving.
-    pub(in crate::node) fn announce_leaving(&self) {}
+    pub(in crate::node) fn announce_leaving(self: &Arc<Self>) {
+        self.announce();
+    }
 
     /// Returns the connections to other nodes.
     pub(super) fn peers(&self) -> Option<peer::Handle> {
-        None
+        self.cluster.handle().cloned()
+    }
+}
+
+fn holder(member: &Member) -> Holder {
+    Holder {
+        name: Arc::clone(&member.name),
+        incarnation: member.incarnation,
+        domain: Arc::clone(&member.domain),
+        peer: member.peer,
+        listen: member.listen,
     }
 }
