--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -13,6 +13,7 @@
 use crate::endpoint::Endpoint;
 use crate::error::{Error, ErrorKind};
 use crate::log::Offset;
+use crate::membership::{Member, Peer};
 
 use super::held::{Held, held};
 use super::life::Stage;
@@ -43,6 +44,8 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    own: Member,
+    peers: Vec<Peer>,
     calls: Vec<Summary>,
     responses: Vec<Held>,
 }
@@ -135,8 +138,14 @@
 
 impl Node {
     fn dump(&self) -> Dump {
+        let (own, peers) = {
+            let view = self.cluster.view();
+            (view.own().clone(), view.peers().cloned().collect())
+        };
         let endpoints = self.endpoints.lock().expect("endpoints lock");
         Dump {
+            own,
+            peers,
             node: Arc::clone(&self.settings.name),
             stage: self.life.stage(),
             active: self.active.load_full(),
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -2,12 +2,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::addressing;
+use crate::clock::Millis;
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
 use crate::stream::Cursor;
@@ -18,13 +21,15 @@
 use super::request::Request;
 use super::{Node, backup, calls, model, plain};
 
-/// Time for which a caller may keep an address response.
-const ADDRESS_TTL_MS: u64 = 2_000;
-
 #[derive(Debug, Serialize)]
 struct Addresses {
     addresses: Vec<Address>,
-    ttl_ms: u64,
+    ttl_ms: Millis,
+}
+
+#[derive(Debug, Deserialize)]
+struct Caller {
+    session: Option<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -45,8 +50,9 @@
     let with = warp::any().map(move || Arc::clone(&node));
     let addresses = warp::path!("v1" / "addresses")
         .and(warp::get())
+        .and(warp::query())
         .and(with.clone())
-        .map(|node: Arc<Node>| addresses(&node))
+        .map(|caller: Caller, node: Arc<Node>| addresses(&node, caller.session.as_deref()))
         .boxed();
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
@@ -98,13 +104,18 @@
         .unify()
 }
 
-fn addresses(node: &Node) -> Response {
+fn addresses(node: &Node, session: Option<&str>) -> Response {
+    let key = session.map_or_else(rand::random, |session| xxh3_64(session.as_bytes()));
+    let ranked = addressing::rank(node.cluster.candidates(node.weight()), key);
     let body = Addresses {
-        addresses: vec![Address {
-            address: node.settings.listen.to_string(),
-            domain: Arc::clone(&node.settings.failure_domain),
-        }],
-        ttl_ms: ADDRESS_TTL_MS,
+        addresses: ranked
+            .into_iter()
+            .map(|candidate| Address {
+                address: candidate.address.to_string(),
+                domain: candidate.domain,
+            })
+            .collect(),
+        ttl_ms: addressing::TTL,
     };
     warp::reply::json(&body).into_response()
 }
@@ -120,6 +131,7 @@
             let error = Error::not_run(ErrorKind::Overloaded, "too many requests are in flight");
             calls::unproven(error.with_retry_after(calls::RETRY_AFTER), keyed)
         })?;
+        node.count_demand(&request.account);
         let service = request.active.config.service(&request.route.service);
         match service.map(|service| service.kind) {
             Some(Kind::Model) => model::call(&node, request, permit).await,
@@ -147,7 +159,8 @@
 }
 
 fn ready(node: &Node) -> Response {
-    if node.active.load().is_some() && node.life.stage() == Stage::Serving {
+    let serves = node.life.stage() == Stage::Serving && !node.cluster.is_leaving();
+    if serves && node.active.load().is_some() {
         return "ready\n".into_response();
     }
     warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE).into_response()
