Take test ports outside the range of outgoing connections

Cause: tests failed now and then with a node that never became ready. A port that the kernel had named free could be taken by an outgoing connection of another test before the node bound it. Ruled out: slow starts, since the same node starts within 0.1 s when the port is free.

--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use almondpath::client::Client;
@@ -373,12 +374,24 @@
     Double { address, process }
 }
 
-/// Returns a loopback address whose port was free a moment ago.
+/// Returns a loopback address whose port is free.
+///
+/// The ports lie below those that the kernel gives to outgoing connections: one of these could
+/// take a port between this call and the moment when the process under test binds it.
 pub(crate) fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 22_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Runs of the tests at the same time begin at different ports.
+    let start = std::process::id().wrapping_mul(997);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + start.wrapping_add(step) % COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Waits until a condition holds.
