Refuse calls when the number of call streams differs

Two nodes with different values of call_shards would have looked for one key in two streams and executed it twice. The number is now a record in the first stream, the first one wins, and a node with another number refuses.

A full table is refused at once instead of after several appends, and its limit is halved: at the measured 340 bytes an entry the old limit needed 89 MB of a node's 128 MB.

--- a/benches/calls.rs
+++ b/benches/calls.rs
@@ -30,15 +30,18 @@
 const CALLS_PER_S: [u32; 3] = [20, 100, 400];
 const ENTRIES: [u64; 3] = [10_000, 50_000, 200_000];
 
+/// Longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
 /// Size of a small stored response in bytes.
 const RESPONSE: usize = 64;
 
 fn main() {
-    let part = std::env::args().nth(1).unwrap_or_default();
-    if part != "log" {
+    let skipped = |part| std::env::args().any(|arg| arg == part);
+    if !skipped("log") {
         fold();
     }
-    if part != "fold" {
+    if !skipped("fold") {
         let runtime = tokio::runtime::Runtime::new().expect("a runtime");
         runtime.block_on(log());
     }
@@ -206,7 +209,7 @@
             ran.then(|| started.elapsed().as_micros())
         }));
     }
-    let mut times = Histogram::new(3).expect("a valid precision");
+    let mut times = Histogram::new_with_max(MAX_MICROS, 3).expect("valid bounds");
     let mut done = 0;
     for task in tasks {
         if let Some(micros) = task.await.expect("the task ends") {
--- a/src/ledger/checkpoint.rs
+++ b/src/ledger/checkpoint.rs
@@ -24,6 +24,8 @@
     pub parts: u32,
     /// Keys made at or before this time are forgotten.
     pub horizon: Millis,
+    /// Number of streams that keys are spread over, if it is set in this stream.
+    pub layout: Option<u32>,
     /// For each writer its highest applied sequence number and latest time; in part 0 only.
     pub writers: Vec<(u64, u64, Millis)>,
     /// Entries in key order.
@@ -55,6 +57,7 @@
                 part,
                 parts,
                 horizon: fold.horizon(),
+                layout: fold.layout(),
                 writers: if part == 0 {
                     fold.writers().collect()
                 } else {
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -6,10 +6,12 @@
 use super::{Action, Digest, Entry, FUTURE_LIMIT, Key, Order, Outcome, Part, Record, SLACK, State};
 
 /// Entries of one shard beyond which calls are no longer accepted.
-pub const MAX_ENTRIES: usize = 262_144;
+///
+/// At the measured 340 bytes an entry this is 45 MB.
+pub const MAX_ENTRIES: usize = 131_072;
 
 /// Stored response bytes of one shard beyond which the oldest responses are dropped.
-pub const MAX_STORED_BYTES: usize = 32 * 1024 * 1024;
+pub const MAX_STORED_BYTES: usize = 16 * 1024 * 1024;
 
 /// What a record did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +26,8 @@
     Finished,
     /// The key is void.
     Voided,
+    /// The number of streams is set.
+    LaidOut,
     /// A checkpoint, which changes nothing for a reader that has the state.
     Checkpoint,
     /// The precondition did not hold.
@@ -60,6 +64,7 @@
 pub struct Fold {
     next: Offset,
     horizon: Millis,
+    layout: Option<u32>,
     entries: BTreeMap<Key, Entry>,
     /// Keys in the state `Accepted`.
     open: BTreeSet<Key>,
@@ -93,6 +98,7 @@
         for part in parts {
             fold.next = part.through;
             fold.horizon = part.horizon;
+            fold.layout = part.layout;
             for (incarnation, sequence, at) in part.writers {
                 fold.writers.insert(incarnation, Seen { sequence, at });
             }
@@ -118,6 +124,12 @@
         self.horizon
     }
 
+    /// Returns the number of streams that keys are spread over, if it is set in this stream.
+    #[must_use]
+    pub fn layout(&self) -> Option<u32> {
+        self.layout
+    }
+
     /// Returns what is known about a key.
     #[must_use]
     pub fn get(&self, key: Key) -> Option<&Entry> {
@@ -246,6 +258,11 @@
                 Effect::Accepted => self.void(key, digest),
                 refused => refused,
             },
+            Action::Layout { shards } if self.layout.is_none() => {
+                self.layout = Some(shards);
+                Effect::LaidOut
+            }
+            Action::Layout { .. } => Effect::Rejected,
             Action::Checkpoint(_) => Effect::Checkpoint,
         }
     }
--- a/src/ledger/plan.rs
+++ b/src/ledger/plan.rs
@@ -1,6 +1,6 @@
 use crate::log::writer;
 
-use super::{Digest, Effect, Fold, Key, Outcome, State};
+use super::{Digest, Effect, Fold, Key, MAX_ENTRIES, Outcome, State};
 
 /// What a node does next for a call, decided from the state that it has read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     Void,
     /// The key belongs to another account, route or body; this one did not run and never will.
     Reused,
+    /// The table is full, so that no key is accepted.
+    Full,
     /// The key is at or below the horizon and may have run before.
     Expired,
 }
@@ -32,7 +34,8 @@
             return Self::Expired;
         }
         let Some(entry) = fold.get(key) else {
-            return Self::Accept;
+            let full = fold.len() >= MAX_ENTRIES;
+            return if full { Self::Full } else { Self::Accept };
         };
         match &entry.state {
             State::Void => Self::Void,
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -67,6 +67,14 @@
         /// Keys made at or before this time may be forgotten.
         horizon: Millis,
     },
+    /// Sets the number of streams that keys are spread over; only the first has an effect.
+    ///
+    /// Two nodes with different numbers would look for one key in two streams. The record stands
+    /// in the first stream, which all nodes read.
+    Layout {
+        /// Number of streams.
+        shards: u32,
+    },
     /// Part of the state as of an offset, for readers that start after a gap.
     Checkpoint(Box<Part>),
 }
@@ -95,7 +103,7 @@
             | Self::Release { key, .. }
             | Self::Finish { key, .. }
             | Self::Void { key, .. } => Some(*key),
-            Self::Checkpoint(_) => None,
+            Self::Layout { .. } | Self::Checkpoint(_) => None,
         }
     }
 }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -61,7 +61,12 @@
     /// Runs the call, or returns what became of an earlier attempt with the key.
     pub(super) async fn run(&self, node: &Node) -> Result<Reply, Error> {
         let shard = node.calls.shard(self.key);
+        let first = node.calls.first();
+        first.started(START_WAIT).await;
         shard.started(START_WAIT).await;
+        if !first.is_ready() {
+            return Err(log_unavailable());
+        }
         for _ in 0..MAX_ROUNDS {
             let Some(plan) = shard.plan(self.key, self.digest) else {
                 return Err(log_unavailable());
@@ -110,6 +115,7 @@
                 ErrorKind::KeyReused,
                 "the key belongs to another call; this call did not run",
             )),
+            Plan::Full => Err(full()),
             Plan::Expired => Err(expired()),
             Plan::Accept | Plan::Dispatch | Plan::Await(_) => Err(self.undecided()),
         }
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -68,6 +68,11 @@
         &self.shards[key.shard(shards) as usize]
     }
 
+    /// Returns the shard that holds the number of shards.
+    pub(super) fn first(&self) -> &Arc<Shard> {
+        &self.shards[0]
+    }
+
     /// Returns numbers about each shard.
     pub(super) fn summary(&self) -> Vec<Summary> {
         self.shards.iter().map(|shard| shard.summary()).collect()
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -27,6 +27,9 @@
 /// Time after which a checkpoint that was asked for but not read is written again.
 const CHECKPOINT_RETRY: Millis = Millis(10_000);
 
+/// Time after which the number of shards that was not read back is written again.
+const LAYOUT_RETRY: Millis = Millis(2_000);
+
 /// Reads one shard's stream and keeps its state current.
 pub(super) struct Follower {
     node: Arc<Node>,
@@ -36,6 +39,10 @@
     records: u64,
     /// When the last checkpoint was read or asked for.
     checkpoint_at: Millis,
+    /// Whether the end of the stream was reached since the start or the last gap.
+    synced: bool,
+    /// When the record with the number of shards was last written.
+    layout_at: Option<Millis>,
     /// When a reader without state first found no checkpoint.
     missing_since: Option<Millis>,
 }
@@ -49,6 +56,8 @@
             log,
             records: 0,
             checkpoint_at,
+            synced: false,
+            layout_at: None,
             missing_since: None,
         }
     }
@@ -76,7 +85,7 @@
         let tail = Tail::new(&log, shard.committer.stream(), READ_LIMIT);
         let next = shard.fold().next();
         // A stream without records is known to be read once an answer has come.
-        let wait = if shard.is_ready() { WAIT } else { Millis::ZERO };
+        let wait = if self.synced { WAIT } else { Millis::ZERO };
         match tail.read(next, wait).await? {
             Read::Gap { earliest } => self.recover(&tail, earliest).await,
             Read::Records { records, end } => {
@@ -86,7 +95,8 @@
                 }
                 self.records += u64::try_from(records.len()).unwrap_or(u64::MAX);
                 if shard.fold().next() >= end {
-                    shard.set_ready(true);
+                    self.synced = true;
+                    shard.set_ready(self.laid_out());
                     self.checkpoint();
                 }
                 Ok(())
@@ -96,6 +106,7 @@
 
     /// Takes over the newest checkpoint whose later records are all still there.
     async fn recover(&mut self, tail: &Tail<'_, Client>, earliest: Offset) -> Result<(), Error> {
+        self.synced = false;
         self.shard.set_ready(false);
         metrics::counter!("almondpath_log_gaps_total").increment(1);
         let mut assembly = Assembly::default();
@@ -146,6 +157,30 @@
         self.shard.restore(Fold::starting(end, horizon));
     }
 
+    /// Returns whether this node spreads keys over the same number of streams as the others.
+    ///
+    /// The first node writes the number; a node with another number must not run any call.
+    fn laid_out(&mut self) -> bool {
+        if self.shard.number != 0 {
+            return true;
+        }
+        let shards = self.node.settings.call_shards;
+        if let Some(layout) = self.shard.fold().layout() {
+            if layout != shards {
+                metrics::counter!("almondpath_call_shards_mismatch_total").increment(1);
+            }
+            return layout == shards;
+        }
+        let now = self.node.clock.now();
+        if self.layout_at.is_none_or(|at| now - at > LAYOUT_RETRY) {
+            self.layout_at = Some(now);
+            let group = Group::default().once(Action::Layout { shards });
+            // A full queue is no harm: the next read tries again.
+            let _ = self.shard.committer.submit(group);
+        }
+        false
+    }
+
     /// Writes a checkpoint when one is due.
     ///
     /// The number of entries counts, so that a large table is not written more often than it
--- a/src/node/shard.rs
+++ b/src/node/shard.rs
@@ -15,6 +15,7 @@
 /// One `calls-<shard>` stream as this node sees it.
 #[derive(Debug)]
 pub(super) struct Shard {
+    pub(super) number: u32,
     pub(super) committer: Committer<Action, Waiter>,
     fold: Mutex<Fold>,
     progress: watch::Sender<Offset>,
@@ -55,6 +56,7 @@
 impl Shard {
     pub(super) fn new(number: u32, incarnation: u64) -> Arc<Self> {
         Arc::new(Self {
+            number,
             committer: Committer::new(ledger::stream(number), incarnation, QUEUE_LIMIT),
             fold: Mutex::default(),
             progress: watch::Sender::default(),
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -54,6 +54,8 @@
     pub drain_ms: Millis,
     /// Number of streams that non-idempotent calls are spread over; must be the same on all nodes.
     ///
+    /// The first node writes it to the log; a node with another number refuses these calls.
+    ///
     /// Each node appends to each stream, so that more streams make the time between two appends
     /// to one of them longer.
     pub call_shards: u32,
--- a/tests/integration/ledger.rs
+++ b/tests/integration/ledger.rs
@@ -257,7 +257,7 @@
                 self.reused.insert((key, digest));
             }
             Plan::Await(_) | Plan::Finished(_) => {}
-            Plan::Expired => panic!("no key in this test expires"),
+            Plan::Expired | Plan::Full => panic!("no key in this test expires"),
         }
     }
 
--- a/tests/integration/refusals.rs
+++ b/tests/integration/refusals.rs
@@ -248,6 +248,25 @@
     assert!(refused.is("overloaded", "may_have_run"), "{refused:?}");
 }
 
+/// Guards against a node that looks for a key in another stream than the others do.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_with_another_number_of_streams_runs_no_call() {
+    let mut cluster = Cluster::start(2, 0, 1).await;
+    cluster.await_calls().await;
+    let mut settings = std::fs::read_to_string(&cluster.nodes[1].settings).expect("settings");
+    settings.push_str("call_shards: 2\n");
+    std::fs::write(&cluster.nodes[1].settings, settings).expect("the settings can be written");
+    cluster.nodes[1].process.kill();
+    cluster.restart(1);
+    cluster.await_ready(&cluster.nodes[1]).await;
+    for _ in 0..8 {
+        let call = fresh();
+        let answer = call.send(&cluster, 1).await;
+        assert!(answer.is("log_unavailable", "may_have_run"), "{answer:?}");
+        assert!(call.send(&cluster, 0).await.ran());
+    }
+}
+
 /// Guards against a call that is sent after its deadline, because recording it took too long.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_deadline_that_passes_while_recording_prevents_sending() {
