Drive rollouts through records, claims and trips between nodes

Cause: rollouts have to advance through the log, be rolled back without it, and survive controllers that are killed, paused or doubled.

Records start, stage, done, rollback and claim are folded with preconditions; a node adds the deadline rule and its own or a peer's trip to what it has read (`Rollout::standing`). Traffic is divided in the endpoint table: without a draw only the serving version is available, so that a chooser that knows nothing of rollouts never reaches a new or a rolled back version. Nodes exchange cumulative counters and trips every second over the peer protocol; a trip is announced to all nodes at once. Orders carry the claim's offset, are absolute, and are repeated until the load report shows the wanted version.

Considered: a rollout restarted by each later configuration that names the same version (a version that was rolled back would come back with an unrelated change); it is barred until a configuration names another version.

Tests seen to fail, each 20 s time-out: without the deadline rule (deadline and engine tests), without messages between nodes (trip), without taking over an ended claim (both controller tests).

--- a/src/control/fold.rs
+++ b/src/control/fold.rs
@@ -5,7 +5,7 @@
 use crate::config::{Config, FORMAT};
 use crate::log::Offset;
 
-use super::Record;
+use super::{Record, Rollouts};
 
 /// The active configuration and its version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,6 +32,7 @@
 pub struct Fold {
     next: Offset,
     active: Option<Active>,
+    rollouts: Rollouts,
 }
 
 impl Fold {
@@ -47,6 +48,12 @@
         self.active.as_ref()
     }
 
+    /// Returns the rollouts and claims.
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// Applies the record at `offset`; an offset that was applied before has no effect.
     pub fn apply(&mut self, offset: Offset, text: &str) -> Outcome {
         if offset < self.next {
@@ -60,6 +67,10 @@
                 config,
                 ..
             }) => self.publish(offset, base, operator, *config),
+            Ok(Record::Change(change)) => {
+                let config = self.active.as_ref().map(|active| &*active.config);
+                self.rollouts.apply(offset, change, config)
+            }
             Err(error) => Outcome::Rejected(format!("not a control record: {error}")),
         }
     }
@@ -85,6 +96,7 @@
         if let Some(issue) = config.validate().first() {
             return Outcome::Rejected(format!("{}: {}", issue.path, issue.message));
         }
+        self.rollouts.published(&config);
         self.active = Some(Active {
             version: offset,
             operator,
--- a/src/control/record.rs
+++ b/src/control/record.rs
@@ -5,6 +5,8 @@
 use crate::config::Config;
 use crate::log::Offset;
 
+use super::Change;
+
 /// A record of the `control` stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -20,4 +22,7 @@
         /// The configuration.
         config: Box<Config>,
     },
+    /// Changes a rollout or a claim.
+    #[serde(untagged)]
+    Change(Change),
 }
--- /dev/null
+++ b/src/control/statement.rs
@@ -0,0 +1,75 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+use crate::log::Offset;
+use crate::rollout::{Plan, Trip};
+
+use super::{Rollout, Standing};
+
+/// Where a rollout stands, for operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// The new version gets part of the traffic.
+    InProgress,
+    /// Done; the old version stays able to take traffic for a while.
+    DoneBaking,
+    /// Done, and the old version may be removed.
+    Done,
+    /// All traffic goes to the old version.
+    RolledBack,
+}
+
+/// What a node reports to operators about a rollout.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Statement {
+    /// Offset of the record that started the rollout.
+    pub rollout: Offset,
+    /// The service.
+    pub service: Arc<str>,
+    /// The old version.
+    pub from: Arc<str>,
+    /// The new version.
+    pub to: Arc<str>,
+    /// Where it stands at this node.
+    pub state: State,
+    /// Number of the stage, from 1.
+    pub stage: u32,
+    /// Number of stages.
+    pub stages: u32,
+    /// Share of the traffic that the new version gets, in percent.
+    pub share_percent: f64,
+    /// Wall time by which it has to be done.
+    pub deadline: Millis,
+    /// Why it was rolled back.
+    pub reason: Option<String>,
+}
+
+impl Statement {
+    /// Describes a rollout as a node sees it now.
+    #[must_use]
+    pub fn new(rollout: &Rollout, now: Millis, trip: Option<&Trip>) -> Self {
+        let plan = Plan::default();
+        let share = plan.stage(rollout.stage).map_or(0.0, |stage| stage.share);
+        let (state, share, reason) = match rollout.standing(now, trip) {
+            Standing::InProgress => (State::InProgress, share, None),
+            Standing::Baking => (State::DoneBaking, share, None),
+            Standing::Done => (State::Done, 1.0, None),
+            Standing::RolledBack(reason) => (State::RolledBack, 0.0, Some(reason.to_string())),
+        };
+        Self {
+            rollout: rollout.id,
+            service: Arc::clone(&rollout.service),
+            from: Arc::clone(&rollout.from),
+            to: Arc::clone(&rollout.to),
+            state,
+            stage: rollout.stage + 1,
+            stages: plan.last() + 1,
+            share_percent: share * 100.0,
+            deadline: rollout.deadline,
+            reason,
+        }
+    }
+}
--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -2,8 +2,10 @@
 
 mod endpoint;
 mod generate;
+mod split;
 mod table;
 
 pub use self::endpoint::{Endpoint, Host, Load, State};
 pub use self::generate::{Done, Generate, Start, Token};
+pub use self::split::Split;
 pub use self::table::{Key, Table};
--- /dev/null
+++ b/src/endpoint/split.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+
+use crate::rollout::{Arm, Choice, choose_version, endpoints_in_use};
+
+use super::Endpoint;
+
+/// How the traffic of a service is divided between versions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Split {
+    /// Version that serves, or the old version during a rollout.
+    pub old: Arc<str>,
+    /// Version that is rolled out, and how much traffic it gets.
+    pub new: Option<(Arc<str>, Choice)>,
+}
+
+impl Split {
+    /// Chooses the version for a request; counts it against the stage's budget.
+    ///
+    /// A version without endpoints is replaced by the other one of a rollout, never by a third.
+    pub(super) fn choose(&mut self, draw: f64, has: impl Fn(&str) -> bool) -> Arc<str> {
+        let Some((new, choice)) = &mut self.new else {
+            return Arc::clone(&self.old);
+        };
+        let arm = choose_version(choice, draw);
+        if (arm == Arm::New && has(new)) || !has(&self.old) {
+            choice.sent = choice.sent.saturating_add(1);
+            return Arc::clone(new);
+        }
+        Arc::clone(&self.old)
+    }
+
+    /// Returns how many of a version's endpoints get requests.
+    pub(super) fn in_use(&self, version: &str, endpoints: usize) -> usize {
+        match &self.new {
+            Some((new, choice)) if **new == *version => {
+                endpoints_in_use(choice.stage.map_or(0.0, |stage| stage.share), endpoints)
+            }
+            _ => endpoints,
+        }
+    }
+}
+
+impl Endpoint {
+    /// Returns the version that the endpoint serves: as it reports, else as the host list says.
+    #[must_use]
+    pub fn version(&self) -> &Arc<str> {
+        if self.load.version.is_empty() {
+            &self.host.version
+        } else {
+            &self.load.version
+        }
+    }
+}
--- a/src/endpoint/table.rs
+++ b/src/endpoint/table.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Millis;
 
-use super::{Endpoint, Host, Load, State};
+use super::{Endpoint, Host, Load, Split, State};
 
 new_key_type! {
     /// Key of an endpoint in a [`Table`].
@@ -17,6 +17,7 @@
 pub struct Table {
     endpoints: SlotMap<Key, Endpoint>,
     by_host: HashMap<Arc<str>, Key>,
+    splits: HashMap<Arc<str>, Split>,
 }
 
 impl Table {
@@ -85,10 +86,63 @@
         self.endpoints.iter()
     }
 
-    /// Returns the endpoints of a service that may get new work.
+    /// Returns the endpoints of a service that may get new work without regard to rollouts: those
+    /// of the version that serves, or of the old version during a rollout.
     pub fn available(&self, service: &str) -> impl Iterator<Item = (Key, &Endpoint)> {
+        let version = self.splits.get(service).map(|split| Arc::clone(&split.old));
+        self.alive(service)
+            .filter(move |(_, e)| version.as_ref().is_none_or(|v| v == e.version()))
+    }
+
+    fn alive(&self, service: &str) -> impl Iterator<Item = (Key, &Endpoint)> {
         self.endpoints
             .iter()
             .filter(move |(_, e)| !e.leaving && &*e.host.service == service)
     }
 }
+
+/// Rollouts.
+impl Table {
+    /// Replaces how the traffic of a service is divided between versions.
+    ///
+    /// The requests counted so far are kept while the stage stays the same.
+    pub fn split(&mut self, service: &Arc<str>, mut split: Split) {
+        let former = self.splits.get(service).and_then(|s| s.new.as_ref());
+        if let (Some((version, choice)), Some((former, last))) = (&mut split.new, former)
+            && version == former
+            && choice.stage == last.stage
+        {
+            choice.sent = last.sent;
+        }
+        self.splits.insert(Arc::clone(service), split);
+    }
+
+    /// Returns the endpoints that may get a request, for the version that `draw` chooses.
+    ///
+    /// `draw` is uniform in [0, 1) and the same for all attempts of a request. During the first
+    /// stages only some endpoints of the new version get requests, the same at all nodes.
+    pub fn candidates(
+        &mut self,
+        service: &str,
+        draw: f64,
+    ) -> impl Iterator<Item = (Key, &Endpoint)> {
+        let version = self.choose_version(service, draw);
+        let mut chosen: Vec<(Key, &Endpoint)> = self
+            .alive(service)
+            .filter(|(_, e)| version.as_ref().is_none_or(|v| v == e.version()))
+            .collect();
+        if let (Some(split), Some(version)) = (self.splits.get(service), &version) {
+            chosen.sort_by(|(_, a), (_, b)| a.host.host.cmp(&b.host.host));
+            chosen.truncate(split.in_use(version, chosen.len()));
+        }
+        chosen.into_iter()
+    }
+
+    fn choose_version(&mut self, service: &str, draw: f64) -> Option<Arc<str>> {
+        let mut split = self.splits.remove(service)?;
+        let has = |version: &str| self.alive(service).any(|(_, e)| &**e.version() == version);
+        let chosen = split.choose(draw, has);
+        self.splits.insert(service.into(), split);
+        Some(chosen)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod membership;
 pub mod node;
 pub mod peer;
+pub mod platform;
 pub mod questionnaire;
 pub mod rollout;
 pub mod settings;
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -39,6 +39,7 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    rollouts: Vec<control::Statement>,
 }
 
 /// Returns the HTTP interface for operators.
@@ -132,6 +133,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            rollouts: self.rollouts.statements(self.clock.wall()),
         }
     }
 }
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -66,7 +66,11 @@
 
 impl Node {
     fn activate(&self, fold: &Fold) {
-        if let Some(active) = fold.active() {
+        self.rollouts.update(fold);
+        let version = self.active.load().as_ref().map(|active| active.version);
+        if let Some(active) = fold.active()
+            && version != Some(active.version)
+        {
             info!(self.log, "configuration active"; "version" => active.version.0);
             self.active.store(Some(Arc::new(active.clone())));
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod refusal;
 mod request;
+mod rollouts;
 mod status;
 
 pub use self::node::Node;
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -21,6 +21,7 @@
 
 use super::Node;
 use super::request::Request;
+use super::rollouts::{Timing, draw};
 
 /// Time between two keep-alive comments on a stream to a caller.
 const KEEP_ALIVE: Millis = Millis(1_000);
@@ -86,7 +87,7 @@
             ));
             break;
         }
-        let Some((key, address)) = node.choose(&request.route.service) else {
+        let Some((key, address)) = node.choose(&request.route.service, request.id) else {
             break;
         };
         let attempt = entry.begin();
@@ -99,8 +100,14 @@
             priority: u8::from(request.route.class == Class::Long),
         };
         node.count(key, true);
-        result = attempt_once(&node, address, &order, &entry).await;
+        let mut timing = Timing::start(node.clock.now());
+        result = attempt_once(&node, address, &order, &entry, &mut timing).await;
         node.count(key, false);
+        node.observe(
+            key,
+            &request.route.name,
+            timing.outcome(result.as_ref().err()),
+        );
         if result.is_ok() {
             break;
         }
@@ -117,6 +124,7 @@
     address: SocketAddr,
     order: &Generate,
     entry: &Entry,
+    timing: &mut Timing,
 ) -> Result<(), Error> {
     let body = serde_json::to_vec(order)
         .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))?;
@@ -144,6 +152,7 @@
             }
             "token" => {
                 let token: Token = event.parse()?;
+                timing.token(node.clock.now());
                 entry.push(Chunk {
                     attempt: order.attempt,
                     offset: token.offset,
@@ -174,11 +183,11 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight.
-    pub(super) fn choose(&self, service: &str) -> Option<(Key, SocketAddr)> {
-        let endpoints = self.endpoints.lock().expect("endpoints lock");
+    /// Chooses the endpoint with the fewest requests in flight, of the version for the request.
+    pub(super) fn choose(&self, service: &str, request: Uuid) -> Option<(Key, SocketAddr)> {
+        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
         endpoints
-            .available(service)
+            .candidates(service, draw(request))
             .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
             .map(|(key, e)| (key, e.host.address))
     }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use eyre::WrapErr;
@@ -14,11 +14,13 @@
 use crate::control::Active;
 use crate::endpoint::Table;
 use crate::log;
+use crate::peer;
 use crate::settings;
 use crate::stream::Store;
 use crate::supervisor::Supervisor;
 use crate::transport;
 
+use super::rollouts::{self, Watch};
 use super::{admin, api, background};
 
 /// Time within which an endpoint has to send its response headers.
@@ -35,6 +37,8 @@
     /// Why the last control record without effect was refused.
     pub(super) refused: ArcSwapOption<String>,
     pub(super) endpoints: Mutex<Table>,
+    pub(super) rollouts: Watch,
+    pub(super) peer_handle: OnceLock<peer::Handle>,
     pub(super) streams: Store,
     pub(super) permits: Arc<Semaphore>,
     pub(super) http: transport::Client,
@@ -65,6 +69,8 @@
             active: ArcSwapOption::empty(),
             refused: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
+            rollouts: Watch::new(rand::random()),
+            peer_handle: OnceLock::new(),
             streams: Store::default(),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
@@ -86,6 +92,8 @@
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
+        self.connect_peers()?;
+        rollouts::spawn(&self, &mut supervisor);
         info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
         let admin = transport::Server::new(operators)
             .run(admin::filter(Arc::clone(&self)), self.token.clone());
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -6,9 +6,11 @@
 use warp::reply::Response;
 
 use crate::error::{Error, ErrorKind};
+use crate::rollout::Outcome;
 
 use super::Node;
 use super::request::{Request, header};
+use super::rollouts::Timing;
 
 /// Calls a plain service and passes its response through.
 pub(super) async fn call(
@@ -27,7 +29,7 @@
         ));
     }
     let (endpoint, address) = node
-        .choose(&request.route.service)
+        .choose(&request.route.service, request.id)
         .ok_or_else(|| Error::not_run(ErrorKind::Unavailable, "no endpoint is available"))?;
     let path = format!("/call/{}", request.route.name);
     let mut call = node
@@ -36,6 +38,7 @@
     if let Some(key) = key.and_then(|key| HeaderValue::from_str(key).ok()) {
         call.headers_mut().insert("idempotency-key", key);
     }
+    let mut timing = Timing::start(node.clock.now());
     node.count(endpoint, true);
     let answer = if request.route.idempotent {
         node.http.send(call).await
@@ -43,6 +46,12 @@
         node.http.send_once(address, call).await
     };
     node.count(endpoint, false);
+    timing.token(node.clock.now());
+    let outcome = match &answer {
+        Ok(answer) if answer.status().is_server_error() => Outcome::Failed,
+        answer => timing.outcome(answer.as_ref().err()),
+    };
+    node.observe(endpoint, &request.route.name, outcome);
     let answer = answer?;
     let status = answer.status();
     let body = node.http.body(answer).await?;
--- /dev/null
+++ b/src/node/rollouts/mod.rs
@@ -0,0 +1,78 @@
+//! A node's part in rollouts: evidence, the division of traffic, trips, and the controller.
+
+mod controller;
+mod exchange;
+mod link;
+mod sample;
+mod timing;
+mod watch;
+
+use self::exchange::Exchange;
+pub(super) use self::timing::Timing;
+pub(super) use self::watch::Watch;
+
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Millis;
+use crate::endpoint::Key;
+use crate::rollout::Outcome;
+use crate::supervisor::Supervisor;
+
+use super::Node;
+
+/// Time between two evaluations; bounds the time until the deadline rule takes effect.
+const TICK: Millis = Millis(100);
+
+/// Starts the tasks.
+pub(super) fn spawn(node: &Arc<Node>, supervisor: &mut Supervisor) {
+    let this = Arc::clone(node);
+    supervisor.spawn("rollouts", move |token| evaluate(Arc::clone(&this), token));
+    let this = Arc::clone(node);
+    supervisor.spawn("rollout evidence", move |token| {
+        exchange::run(Arc::clone(&this), token)
+    });
+    let this = Arc::clone(node);
+    supervisor.spawn("rollout control", move |token| {
+        controller::run(Arc::clone(&this), token)
+    });
+}
+
+async fn evaluate(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    while !token.is_cancelled() {
+        let (now, wall) = (node.clock.now(), node.clock.wall());
+        let trips = {
+            let mut endpoints = node.endpoints.lock().expect("endpoints lock");
+            node.rollouts.tick(&mut endpoints, now, wall)
+        };
+        for trip in trips {
+            node.announce(trip);
+        }
+        tokio::select! {
+            () = token.cancelled() => {}
+            () = tokio::time::sleep(TICK.into()) => {}
+        }
+    }
+    Ok(())
+}
+
+/// Returns the number in [0, 1) by which the version for a request is chosen.
+///
+/// All attempts of a request, at any node, choose alike.
+pub(super) fn draw(request: Uuid) -> f64 {
+    xxh3_64(request.as_bytes()) as f64 / (u64::MAX as f64 + 1.0)
+}
+
+impl Node {
+    /// Records what became of a request to an endpoint as evidence about its version.
+    pub(super) fn observe(&self, key: Key, route: &Arc<str>, outcome: Outcome) {
+        let endpoints = self.endpoints.lock().expect("endpoints lock");
+        if let Some(endpoint) = endpoints.get(key) {
+            let now = self.clock.now();
+            self.rollouts.observe(endpoint, route, outcome, now);
+        }
+    }
+}
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::control::Statement;
 use crate::log::Offset;
 
 use super::Node;
@@ -19,6 +20,9 @@
     pub operator: Option<Arc<str>>,
     /// Why the last record that had no effect was refused, with its offset.
     pub refused: Option<String>,
+    /// The newest rollout of each service.
+    #[serde(default)]
+    pub rollouts: Vec<Statement>,
 }
 
 impl Node {
@@ -38,6 +42,7 @@
             version: active.as_ref().map(|active| active.version),
             operator: active.as_ref().map(|active| Arc::clone(&active.operator)),
             refused: self.refused.load().as_deref().cloned(),
+            rollouts: self.rollouts.statements(self.clock.wall()),
         }
     }
 }
--- a/src/rollout/arm.rs
+++ b/src/rollout/arm.rs
@@ -13,7 +13,10 @@
 }
 
 /// Counters of both versions on one route over the same period.
+///
+/// Serialized as ten numbers without names, because nodes exchange it every second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "[u32; 10]", from = "[u32; 10]")]
 pub struct Pair {
     /// The version that served before.
     pub old: Tally,
@@ -56,3 +59,20 @@
         }
     }
 }
+
+impl From<Pair> for [u32; 10] {
+    fn from(Pair { old, new }: Pair) -> Self {
+        let [a, b, c, d, e] = old.into();
+        let [f, g, h, i, j] = new.into();
+        [a, b, c, d, e, f, g, h, i, j]
+    }
+}
+
+impl From<[u32; 10]> for Pair {
+    fn from([a, b, c, d, e, f, g, h, i, j]: [u32; 10]) -> Self {
+        Self {
+            old: [a, b, c, d, e].into(),
+            new: [f, g, h, i, j].into(),
+        }
+    }
+}
--- a/src/rollout/family/simulation.rs
+++ b/src/rollout/family/simulation.rs
@@ -221,6 +221,7 @@
             stage: self.stage,
             stage_since: self.stage_since,
             deadline: self.score.member.window,
+            window: self.score.member.window,
             routes: holder.monitor.stage_counters(),
             suspicion: holder.monitor.suspicion(),
         };
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -5,7 +5,9 @@
 use super::{CAUTION, Pair, accepts};
 
 /// Shortest time in a stage: nodes learn of it within a second and their reports take another few.
+/// Windows below 500 s shorten it in proportion.
 const MIN_DWELL: Millis = Millis(5_000);
+const WINDOW_DWELLS: u64 = 100;
 
 /// Part of the time left that a stage may use before it moves on without full evidence.
 const DWELL_SHARE: u64 = 6;
@@ -19,6 +21,7 @@
 /// Largest delay with which an append still takes effect in nearly all cases; a `done` record is
 /// not written later than this before the deadline.
 const APPEND_MARGIN: Millis = Millis(5_000);
+const WINDOW_MARGINS: u64 = 20;
 
 /// How much of the traffic the new version gets.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -57,6 +60,8 @@
     pub stage_since: Millis,
     /// When the rollout has to be done.
     pub deadline: Millis,
+    /// Time from the start to the deadline.
+    pub window: Millis,
     /// Counters per route since the stage began.
     pub routes: &'a [Pair],
     /// Highest [`Detector::suspicion`](super::Detector::suspicion) of all tests.
@@ -98,7 +103,8 @@
     #[must_use]
     pub fn next(&self, view: &View<'_>) -> Step {
         let dwelt = view.now - view.stage_since;
-        if view.now >= view.deadline || dwelt < MIN_DWELL {
+        let least = MIN_DWELL.min(Millis(view.window.0 / WINDOW_DWELLS));
+        if view.now >= view.deadline || dwelt < least {
             return Step::Stay;
         }
         let suspected = view.suspicion > CAUTION;
@@ -120,7 +126,8 @@
         let judged = |pair: &&Pair| pair.old.requests + pair.new.requests >= QUIET_ROUTE;
         let accepted =
             !suspected && accepts(all) && view.routes.iter().filter(judged).all(|p| accepts(*p));
-        if accepted && view.now + APPEND_MARGIN < view.deadline {
+        let margin = APPEND_MARGIN.min(Millis(view.window.0 / WINDOW_MARGINS));
+        if accepted && view.now + margin < view.deadline {
             Step::Done
         } else {
             Step::Stay
--- a/src/rollout/report.rs
+++ b/src/rollout/report.rs
@@ -6,9 +6,8 @@
 
 /// The counters of one node, as it sends them to other nodes once a second during a rollout.
 ///
-/// Counters are cumulative, so that a lost message loses nothing. With 4 routes and 8 counters of
-/// at most 3 bytes each, a report is about 100 bytes; sent to 3 peers with the probes it costs
-/// 300 bytes a second.
+/// Counters are cumulative, so that a lost message loses nothing. With 4 routes a report takes
+/// about 250 bytes; sent to 3 peers a second it stays within the budget of 2 KB/s for a node.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// Offset of the record that started the rollout.
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -1,9 +1,7 @@
-use serde::{Deserialize, Serialize};
-
 use super::Metric;
 
 /// Counters of the requests sent to one version on one route.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
     /// Requests that ended and count as evidence.
     pub requests: u32,
@@ -65,3 +63,27 @@
         }
     }
 }
+
+impl From<Tally> for [u32; 5] {
+    fn from(tally: Tally) -> Self {
+        [
+            tally.requests,
+            tally.failures,
+            tally.timed,
+            tally.slow_first,
+            tally.slow_gap,
+        ]
+    }
+}
+
+impl From<[u32; 5]> for Tally {
+    fn from([requests, failures, timed, slow_first, slow_gap]: [u32; 5]) -> Self {
+        Self {
+            requests,
+            failures,
+            timed,
+            slow_first,
+            slow_gap,
+        }
+    }
+}
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -13,7 +13,9 @@
 
 use crate::clock::Millis;
 use crate::endpoint::{Done, Generate, Load, Start, Token};
+use crate::platform::Fenced;
 
+use super::orders::{Effect, Orders, VersionFault};
 use super::reply;
 
 const SLOTS: u32 = 16;
@@ -32,6 +34,10 @@
     pub stall: bool,
     /// Reports that the endpoint is leaving.
     pub leaving: bool,
+    /// Accepts orders with an old fencing token.
+    pub ignore_fence: bool,
+    /// What is wrong with each version.
+    pub versions: HashMap<String, VersionFault>,
 }
 
 impl Default for EngineFaults {
@@ -42,6 +48,8 @@
             fail: false,
             stall: false,
             leaving: false,
+            ignore_fence: false,
+            versions: HashMap::new(),
         }
     }
 }
@@ -57,7 +65,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    version: Arc<str>,
+    orders: Orders,
     incarnation: u64,
     reports: AtomicU64,
     queued: AtomicU32,
@@ -80,7 +88,7 @@
     pub fn new(version: Arc<str>) -> Self {
         Self {
             inner: Arc::new(Inner {
-                version,
+                orders: Orders::new(version),
                 incarnation: rand::random(),
                 reports: AtomicU64::new(0),
                 queued: AtomicU32::new(0),
@@ -134,15 +142,26 @@
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
-            .and(with)
+            .and(with.clone())
             .map(|faults: EngineFaults, this: Self| {
                 *this.inner.faults.lock().expect("faults lock") = faults;
                 reply(StatusCode::OK, &serde_json::json!({})).into_response()
             })
             .boxed();
+        let orders = warp::path!("orders")
+            .and(warp::post())
+            .and(warp::body::json())
+            .and(with)
+            .map(|order: Fenced, this: Self| {
+                let checks = !this.faults().ignore_fence;
+                this.inner.orders.apply(&order, checks).into_response()
+            })
+            .boxed();
         generate
             .or(attach)
             .unify()
+            .or(orders)
+            .unify()
             .or(cancel)
             .unify()
             .or(load)
@@ -157,7 +176,17 @@
 
     fn generate(&self, body: Generate) -> warp::reply::Response {
         let faults = self.faults();
-        if faults.fail {
+        let version = faults.versions.get(&*self.inner.orders.version());
+        let running = SLOTS as usize - self.inner.slots.available_permits();
+        let route = if body.priority == 0 {
+            "interactive"
+        } else {
+            "long"
+        };
+        let effect = version.map_or(Effect::None, |fault| {
+            self.inner.orders.effect(fault, route, running)
+        });
+        if faults.fail || effect == Effect::Fail {
             return super::unavailable().into_response();
         }
         let handle: Arc<str> = Uuid::new_v4().to_string().into();
@@ -180,10 +209,12 @@
             prefill_tokens,
         };
         let from = body.generated.len();
-        tokio::spawn(
-            self.clone()
-                .sample(Arc::clone(&sampling), body, prefill_tokens),
-        );
+        tokio::spawn(self.clone().sample(
+            Arc::clone(&sampling),
+            body,
+            prefill_tokens,
+            effect.delay(),
+        ));
         sse::reply(sse::keep_alive().stream(follow(sampling, Some(start), from))).into_response()
     }
 
@@ -196,12 +227,18 @@
         sse::reply(sse::keep_alive().stream(follow(sampling, None, from))).into_response()
     }
 
-    async fn sample(self, sampling: Arc<Sampling>, body: Generate, prefill_tokens: u32) {
+    async fn sample(
+        self,
+        sampling: Arc<Sampling>,
+        body: Generate,
+        prefill_tokens: u32,
+        delay: Millis,
+    ) {
         self.inner.queued.fetch_add(1, Ordering::SeqCst);
         let permit = Arc::clone(&self.inner.slots).acquire_owned().await;
         self.inner.queued.fetch_sub(1, Ordering::SeqCst);
         let prefill = self.faults().prefill_ms.0 * u64::from(prefill_tokens) / 1_000;
-        tokio::time::sleep(Millis(prefill).into()).await;
+        tokio::time::sleep((Millis(prefill) + delay).into()).await;
         let sampling_name = &sampling.handle[..8];
         for offset in body.generated.len()..body.max_tokens as usize {
             tokio::time::sleep(self.faults().token_ms.into()).await;
@@ -232,7 +269,7 @@
             running: SLOTS - free,
             queued: self.inner.queued.load(Ordering::SeqCst),
             slots: SLOTS,
-            version: Arc::clone(&self.inner.version),
+            version: self.inner.orders.version(),
             leaving: self.faults().leaving,
             incarnation: self.inner.incarnation,
             seq: self.inner.reports.fetch_add(1, Ordering::SeqCst),
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,11 +5,13 @@
 
 mod engine;
 mod log;
+mod orders;
 mod plain;
 mod platform;
 
 pub use self::engine::{Engine, EngineFaults};
 pub use self::log::{Log, LogFaults};
+pub use self::orders::VersionFault;
 pub use self::plain::{Plain, PlainFaults};
 pub use self::platform::{Platform, PlatformFaults};
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,3 +8,4 @@
 mod peer;
 mod relay;
 mod rollout_policy;
+mod rollouts;
