--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod document;
 pub mod endpoint;
 pub mod error;
+pub mod ledger;
 pub mod log;
 pub mod membership;
 pub mod node;
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -17,6 +17,7 @@
 use super::Node;
 use super::refusal::refusal;
 use super::request::header;
+use super::shard::Summary;
 
 /// Largest body of a published configuration.
 const MAX_CONFIG_BYTES: u64 = 1024 * 1024;
@@ -39,6 +40,7 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    calls: Vec<Summary>,
     rollouts: Vec<control::Statement>,
 }
 
@@ -133,6 +135,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            calls: self.calls.summary(),
             rollouts: self.rollouts.statements(self.clock.wall()),
         }
     }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -20,6 +20,7 @@
 use crate::supervisor::Supervisor;
 use crate::transport;
 
+use super::calls::{self, Calls};
 use super::rollouts::{self, Watch};
 use super::{admin, api, background};
 
@@ -43,6 +44,7 @@
     pub(super) permits: Arc<Semaphore>,
     pub(super) http: transport::Client,
     pub(super) log_service: log::Client,
+    pub(super) calls: Calls,
     pub(super) metrics: PrometheusHandle,
     pub(super) token: CancellationToken,
 }
@@ -75,6 +77,7 @@
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
+            calls: Calls::new(&settings),
             metrics,
             token,
             settings,
@@ -92,6 +95,7 @@
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
+        calls::spawn(&self, &mut supervisor);
         self.connect_peers()?;
         rollouts::spawn(&self, &mut supervisor);
         info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
--- a/src/node/rollouts/mod.rs
+++ b/src/node/rollouts/mod.rs
@@ -14,7 +14,6 @@
 use std::sync::Arc;
 
 use tokio_util::sync::CancellationToken;
-use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
@@ -59,11 +58,15 @@
     Ok(())
 }
 
+/// Number that stands for a further attempt: it goes to the old version, so that a request doesn't
+/// meet the fault of a new one twice.
+pub(super) const RETRY: f64 = 1.0;
+
 /// Returns the number in [0, 1) by which the version for a request is chosen.
 ///
-/// All attempts of a request, at any node, choose alike.
-pub(super) fn draw(request: Uuid) -> f64 {
-    xxh3_64(request.as_bytes()) as f64 / (u64::MAX as f64 + 1.0)
+/// All nodes choose alike for a request.
+pub(super) fn draw(request: &[u8]) -> f64 {
+    xxh3_64(request) as f64 / (u64::MAX as f64 + 1.0)
 }
 
 impl Node {
