--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -14,10 +14,12 @@
 use crate::error::{Error, ErrorKind};
 use crate::log::Offset;
 
-use super::Node;
+use super::held::{Held, held};
+use super::life::Stage;
 use super::refusal::refusal;
 use super::request::header;
 use super::shard::Summary;
+use super::{Node, stop};
 
 /// Largest body of a published configuration.
 const MAX_CONFIG_BYTES: u64 = 1024 * 1024;
@@ -37,10 +39,12 @@
 #[derive(Debug, Serialize)]
 struct Dump {
     node: Arc<str>,
+    stage: Stage,
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
     calls: Vec<Summary>,
+    responses: Vec<Held>,
     rollouts: Vec<control::Statement>,
 }
 
@@ -53,6 +57,7 @@
 + Sync
 + 'static
 + use<> {
+    let stop = stop::filter(Arc::clone(&node));
     let with = warp::any().map(move || Arc::clone(&node));
     let metrics = warp::path!("metrics")
         .and(warp::get())
@@ -100,6 +105,8 @@
         .unify()
         .or(publish)
         .unify()
+        .or(stop)
+        .unify()
         .recover(recover)
         .unify()
 }
@@ -113,7 +120,7 @@
     Ok(warp::reply::json(&Published { version }).into_response())
 }
 
-fn operator(node: &Node, headers: &HeaderMap) -> Result<Arc<str>, Error> {
+pub(super) fn operator(node: &Node, headers: &HeaderMap) -> Result<Arc<str>, Error> {
     match node
         .access
         .load()
@@ -132,10 +139,12 @@
         let endpoints = self.endpoints.lock().expect("endpoints lock");
         Dump {
             node: Arc::clone(&self.settings.name),
+            stage: self.life.stage(),
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
             calls: self.calls.summary(),
+            responses: held(self),
             rollouts: self.rollouts.statements(self.clock.wall()),
         }
     }
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -18,9 +18,9 @@
 
 use super::Node;
 use super::attempt::Attempt;
-use super::follow::Follower;
 use super::request::{Request, header};
 use super::shard::{Shard, Summary};
+use super::shard_reader::ShardReader;
 use super::takeover;
 
 /// Time within which the log service answers an append or a read that does not wait.
@@ -110,7 +110,7 @@
 async fn run(node: Arc<Node>, shard: Arc<Shard>, token: CancellationToken) -> eyre::Result<()> {
     let stop = CancellationToken::new();
     let log = node.calls.log.clone();
-    let follower = Follower::new(Arc::clone(&node), Arc::clone(&shard), log.clone());
+    let follower = ShardReader::new(Arc::clone(&node), Arc::clone(&shard), log.clone());
     let interval = || {
         let since = node.clock.wall() - ACTIVE_TIME;
         writer::interval(
--- /dev/null
+++ b/src/node/stop.rs
@@ -0,0 +1,58 @@
+use std::sync::Arc;
+
+use serde::Deserialize;
+use warp::filters::BoxedFilter;
+use warp::http::{HeaderMap, StatusCode};
+use warp::reply::Response;
+use warp::{Filter, Reply};
+
+use crate::clock::Millis;
+
+use super::Node;
+use super::admin::operator;
+use super::refusal::refusal;
+
+/// Largest body of a notice.
+const MAX_BODY_BYTES: u64 = 1_024;
+
+/// Notice that the host will be reclaimed after this time.
+#[derive(Debug, Deserialize)]
+struct Notice {
+    deadline_ms: Millis,
+}
+
+/// Returns the part of the operators' interface that ends the process: `POST /admin/drain` and
+/// `POST /admin/notice`.
+pub(super) fn filter(node: Arc<Node>) -> BoxedFilter<(Response,)> {
+    let with = warp::any().map(move || Arc::clone(&node));
+    let notice = warp::path!("admin" / "notice")
+        .and(warp::post())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::content_length_limit(MAX_BODY_BYTES))
+        .and(warp::body::json())
+        .and(with.clone())
+        .map(|headers: HeaderMap, body: Notice, node: Arc<Node>| {
+            leave(&node, &headers, |node| node.notice(body.deadline_ms))
+        })
+        .boxed();
+    let drain = warp::path!("admin" / "drain")
+        .and(warp::post())
+        .and(warp::header::headers_cloned())
+        .and(with)
+        .map(|headers: HeaderMap, node: Arc<Node>| leave(&node, &headers, Node::ask_drain))
+        .boxed();
+    notice.or(drain).unify().boxed()
+}
+
+fn leave<F>(node: &Node, headers: &HeaderMap, how: F) -> Response
+where
+    F: FnOnce(&Node),
+{
+    match operator(node, headers) {
+        Ok(_) => {
+            how(node);
+            warp::reply::with_status("leaving\n", StatusCode::ACCEPTED).into_response()
+        }
+        Err(error) => refusal(&error),
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,12 +8,16 @@
 mod orders;
 mod plain;
 mod platform;
+mod prefix_cache;
+mod sampling;
+mod token_text;
 
 pub use self::engine::{Engine, EngineFaults};
 pub use self::log::{Log, LogFaults, LogStats};
 pub use self::orders::VersionFault;
 pub use self::plain::{Plain, PlainFaults};
 pub use self::platform::{Platform, PlatformFaults};
+pub use self::token_text::token_text;
 
 use std::convert::Infallible;
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests, one file per feature.
 
+mod accepted_work;
 mod at_most_once;
 mod broken_files;
 mod call_harness;
@@ -11,7 +12,11 @@
 mod membership;
 mod operators;
 mod peer;
+mod planned_stop;
 mod refusals;
 mod relay;
 mod rollout_policy;
 mod rollouts;
+mod stalled_connections;
+mod streaming;
+mod whole_response;
