--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -48,6 +48,7 @@
     peers: Vec<Peer>,
     calls: Vec<Summary>,
     responses: Vec<Held>,
+    rollouts: Vec<control::Statement>,
 }
 
 /// Returns the HTTP interface for operators.
@@ -153,6 +154,7 @@
             streams: self.streams.len(),
             calls: self.calls.summary(),
             responses: held(self),
+            rollouts: self.rollouts.statements(self.clock.wall()),
         }
     }
 }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -19,6 +19,7 @@
 use super::Node;
 use super::calls::{RETRY_AFTER, expired};
 use super::plain::Reply;
+use super::rollouts::{RETRY, Timing, draw};
 use super::shard::{Failure, Shard, Waiter};
 
 /// Endpoints that are tried when connections are refused.
@@ -221,7 +222,14 @@
             return Err(late());
         }
         let chosen = (tried.len() < MAX_ENDPOINTS)
-            .then(|| node.choose_other(&self.service, tried))
+            .then(|| {
+                let draw = if tried.is_empty() {
+                    draw(self.key.to_string().as_bytes())
+                } else {
+                    RETRY
+                };
+                node.choose_other(&self.service, tried, draw)
+            })
             .flatten();
         let (endpoint, host, address) = chosen.ok_or_else(|| {
             Error::not_run(ErrorKind::Unavailable, "no endpoint takes the call now")
@@ -254,6 +262,7 @@
     ) -> Result<Reply, Error> {
         let limit = self.deadline - node.clock.now() + LATE_ANSWER;
         node.count(target.endpoint, true);
+        let mut timing = Timing::start(node.clock.now());
         let result = async {
             let response = connection.send(target.request, limit).await?;
             let (status, kind) = Reply::head(&response);
@@ -261,7 +270,10 @@
             Ok(Reply::new(status, kind, body))
         }
         .await;
+        timing.token(node.clock.now());
         node.count(target.endpoint, false);
+        let evidence = Reply::evidence(&result, &timing);
+        node.observe(target.endpoint, &self.route, evidence);
         let outcome = match &result {
             Ok(reply) => reply.outcome(RESPONSE_LIMIT),
             Err(_) => Outcome::Unknown,
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -227,6 +227,7 @@
             return;
         }
         *control = fold.clone();
+        self.rollouts.update(fold);
         let Some(active) = fold.active() else { return };
         let known = self.active.load().as_ref().map(|known| known.version);
         if Some(active.version) <= known {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -23,6 +23,7 @@
 mod refusal;
 mod request;
 mod response;
+mod rollouts;
 mod shard;
 mod shard_reader;
 mod status;
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -65,6 +65,7 @@
         id: request.id,
         account: Arc::clone(&request.account),
         service: Arc::clone(&request.route.service),
+        route: Arc::clone(&request.route.name),
         prompt: body.prompt,
         max_tokens: body.max_tokens.map_or(limit, |tokens| tokens.min(limit)),
         priority: u8::from(request.route.class == Class::Long),
@@ -73,11 +74,17 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight, without those in `avoid`.
-    pub(super) fn choose_except(&self, service: &str, avoid: &[Key]) -> Option<(Key, SocketAddr)> {
-        let endpoints = self.endpoints.lock().expect("endpoints lock");
+    /// Chooses the endpoint with the fewest requests in flight, without those in `avoid`, of the
+    /// version that `draw` chooses.
+    pub(super) fn choose_except(
+        &self,
+        service: &str,
+        avoid: &[Key],
+        draw: f64,
+    ) -> Option<(Key, SocketAddr)> {
+        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
         endpoints
-            .available(service)
+            .candidates(service, draw)
             .filter(|(key, _)| !avoid.contains(key))
             .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
             .map(|(key, e)| (key, e.host.address))
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -14,10 +14,12 @@
 use crate::endpoint;
 use crate::error::{Error, ErrorKind};
 use crate::ledger::{Blob, Outcome};
+use crate::rollout;
 
 use super::Node;
 use super::calls;
 use super::request::Request;
+use super::rollouts::{RETRY, Timing, draw};
 
 /// Endpoints that an idempotent call is sent to before its failure is reported.
 const MAX_ATTEMPTS: usize = 3;
@@ -56,6 +58,14 @@
         (response.status().as_u16(), kind)
     }
 
+    /// Returns what the response, or the lack of one, says about the version of its endpoint.
+    pub(super) fn evidence(result: &Result<Self, Error>, timing: &Timing) -> rollout::Outcome {
+        match result {
+            Ok(reply) if reply.status >= 500 => rollout::Outcome::Failed,
+            result => timing.outcome(result.as_ref().err()),
+        }
+    }
+
     /// Returns what the log keeps of the response.
     pub(super) fn outcome(&self, limit: usize) -> Outcome {
         let keep = self.body.len() <= limit;
@@ -101,7 +111,12 @@
     let mut tried = Vec::new();
     let mut failure: Option<Error> = None;
     while tried.len() < MAX_ATTEMPTS && node.clock.now() < request.deadline {
-        let target = node.choose_other(&request.route.service, &tried);
+        let draw = if tried.is_empty() {
+            draw(request.id.as_bytes())
+        } else {
+            RETRY
+        };
+        let target = node.choose_other(&request.route.service, &tried, draw);
         let Some((endpoint, _, address)) = target else {
             break;
         };
@@ -110,8 +125,12 @@
         let left = request.deadline - node.clock.now();
         let last = tried.len() == MAX_ATTEMPTS;
         let limit = if last { left } else { Millis(left.0 / 2) };
+        let mut timing = Timing::start(node.clock.now());
         let result = send(node, &request, address, limit).await;
+        timing.token(node.clock.now());
         node.count(endpoint, false);
+        let evidence = Reply::evidence(&result, &timing);
+        node.observe(endpoint, &request.route.name, evidence);
         match result {
             Ok(reply) => return Ok(reply.response()),
             Err(error) => {
@@ -152,15 +171,17 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight among those not tried yet.
+    /// Chooses the endpoint with the fewest requests in flight among those not tried yet; `draw`
+    /// chooses the version.
     pub(super) fn choose_other(
         &self,
         service: &str,
         tried: &[endpoint::Key],
+        draw: f64,
     ) -> Option<(endpoint::Key, Arc<str>, SocketAddr)> {
-        let endpoints = self.endpoints.lock().expect("endpoints lock");
+        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
         endpoints
-            .available(service)
+            .candidates(service, draw)
             .filter(|(key, _)| !tried.contains(key))
             .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
             .map(|(key, e)| (key, Arc::clone(&e.host.host), e.host.address))
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -12,8 +12,10 @@
 
 use crate::clock::Millis;
 use crate::endpoint::{Export, Generate, Import, Load, Start};
+use crate::platform::Fenced;
 use crate::transport;
 
+use super::orders::{Effect, Orders, VersionFault};
 use super::prefix_cache::{BYTES_PER_TOKEN, PrefixCache};
 use super::reply;
 use super::sampling::{Connection, Exported, Sampling, Stage};
@@ -43,6 +45,10 @@
     pub stall_connections: bool,
     /// Refuses to export KV caches.
     pub refuse_export: bool,
+    /// Accepts orders with an old fencing token.
+    pub ignore_fence: bool,
+    /// What is wrong with each version.
+    pub versions: HashMap<String, VersionFault>,
 }
 
 impl Default for EngineFaults {
@@ -55,6 +61,8 @@
             leaving: false,
             stall_connections: false,
             refuse_export: false,
+            ignore_fence: false,
+            versions: HashMap::new(),
         }
     }
 }
@@ -70,7 +78,7 @@
 
 #[derive(Debug)]
 struct Inner {
-    version: Arc<str>,
+    orders: Orders,
     incarnation: u64,
     reports: AtomicU64,
     queued: AtomicU32,
@@ -88,7 +96,7 @@
     pub fn new(version: Arc<str>) -> Self {
         Self {
             inner: Arc::new(Inner {
-                version,
+                orders: Orders::new(version),
                 incarnation: rand::random(),
                 reports: AtomicU64::new(0),
                 queued: AtomicU32::new(0),
@@ -155,7 +163,7 @@
         let faults = warp::path!("faults")
             .and(warp::post())
             .and(warp::body::json())
-            .and(with)
+            .and(with.clone())
             .map(|faults: EngineFaults, this: Self| {
                 if faults.stall_connections {
                     this.inner.stalls.send_modify(|count| *count += 1);
@@ -164,9 +172,20 @@
                 reply(StatusCode::OK, &serde_json::json!({})).into_response()
             })
             .boxed();
+        let orders = warp::path!("orders")
+            .and(warp::post())
+            .and(warp::body::json())
+            .and(with)
+            .map(|order: Fenced, this: Self| {
+                let checks = !this.faults().ignore_fence;
+                this.inner.orders.apply(&order, checks).into_response()
+            })
+            .boxed();
         generate
             .or(attach)
             .unify()
+            .or(orders)
+            .unify()
             .or(cancel)
             .unify()
             .or(export)
@@ -185,8 +204,23 @@
             .unify()
     }
 
+    fn effect(&self, order: &Generate) -> Effect {
+        let faults = self.faults();
+        let running = SLOTS as usize - self.inner.slots.available_permits();
+        let route = if order.priority == 0 {
+            "interactive"
+        } else {
+            "long"
+        };
+        let version = faults.versions.get(&*self.inner.orders.version());
+        version.map_or(Effect::None, |fault| {
+            self.inner.orders.effect(fault, route, running)
+        })
+    }
+
     fn generate(&self, order: Generate) -> warp::reply::Response {
-        if self.faults().fail {
+        let effect = self.effect(&order);
+        if self.faults().fail || effect == Effect::Fail {
             return super::unavailable().into_response();
         }
         let mut context = order.prompt.to_string();
@@ -195,11 +229,17 @@
         let cached = cache.lookup(&context);
         drop(cache);
         let total = order.prompt.len() / BYTES_PER_TOKEN + order.generated.len() + 1;
-        self.begin(order, cached.min(total - 1), total)
+        self.begin(order, cached.min(total - 1), total, effect.delay())
     }
 
     /// Starts a sampling that has `cached` of `total` tokens in its KV cache.
-    fn begin(&self, order: Generate, cached: usize, total: usize) -> warp::reply::Response {
+    fn begin(
+        &self,
+        order: Generate,
+        cached: usize,
+        total: usize,
+        delay: Millis,
+    ) -> warp::reply::Response {
         let handle: Arc<str> = Uuid::new_v4().to_string().into();
         let from = order.generated.len();
         let sampling = Arc::new(Sampling::new(Arc::clone(&handle), order));
@@ -212,7 +252,7 @@
             prefill_tokens: u32::try_from(total - cached).unwrap_or(u32::MAX),
         };
         let prefill = start.prefill_tokens;
-        tokio::spawn(self.clone().sample(Arc::clone(&sampling), prefill));
+        tokio::spawn(self.clone().sample(Arc::clone(&sampling), prefill, delay));
         self.send(sampling, Some(start), from)
     }
 
@@ -285,7 +325,7 @@
             ..order
         };
         let total = order.prompt.len() / BYTES_PER_TOKEN + order.generated.len();
-        self.begin(order, total, total)
+        self.begin(order, total, total, Millis::ZERO)
     }
 
     fn find(&self, handle: &str) -> Option<Arc<Sampling>> {
@@ -293,12 +333,12 @@
         streams.get(handle).cloned()
     }
 
-    async fn sample(self, sampling: Arc<Sampling>, prefill_tokens: u32) {
+    async fn sample(self, sampling: Arc<Sampling>, prefill_tokens: u32, delay: Millis) {
         self.inner.queued.fetch_add(1, Ordering::SeqCst);
         let permit = Arc::clone(&self.inner.slots).acquire_owned().await;
         self.inner.queued.fetch_sub(1, Ordering::SeqCst);
         let prefill = self.faults().prefill_ms.0 * u64::from(prefill_tokens) / 1_000;
-        tokio::time::sleep(Millis(prefill).into()).await;
+        tokio::time::sleep((Millis(prefill) + delay).into()).await;
         for _ in sampling.order.generated.len()..sampling.order.max_tokens as usize {
             tokio::time::sleep(self.faults().token_ms.into()).await;
             while self.faults().stall && sampling.stage() == Stage::Running {
@@ -321,7 +361,7 @@
             running: SLOTS - free,
             queued: self.inner.queued.load(Ordering::SeqCst),
             slots: SLOTS,
-            version: Arc::clone(&self.inner.version),
+            version: self.inner.orders.version(),
             leaving: self.faults().leaving,
             incarnation: self.inner.incarnation,
             seq: self.inner.reports.fetch_add(1, Ordering::SeqCst),
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod log;
+mod orders;
 mod plain;
 mod platform;
 mod prefix_cache;
@@ -13,6 +14,7 @@
 
 pub use self::engine::{Engine, EngineFaults};
 pub use self::log::{Log, LogFaults, LogStats};
+pub use self::orders::VersionFault;
 pub use self::plain::{Plain, PlainFaults};
 pub use self::platform::{Platform, PlatformFaults};
 pub use self::token_text::token_text;
--- a/src/stream/work.rs
+++ b/src/stream/work.rs
@@ -14,6 +14,9 @@
     pub account: Arc<str>,
     /// Service that generates it.
     pub service: Arc<str>,
+    /// Route that the caller used.
+    #[serde(default)]
+    pub route: Arc<str>,
     /// The prompt.
     pub prompt: Arc<str>,
     /// Most tokens.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod refusals;
 mod relay;
 mod rollout_policy;
+mod rollouts;
 mod stalled_connections;
 mod streaming;
 mod untrusted_input;
