--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -9,6 +9,7 @@
 mod blob;
 mod checkpoint;
 mod digest;
+mod effect;
 mod entry;
 mod fold;
 mod key;
@@ -18,8 +19,9 @@
 pub use self::blob::Blob;
 pub use self::checkpoint::{Assembly, Part};
 pub use self::digest::Digest;
+pub use self::effect::{Applied, Effect};
 pub use self::entry::{Entry, Order, Outcome, State};
-pub use self::fold::{Applied, Effect, Fold, MAX_ENTRIES, MAX_STORED_BYTES};
+pub use self::fold::{Fold, MAX_ENTRIES, MAX_STORED_BYTES};
 pub use self::key::{FUTURE_LIMIT, Key};
 pub use self::plan::Plan;
 pub use self::record::{Action, Record};
--- a/src/ledger/plan.rs
+++ b/src/ledger/plan.rs
@@ -1,6 +1,6 @@
 use crate::log::writer;
 
-use super::{Digest, Effect, Fold, Key, MAX_ENTRIES, Outcome, State};
+use super::{Digest, Fold, Key, MAX_ENTRIES, Outcome, State};
 
 /// What a node does next for a call, decided from the state that it has read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,18 +46,3 @@
         }
     }
 }
-
-/// Permission to send, from what became of one's own `dispatch` record.
-impl Effect {
-    /// Returns whether the writer of the record may send.
-    #[must_use]
-    pub fn permits_sending(self) -> bool {
-        self == Self::Dispatched
-    }
-
-    /// Returns whether the writer of a `void` record may answer that the call did not run.
-    #[must_use]
-    pub fn permits_refusal(self) -> bool {
-        self == Self::Voided
-    }
-}
