--- a/src/endpoint/mod.rs
+++ b/src/endpoint/mod.rs
@@ -1,9 +1,12 @@
 //! The endpoints of all services, and the protocol spoken with model engines.
 
+mod departures;
 mod endpoint;
 mod generate;
 mod table;
+mod transfer;
 
 pub use self::endpoint::{Endpoint, Host, Load, State};
 pub use self::generate::{Done, Generate, Start, Token};
 pub use self::table::{Key, Table};
+pub use self::transfer::{Export, Import};
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -13,11 +13,14 @@
 use crate::endpoint::Endpoint;
 use crate::error::{Error, ErrorKind};
 use crate::log::Offset;
+use crate::membership::{Member, Peer};
 
-use super::Node;
+use super::held::{Held, held};
+use super::life::Stage;
 use super::refusal::refusal;
 use super::request::header;
 use super::shard::Summary;
+use super::{Node, stop};
 
 /// Largest body of a published configuration.
 const MAX_CONFIG_BYTES: u64 = 1024 * 1024;
@@ -37,10 +40,14 @@
 #[derive(Debug, Serialize)]
 struct Dump {
     node: Arc<str>,
+    stage: Stage,
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    own: Member,
+    peers: Vec<Peer>,
     calls: Vec<Summary>,
+    responses: Vec<Held>,
 }
 
 /// Returns the HTTP interface for operators.
@@ -52,6 +59,7 @@
 + Sync
 + 'static
 + use<> {
+    let stop = stop::filter(Arc::clone(&node));
     let with = warp::any().map(move || Arc::clone(&node));
     let metrics = warp::path!("metrics")
         .and(warp::get())
@@ -99,6 +107,8 @@
         .unify()
         .or(publish)
         .unify()
+        .or(stop)
+        .unify()
         .recover(recover)
         .unify()
 }
@@ -112,7 +122,7 @@
     Ok(warp::reply::json(&Published { version }).into_response())
 }
 
-fn operator(node: &Node, headers: &HeaderMap) -> Result<Arc<str>, Error> {
+pub(super) fn operator(node: &Node, headers: &HeaderMap) -> Result<Arc<str>, Error> {
     match node
         .access
         .load()
@@ -128,13 +138,21 @@
 
 impl Node {
     fn dump(&self) -> Dump {
+        let (own, peers) = {
+            let view = self.cluster.view();
+            (view.own().clone(), view.peers().cloned().collect())
+        };
         let endpoints = self.endpoints.lock().expect("endpoints lock");
         Dump {
+            own,
+            peers,
             node: Arc::clone(&self.settings.name),
+            stage: self.life.stage(),
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
             calls: self.calls.summary(),
+            responses: held(self),
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,19 +1,32 @@
 //! The `serve` process: accepts requests, routes them to endpoints and streams the responses.
 
 mod admin;
+mod answers;
 mod api;
 mod attempt;
 mod background;
-mod body_limit;
+mod backup;
 mod calls;
-mod follow;
+mod cluster;
+mod drain;
+mod drive;
+mod engine;
+mod gossip;
+mod held;
+mod leaving;
+mod life;
 mod model;
 mod node;
+mod pace;
 mod plain;
+mod polls;
 mod refusal;
 mod request;
+mod response;
 mod shard;
+mod shard_reader;
 mod status;
+mod stop;
 mod takeover;
 
 pub use self::node::Node;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -14,17 +14,26 @@
 use crate::control::Active;
 use crate::endpoint::Table;
 use crate::log;
+use crate::peer;
 use crate::settings;
 use crate::stream::Store;
 use crate::supervisor::Supervisor;
 use crate::transport;
 
+use super::answers::Answers;
+use super::backup::{Copies, Replication};
 use super::calls::{self, Calls};
-use super::{admin, api, background};
+use super::cluster::Cluster;
+use super::life::Control;
+use super::{admin, api, background, drain};
 
 /// Time within which an endpoint has to send its response headers.
 const ENDPOINT_TIMEOUT: Millis = Millis(10_000);
 
+/// Time for which open connections can delay the end of the process: a caller that does not read
+/// would delay it without end, and can continue at another node.
+const STOP_BOUND: Millis = Millis(2_000);
+
 /// The state that the tasks of one node process share.
 #[derive(Debug)]
 pub struct Node {
@@ -37,12 +46,18 @@
     pub(super) refused: ArcSwapOption<String>,
     pub(super) endpoints: Mutex<Table>,
     pub(super) streams: Store,
+    pub(super) life: Control,
+    /// Cancelled during a drain when callers can no longer hold this node's address.
+    pub(super) expired: CancellationToken,
+    pub(super) replication: Replication,
+    pub(super) copies: Copies,
     pub(super) permits: Arc<Semaphore>,
     pub(super) http: transport::Client,
     pub(super) log_service: log::Client,
     pub(super) calls: Calls,
     pub(super) metrics: PrometheusHandle,
     pub(super) token: CancellationToken,
+    pub(super) cluster: Cluster,
 }
 
 impl Node {
@@ -60,14 +75,20 @@
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .wrap_err("installing the metrics recorder")?;
+        let clock = Clock::system();
         Ok(Arc::new(Self {
-            clock: Clock::system(),
+            cluster: Cluster::new(&settings, &clock),
+            clock,
             log: log.new(o!("node" => settings.name.to_string())),
             access: ArcSwap::from_pointee(access),
             active: ArcSwapOption::empty(),
             refused: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
-            streams: Store::default(),
+            streams: Store::new(settings.streams),
+            life: Control::default(),
+            expired: CancellationToken::new(),
+            replication: Replication::default(),
+            copies: Copies::default(),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
@@ -86,6 +107,7 @@
     pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
         let callers = bind(self.settings.listen).await?;
         let operators = bind(self.settings.admin).await?;
+        self.listen_to_peers()?;
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
@@ -95,10 +117,36 @@
             .run(admin::filter(Arc::clone(&self)), self.token.clone());
         let api =
             transport::Server::new(callers).run(api::filter(Arc::clone(&self)), self.token.clone());
-        tokio::join!(admin, api, supervisor.join());
+        let serving = async {
+            tokio::join!(admin, api, supervisor.join());
+        };
+        let stopping = async {
+            self.token.cancelled().await;
+            tokio::time::sleep(STOP_BOUND.into()).await;
+        };
+        tokio::spawn(drain::run(Arc::clone(&self)));
+        tokio::select! {
+            () = serving => {}
+            () = stopping => info!(self.log, "connections cut off"),
+        }
+        self.cluster.token.cancel();
         info!(self.log, "stopped");
         Ok(())
     }
+
+    fn listen_to_peers(self: &Arc<Self>) -> eyre::Result<()> {
+        let answers = Answers {
+            node: Arc::clone(self),
+        };
+        let handle = peer::spawn(
+            self.settings.peer,
+            Arc::new(answers),
+            self.settings.stall_ms,
+            self.cluster.token.clone(),
+        )?;
+        self.cluster.connect(handle);
+        Ok(())
+    }
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- a/src/node/follow.rs
+++ b/src/node/shard_reader.rs
@@ -31,7 +31,7 @@
 const LAYOUT_RETRY: Millis = Millis(2_000);
 
 /// Reads one shard's stream and keeps its state current.
-pub(super) struct Follower {
+pub(super) struct ShardReader {
     node: Arc<Node>,
     shard: Arc<Shard>,
     log: Client,
@@ -47,7 +47,7 @@
     missing_since: Option<Millis>,
 }
 
-impl Follower {
+impl ShardReader {
     pub(super) fn new(node: Arc<Node>, shard: Arc<Shard>, log: Client) -> Self {
         let checkpoint_at = node.clock.now();
         Self {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,8 +1,10 @@
 //! Integration tests, one file per feature.
 
+mod accepted_work;
 mod at_most_once;
 mod broken_files;
 mod call_harness;
+mod config_spread;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
@@ -11,6 +13,11 @@
 mod membership;
 mod operators;
 mod peer;
+mod planned_stop;
 mod refusals;
 mod relay;
 mod rollout_policy;
+mod stalled_connections;
+mod streaming;
+mod untrusted_input;
+mod whole_response;
