--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -1,8 +1,10 @@
 //! Starts nodes and test doubles as separate processes and talks to them over HTTP.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use almondpath::client::Client;
@@ -374,11 +376,18 @@
 }
 
 /// Returns a loopback address whose port was free a moment ago.
+///
+/// Ports above 32767 are left to outgoing connections: one of the many that a test makes could take
+/// the port before the process binds it, or while the process is restarted.
 pub(crate) fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let port = rand::random_range(10_240..32_768);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if GIVEN.lock().expect("ports lock").insert(port) && TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Waits until a condition holds.
