--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -1,6 +1,5 @@
 //! Starts nodes and test doubles as separate processes and talks to them over HTTP.
 
-use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
