--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -55,4 +55,8 @@
             .map(Bytes::from)
             .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))
     }
+
+    async fn trip(&self, payload: Bytes) -> Result<Bytes, Error> {
+        self.node.learn_payload(&payload)
+    }
 }
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -14,12 +14,12 @@
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
 use crate::stream::Cursor;
+use crate::transport;
 
-use super::body_limit::Refused;
 use super::life::Stage;
 use super::refusal::refusal;
 use super::request::Request;
-use super::{Node, backup, body_limit, calls, model, plain};
+use super::{Node, backup, calls, model, plain};
 
 #[derive(Debug, Serialize)]
 struct Addresses {
@@ -47,7 +47,6 @@
 + Sync
 + 'static
 + use<> {
-    let limit = node.settings.body_limit_bytes;
     let with = warp::any().map(move || Arc::clone(&node));
     let addresses = warp::path!("v1" / "addresses")
         .and(warp::get())
@@ -57,11 +56,18 @@
         .boxed();
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
-        .and(body_limit::headers(limit))
-        .and(warp::body::bytes())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
         .and(with.clone())
-        .then(|route: String, headers, body, node| async move {
-            call(node, &route, headers, body).await
+        .then(|route: String, headers, body, node: Arc<Node>| async move {
+            match transport::collect(body, node.settings.body_limit_bytes).await {
+                Ok(body) => call(node, &route, headers, body).await,
+                // The limit is a setting, so another node may have accepted the same call.
+                Err(error) => {
+                    let keyed = headers.contains_key("idempotency-key");
+                    refusal(&calls::unproven(error, keyed))
+                }
+            }
         })
         .boxed();
     let resume = warp::path!("v1" / "requests" / Uuid)
@@ -163,8 +169,8 @@
 async fn recover(rejection: Rejection) -> Result<Response, Infallible> {
     let error = if rejection.is_not_found() {
         Error::not_run(ErrorKind::NotFound, "there is no such path")
-    } else if let Some(refused) = rejection.find::<Refused>() {
-        refused.0.clone()
+    } else if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        Error::not_run(ErrorKind::MethodNotAllowed, "the path has no such method")
     } else {
         Error::not_run(ErrorKind::Malformed, "the request can't be parsed")
     };
--- a/src/node/drive.rs
+++ b/src/node/drive.rs
@@ -12,6 +12,7 @@
 use super::Node;
 use super::engine::{Feed, Item};
 use super::pace::Pace;
+use super::rollouts::{RETRY, Timing, draw};
 
 /// Attempts in a row without a single token after which a request fails; a prompt that engines
 /// can't serve would otherwise occupy them until its deadline.
@@ -55,6 +56,7 @@
     pub(super) noticed: Option<(Key, Millis)>,
     failures: u32,
     silent: u32,
+    timing: Timing,
 }
 
 /// Starts the task that generates a response; `permit` is kept until its end.
@@ -68,6 +70,7 @@
         noticed: None,
         failures: 0,
         silent: 0,
+        timing: Timing::start(node.clock.now()),
         entry,
     };
     tokio::spawn(async move {
@@ -127,7 +130,12 @@
                 self.silent = 0;
             }
             feed = match end {
-                End::Done => return Ok(()),
+                End::Done => {
+                    if let Some(key) = self.endpoint {
+                        self.observe(key, None);
+                    }
+                    return Ok(());
+                }
                 End::Lost(error) => self.recover(error).await?,
                 End::Failed(error) => {
                     self.fail(error)?;
@@ -160,6 +168,7 @@
                 Item::Start(start) => self.started(feed, start.handle, start.prefill_tokens),
                 Item::Token(token) => {
                     self.pace.token(heard);
+                    self.timing.token(heard);
                     self.entry.push(&Chunk {
                         attempt: feed.attempt,
                         offset: token.offset,
@@ -195,6 +204,7 @@
         loop {
             if let Some((key, address)) = self.choose() {
                 let order = self.order();
+                self.timing = Timing::start(self.node.clock.now());
                 match self.node.generate(address, &order).await {
                     Ok(feed) => {
                         self.enter(key);
@@ -202,6 +212,7 @@
                     }
                     Err(error) => {
                         self.avoid.push(key);
+                        self.observe(key, Some(&error));
                         self.fail(error)?;
                     }
                 }
@@ -211,8 +222,13 @@
     }
 
     pub(super) fn choose(&mut self) -> Option<(Key, std::net::SocketAddr)> {
-        let service = &self.entry.work().service;
-        let chosen = self.node.choose_except(service, &self.avoid);
+        let work = self.entry.work();
+        let draw = if self.entry.attempt() == 0 {
+            draw(work.id.as_bytes())
+        } else {
+            RETRY
+        };
+        let chosen = self.node.choose_except(&work.service, &self.avoid, draw);
         if chosen.is_none() {
             self.avoid.clear();
         }
@@ -275,6 +291,7 @@
         metrics::counter!("almondpath_attempt_failures_total").increment(1);
         if let Some(key) = self.endpoint {
             self.avoid.push(key);
+            self.observe(key, Some(&error));
         }
         self.leave();
         self.silent = 0;
@@ -288,6 +305,12 @@
         Ok(())
     }
 
+    /// Records what became of the attempt as evidence about the endpoint's version.
+    fn observe(&self, key: Key, error: Option<&Error>) {
+        let outcome = self.timing.outcome(error);
+        self.node.observe(key, &self.entry.work().route, outcome);
+    }
+
     pub(super) fn enter(&mut self, key: Key) {
         self.leave();
         self.node.count(key, true);
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -11,7 +11,7 @@
 use crate::stream::{Cursor, Work};
 
 use super::request::Request;
-use super::{Node, drive, follow};
+use super::{Node, drive, response};
 
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,7 +35,7 @@
                 deadline: known.work().deadline,
                 ..work
             }) {
-            Ok(follow::follow(known.follow(), Cursor::default()))
+            Ok(response::follow(known.follow(), Cursor::default()))
         } else {
             Err(Error::not_run(
                 ErrorKind::Conflict,
@@ -54,7 +54,7 @@
         }
         return Err(error);
     }
-    Ok(follow::follow(follower, Cursor::default()))
+    Ok(response::follow(follower, Cursor::default()))
 }
 
 fn work(node: &Node, request: &Request) -> Result<Work, Error> {
@@ -65,6 +65,7 @@
         id: request.id,
         account: Arc::clone(&request.account),
         service: Arc::clone(&request.route.service),
+        route: Arc::clone(&request.route.name),
         prompt: body.prompt,
         max_tokens: body.max_tokens.map_or(limit, |tokens| tokens.min(limit)),
         priority: u8::from(request.route.class == Class::Long),
@@ -73,11 +74,17 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight, without those in `avoid`.
-    pub(super) fn choose_except(&self, service: &str, avoid: &[Key]) -> Option<(Key, SocketAddr)> {
-        let endpoints = self.endpoints.lock().expect("endpoints lock");
+    /// Chooses the endpoint with the fewest requests in flight, without those in `avoid`, of the
+    /// version that `draw` chooses.
+    pub(super) fn choose_except(
+        &self,
+        service: &str,
+        avoid: &[Key],
+        draw: f64,
+    ) -> Option<(Key, SocketAddr)> {
+        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
         endpoints
-            .available(service)
+            .candidates(service, draw)
             .filter(|(key, _)| !avoid.contains(key))
             .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
             .map(|(key, e)| (key, e.host.address))
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -25,6 +25,7 @@
 use super::calls::{self, Calls};
 use super::cluster::Cluster;
 use super::life::Control;
+use super::rollouts::{self, Watch};
 use super::{admin, api, background, drain};
 
 /// Time within which an endpoint has to send its response headers.
@@ -45,6 +46,7 @@
     /// Why the last control record without effect was refused.
     pub(super) refused: ArcSwapOption<String>,
     pub(super) endpoints: Mutex<Table>,
+    pub(super) rollouts: Watch,
     pub(super) streams: Store,
     pub(super) life: Control,
     /// Cancelled during a drain when callers can no longer hold this node's address.
@@ -89,6 +91,7 @@
             expired: CancellationToken::new(),
             replication: Replication::default(),
             copies: Copies::default(),
+            rollouts: Watch::new(rand::random()),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
@@ -112,6 +115,7 @@
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
         calls::spawn(&self, &mut supervisor);
+        rollouts::spawn(&self, &mut supervisor);
         info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
         let admin = transport::Server::new(operators)
             .run(admin::filter(Arc::clone(&self)), self.token.clone());
--- /dev/null
+++ b/src/node/rollouts/link.rs
@@ -0,0 +1,36 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::error::{Error, ErrorKind};
+
+use super::{Exchange, Node};
+
+impl Node {
+    /// Answers the call `trip` of the peer protocol.
+    pub(in crate::node) fn learn_payload(self: &Arc<Self>, payload: &[u8]) -> Result<Bytes, Error> {
+        let exchange: Exchange = serde_json::from_slice(payload)
+            .map_err(|error| Error::not_run(ErrorKind::Malformed, format!("trip: {error}")))?;
+        self.learn(&exchange);
+        Ok(Bytes::from_static(b"true"))
+    }
+
+    /// Returns the addresses of the other nodes that respond.
+    pub(super) fn rollout_peers(&self) -> Vec<SocketAddr> {
+        let view = self.cluster.view();
+        view.available().map(|peer| peer.member.peer).collect()
+    }
+
+    pub(super) async fn send_exchange(
+        &self,
+        to: SocketAddr,
+        exchange: &Exchange,
+    ) -> Result<(), Error> {
+        let Some(handle) = self.cluster.handle() else {
+            return Ok(());
+        };
+        let _: bool = handle.trip(to, exchange).await?;
+        Ok(())
+    }
+}
