--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,7 +3,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{call, dev, publish, serve};
+use super::{call, dev, load, publish, replay, serve};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -28,6 +28,8 @@
         .subcommand(publish::command())
         .subcommand(call::command())
         .subcommand(dev::command())
+        .subcommand(replay::command())
+        .subcommand(load::command())
 }
 
 /// Runs the program with these arguments and returns its exit code.
@@ -66,6 +68,8 @@
         Some(("publish", args)) => publish::run(args).await,
         Some(("call", args)) => call::run(args).await,
         Some(("dev", args)) => dev::run(args, json).await,
+        Some(("replay", args)) => replay::run(args),
+        Some(("load", args)) => load::run(args).await,
         _ => unreachable!("clap accepts only the subcommands above"),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod error;
 pub mod log;
 pub mod node;
+pub mod replay;
 pub mod retry;
 pub mod routing;
 pub mod settings;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -189,7 +189,7 @@
     ///
     /// The endpoint holds the whole prompt from now on. When it had far less than `predicted`, it
     /// has evicted blocks without an event that arrived, and its other entries count less.
-    pub fn started(
+    pub fn confirmed(
         &mut self,
         key: K,
         query: &Query<'_, K>,
@@ -204,14 +204,13 @@
             self.prefix.gap(narrow(slot), now);
         }
         self.prefix.insert(narrow(slot), query.blocks, now);
-        self.settle(key, query);
     }
 
     /// Takes back the pending prefill of a request, at its first token or when it fails before.
-    pub fn settle(&mut self, key: K, query: &Query<'_, K>) {
+    pub fn settle(&mut self, key: K, class: Class, prompt_tokens: u32) {
         if let Some(view) = self.view_mut(key) {
-            let pending = view.pending(query.class);
-            *pending = pending.saturating_sub(u64::from(query.prompt_tokens));
+            let pending = view.pending(class);
+            *pending = pending.saturating_sub(u64::from(prompt_tokens));
         }
     }
 
--- a/tests/integration/routing.rs
+++ b/tests/integration/routing.rs
@@ -38,7 +38,7 @@
     let prompt = prompt(7);
     assert_eq!(prompt.len(), LONG_PROMPT_BLOCKS);
     router.dispatched(3, &query(&prompt), Millis(0));
-    router.started(3, &query(&prompt), 0, 0, Millis(10));
+    router.confirmed(3, &query(&prompt), 0, 0, Millis(10));
     let choice = router
         .choose(&query(&prompt), Millis(20))
         .expect("a choice");
@@ -98,7 +98,7 @@
     let sure = matched(&mut router);
     router.gap(3, Millis(1_000));
     let unsure = matched(&mut router);
-    router.started(3, &query(&prompt), 0, 6_400, Millis(2_000));
+    router.confirmed(3, &query(&prompt), 0, 6_400, Millis(2_000));
     assert!(unsure * 2 <= sure && unsure > 0, "{unsure} of {sure}");
     assert_eq!(matched(&mut router), sure);
     router.cached(3, &prompt, false, Millis(3_000));
