--- a/src/admission/account.rs
+++ b/src/admission/account.rs
@@ -7,6 +7,9 @@
 
 use super::{Bucket, Ticket};
 
+/// Time after its newest request for which an account counts as active.
+const ACTIVE: Millis = Millis(5_000);
+
 /// Requests of one account in one class, earliest deadline first.
 type Queue = BTreeMap<(Millis, u64), Ticket>;
 
@@ -19,6 +22,10 @@
     pub(super) bucket: Bucket,
     /// Cost dispatched so far over the weight, see [`Admission`](super::Admission).
     pub(super) served: f64,
+    /// Dispatched requests that have not ended.
+    pub(super) in_flight: u32,
+    /// Arrival of the newest request.
+    pub(super) arrived_at: Option<Millis>,
     /// Cost of the queued interactive and long requests.
     pub(super) backlog: [f64; 2],
     #[serde(skip)]
@@ -32,6 +39,12 @@
         self.queues[class].insert((ticket.deadline, ticket.id), ticket);
     }
 
+    /// Returns whether the account has had requests lately.
+    pub(super) fn active(&self, now: Millis) -> bool {
+        let lately = self.arrived_at.is_some_and(|at| at + ACTIVE > now);
+        lately || self.in_flight > 0
+    }
+
     pub(super) fn pop(&mut self, class: Class) -> Option<Ticket> {
         let (_, ticket) = self.queues[index(class)].pop_first()?;
         self.deduct(&ticket);
--- a/src/admission/admission.rs
+++ b/src/admission/admission.rs
@@ -15,6 +15,12 @@
 /// Length of one step of that measurement.
 const RATE_STEP: Millis = Millis(250);
 
+/// Use relative to an account's share from which on it leaves slots free for the others.
+const OVERUSE: f64 = 1.1;
+
+/// Slots left free for each that an account within its share uses.
+const HEADROOM: f64 = 0.5;
+
 /// Decisions kept for the dump.
 const RECENT: usize = 16;
 
@@ -31,6 +37,8 @@
     /// Cost that an account may be ahead of the others, over its weight, and still have its
     /// interactive requests served before the others' long ones.
     pub lead: f64,
+    /// Largest share of the slots that an account above its share leaves free for the others.
+    pub reserve: f64,
 }
 
 impl Default for Settings {
@@ -39,6 +47,7 @@
             account_queue: 256,
             node_queue: 1_024,
             lead: 20_000.0,
+            reserve: 0.25,
         }
     }
 }
@@ -50,6 +59,8 @@
     pub any: u32,
     /// Long requests among them.
     pub long: u32,
+    /// Requests of any class that the endpoints can take in total.
+    pub slots: u32,
 }
 
 /// What to do next.
@@ -128,6 +139,7 @@
         if account.len() == 0 {
             account.served = account.served.max(level);
         }
+        account.arrived_at = Some(now);
         account.push(ticket);
         self.queued += 1;
         Ok(())
@@ -160,7 +172,10 @@
     }
 
     /// Records that a dispatched request has ended, for the estimate of waiting times.
-    pub fn finished(&mut self, cost: f64, now: Millis) {
+    pub fn finished(&mut self, account: &str, cost: f64, now: Millis) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
         match self.finished.back_mut() {
             Some((at, sum)) if *at + RATE_STEP > now => *sum += cost,
             _ => self.finished.push_back((now, cost)),
@@ -183,21 +198,41 @@
             self.note(now, &ticket, Reason::Deadline.as_str());
             return Some(Poll::Refuse(ticket, Reason::Deadline));
         }
-        let (name, class) = self.next(room)?;
+        let (name, class) = self.next(room, now)?;
         let account = self.accounts.get_mut(&name)?;
         let ticket = account.pop(class)?;
         self.queued -= 1;
         self.level = self.level.max(account.served);
         account.served += ticket.cost / account.weight;
+        account.in_flight += 1;
         self.note(now, &ticket, "dispatch");
         Some(Poll::Dispatch(ticket))
     }
 
     /// Picks the account and the class to serve next.
-    fn next(&self, room: Room) -> Option<(Arc<str>, Class)> {
-        let has = |account: &Account, class| match class {
-            Class::Interactive => room.any > 0 && account.has(class),
-            Class::Long => room.any > 0 && room.long > 0 && account.has(class),
+    ///
+    /// An account that uses more than its share while others stay within theirs leaves slots free
+    /// in proportion to what they use, because a full batch slows down every request in it and a
+    /// request of the others would wait for a slot. Alone, or when the others are backlogged too,
+    /// nothing is held back.
+    fn next(&self, room: Room, now: Millis) -> Option<(Arc<str>, Class)> {
+        let active: Vec<&Account> = self.accounts.values().filter(|a| a.active(now)).collect();
+        let weights: f64 = active.iter().map(|a| a.weight).sum();
+        let in_flight: u32 = active.iter().map(|a| a.in_flight).sum();
+        let share = |a: &Account| f64::from(in_flight.max(1)) * a.weight / weights;
+        let modest = active
+            .iter()
+            .filter(|a| f64::from(a.in_flight) + a.len() as f64 <= share(a))
+            .map(|a| f64::from(a.in_flight) * HEADROOM + 1.0);
+        let most = f64::from(room.slots) * self.settings.reserve;
+        let reserve = modest.sum::<f64>().min(most) as u32;
+        let held = |a: &Account| {
+            let over = f64::from(a.in_flight) > share(a) * OVERUSE;
+            if over { reserve } else { 0 }
+        };
+        let has = |account: &Account, class| {
+            let open = room.any > held(account) && account.has(class);
+            open && (class == Class::Interactive || room.long > 0)
         };
         let least = |class: Option<Class>| {
             let ready = self.accounts.iter().filter(|(_, account)| match class {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,7 +3,9 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{call, check, completions, dev, generate, load, publish, replay, serve};
+use super::{
+    call, check, completions, dev, dump, generate, load, publish, replay, rollouts, serve, status,
+};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -28,7 +30,10 @@
         .subcommand(generate::command())
         .subcommand(check::command())
         .subcommand(publish::command())
+        .subcommand(status::command())
+        .subcommand(dump::command())
         .subcommand(call::command())
+        .subcommand(rollouts::command())
         .subcommand(dev::command())
         .subcommand(replay::command())
         .subcommand(load::command())
@@ -75,7 +80,10 @@
         Some(("check", args)) => check::run(args),
         Some(("completions", args)) => Ok(completions::run(args)),
         Some(("publish", args)) => publish::run(args).await,
+        Some(("status", args)) => status::run(args).await,
+        Some(("dump", args)) => dump::run(args).await,
         Some(("call", args)) => call::run(args).await,
+        Some(("rollouts", args)) => rollouts::run(args),
         Some(("dev", args)) => dev::run(args, json).await,
         Some(("replay", args)) => replay::run(args),
         Some(("load", args)) => load::run(args).await,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,15 +1,19 @@
 //! The command line.
 
+mod admin;
 mod call;
 mod check;
 mod command;
 mod completions;
 mod dev;
+mod dump;
 mod generate;
 mod load;
 mod logger;
 mod publish;
 mod replay;
+mod rollouts;
 mod serve;
+mod status;
 
 pub use self::command::{command, run};
--- a/src/lane/lane.rs
+++ b/src/lane/lane.rs
@@ -120,23 +120,32 @@
     ) {
         let admitted = &mut self.admitted[ticket.class as usize];
         *admitted = admitted.saturating_sub(1);
-        self.admission.finished(ticket.cost, now);
+        self.admission.finished(&ticket.account, ticket.cost, now);
         if let Some((tokens, took)) = succeeded {
             let estimate = self.estimates.entry(Arc::clone(route)).or_default();
             estimate.sample(tokens, took);
         }
     }
 
-    /// Returns the room of the endpoints less what was admitted and is not yet at one of them.
+    /// Returns this node's part of the room of the endpoints, less what was admitted and is not
+    /// yet at one of them.
+    ///
+    /// Nodes learn of each other's dispatches by the next load report only. If each took all
+    /// free slots at once, they would overfill the endpoints as many times as there are nodes,
+    /// so each takes the part that it has of the requests in flight.
     fn room(&self, now: Millis) -> Room {
         let placed = self.router.in_flight();
+        let own = f64::from(placed[0] + placed[1]) + 1.0;
+        let part = own / (own + self.router.foreign());
+        let scaled = |room: u32| (f64::from(room) * part).ceil() as u32;
         let reserved =
             |class: Class| self.admitted[class as usize].saturating_sub(placed[class as usize]);
         let [interactive, long] = [reserved(Class::Interactive), reserved(Class::Long)];
-        let any = self.router.room(Class::Interactive, now);
+        let any = scaled(self.router.room(Class::Interactive, now));
         Room {
             any: any.saturating_sub(interactive + long),
-            long: self.router.room(Class::Long, now).saturating_sub(long),
+            long: scaled(self.router.room(Class::Long, now)).saturating_sub(long),
+            slots: scaled(self.router.slots()),
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod questionnaire;
 pub mod replay;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod settings;
 pub mod standin;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,5 +10,7 @@
 mod record;
 mod refusal;
 mod request;
+mod status;
 
 pub use self::node::Node;
+pub use self::status::Status;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -307,6 +307,18 @@
         self.prefix.len()
     }
 
+    /// Returns the requests that the open endpoints can serve at the same time.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        self.open().map(|(_, view)| view.report.slots).sum()
+    }
+
+    /// Returns the requests of other nodes at all open endpoints, by the last reports.
+    #[must_use]
+    pub fn foreign(&self) -> f64 {
+        self.open().map(|(_, view)| view.foreign).sum()
+    }
+
     /// Returns this node's requests at all endpoints, interactive and long.
     #[must_use]
     pub fn in_flight(&self) -> [u32; 2] {
--- a/tests/integration/admission.rs
+++ b/tests/integration/admission.rs
@@ -9,7 +9,11 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const ROOM: Room = Room { any: 1, long: 1 };
+const ROOM: Room = Room {
+    any: 1,
+    long: 1,
+    slots: 1,
+};
 
 fn ticket(id: u64, account: &str, class: Class) -> Ticket {
     Ticket {
@@ -90,7 +94,15 @@
     let long = ids.iter().filter(|id| **id < 100).count();
     assert!((16..=20).contains(&long), "{long} of 40");
     // Without room for long work only interactive requests go.
-    let ids = dispatch(&mut admission, Room { any: 1, long: 0 }, 10);
+    let ids = dispatch(
+        &mut admission,
+        Room {
+            any: 1,
+            long: 0,
+            slots: 1,
+        },
+        10,
+    );
     assert!(
         ids.len() == 10 && ids.iter().all(|id| *id >= 100),
         "{ids:?}"
@@ -168,7 +180,7 @@
         let mut admission = Admission::new(Settings::default());
         admission.configure(&"ada".into(), 1.0, case.limit);
         for step in 0..10 {
-            admission.finished(100.0, Millis(step * 100));
+            admission.finished("ada", 100.0, Millis(step * 100));
         }
         let now = Millis(1_000);
         for id in 0..case.queued {
@@ -199,7 +211,11 @@
 fn expired_requests_leave_the_queue_unserved() {
     let mut admission = Admission::new(Settings::default());
     offer(&mut admission, ticket(7, "ada", Class::Long)).expect("room to queue");
-    let full = Room { any: 0, long: 0 };
+    let full = Room {
+        any: 0,
+        long: 0,
+        slots: 1,
+    };
     assert_eq!(admission.poll(full, Millis(59_900)), None);
     let expired = admission.poll(full, Millis(59_901));
     assert!(matches!(expired, Some(Poll::Refuse(t, Reason::Deadline)) if t.id == 7));
