--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! and an explicit clock; drivers around them do the I/O.
 
 pub mod access;
+pub mod addressing;
 pub mod admission;
 pub mod cli;
 pub mod client;
@@ -19,6 +20,7 @@
 pub mod membership;
 pub mod node;
 pub mod peer;
+pub mod platform;
 pub mod questionnaire;
 pub mod reclaim;
 pub mod replay;
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::admission::{Poll, Reason, Share, Ticket};
 use crate::clock::Millis;
 use crate::config::{Class, Config};
-use crate::endpoint::{Endpoint, Key, Table};
+use crate::endpoint::{Key, Table};
 use crate::error::{Error, ErrorKind};
 use crate::lane::{self, Arrival, Lane};
 use crate::replay::Recorder;
@@ -183,6 +183,13 @@
             if let Some(service) = state.services.get_mut(&host.service) {
                 let router = &mut service.lane.router;
                 router.upsert(key, stable_id(&host.host), host.price, !endpoint.leaving);
+                let load = &endpoint.load;
+                let report = Report {
+                    running: load.running,
+                    queued: load.queued,
+                    slots: load.slots,
+                };
+                router.report_newer(key, report, endpoint.loaded_at);
             }
         }
         for service in state.services.values_mut() {
@@ -411,11 +418,21 @@
         let now = self.clock.now();
         let blocks = routing::blocks(target.prompt);
         let query = target.query(&blocks);
+        let mut refreshed = false;
         loop {
             let mut state = self.dispatch.state.lock().expect("dispatch lock");
             let router = &mut state.services.get_mut(target.service)?.lane.router;
-            let key = router.choose(&query, now)?.key;
+            let chosen = router.choose(&query, now);
             drop(state);
+            let Some(choice) = chosen else {
+                // An endpoint may have been listed since the last refresh.
+                if std::mem::replace(&mut refreshed, true) {
+                    return None;
+                }
+                self.refresh_policy();
+                continue;
+            };
+            let key = choice.key;
             let endpoints = self.endpoints.lock().expect("endpoints lock");
             let endpoint = endpoints.get(key).filter(|e| !e.leaving);
             if let Some(endpoint) = endpoint {
@@ -476,42 +493,22 @@
         let mut state = self.dispatch.state.lock().expect("dispatch lock");
         state.retry.retry(attempt, now)
     }
-
-    /// Takes over an endpoint's load report.
-    pub(super) fn reported(&self, key: Key, endpoint: &Endpoint) {
-        let (host, load) = (&endpoint.host, &endpoint.load);
-        let report = Report {
-            running: load.running,
-            queued: load.queued,
-            slots: load.slots,
-        };
-        let now = self.clock.now();
-        let mut state = self.dispatch.state.lock().expect("dispatch lock");
-        if let Some(service) = state.services.get_mut(&host.service) {
-            let router = &mut service.lane.router;
-            router.upsert(key, stable_id(&host.host), host.price, !endpoint.leaving);
-            router.report(key, report, now);
-            service.pump(now);
-        }
-    }
 }
 
 /// Demand, for the shares of global limits.
-impl Node {
-    /// Records the demand of an account that this node announces, in cost units a second.
-    #[allow(dead_code, reason = "called when probes carry demand")]
-    pub(super) fn announce_demand(&self, account: &Arc<str>, rate: f64) {
-        let now = self.clock.now();
-        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+impl Dispatch {
+    /// Records the demand of an account that this node announces, in requests a second.
+    pub(super) fn announce(&self, account: &Arc<str>, rate: f64, now: Millis) {
+        let mut state = self.state.lock().expect("dispatch lock");
         state.share(account, now).announce(rate, now);
     }
 
     /// Records the demand that a peer announced.
-    #[allow(dead_code, reason = "called when probes carry demand")]
-    pub(super) fn heard_demand(&self, account: &Arc<str>, peer: &Arc<str>, rate: f64) {
-        let now = self.clock.now();
-        let mut state = self.dispatch.state.lock().expect("dispatch lock");
-        state.share(account, now).heard(peer, rate, now);
+    pub(super) fn heard(&self, account: &Arc<str>, peer: &Arc<str>, rate: f64, at: Millis) {
+        let mut state = self.state.lock().expect("dispatch lock");
+        let share = state.share(account, at);
+        share.heard(peer, rate, at);
+        share.forget(None, at);
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,18 +1,18 @@
 //! The `serve` process: accepts requests, routes them to endpoints and streams the responses.
 
 mod admin;
+mod answers;
 mod api;
 mod attempt;
 mod background;
-#[allow(dead_code, unused_imports, reason = "called by the peer handler")]
 mod backup;
-mod body_limit;
 mod calls;
+mod cluster;
 mod dispatch;
 mod drain;
 mod drive;
 mod engine;
-mod follow;
+mod gossip;
 mod held;
 mod leaving;
 mod life;
@@ -20,13 +20,16 @@
 mod node;
 mod pace;
 mod plain;
+mod polls;
 mod record;
 mod refusal;
 mod request;
+mod response;
 mod shard;
 mod shard_reader;
 mod status;
 mod stop;
+mod sync;
 mod takeover;
 
 pub use self::node::Node;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// As [`Router::report`], unless the report is the known one or an older one.
+    pub fn report_newer(&mut self, key: K, report: Report, at: Millis) {
+        if self.view_mut(key).is_some_and(|view| view.reported_at < at) {
+            self.report(key, report, at);
+        }
+    }
+
     /// Records that a request was dispatched to an endpoint.
     pub fn dispatched(&mut self, key: K, query: &Query<'_, K>, now: Millis) {
         let Some(&slot) = self.slots.get(&key) else {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod at_most_once;
 mod broken_files;
 mod call_harness;
+mod config_spread;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
@@ -22,4 +23,5 @@
 mod routing;
 mod stalled_connections;
 mod streaming;
+mod untrusted_input;
 mod whole_response;
