--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -3,7 +3,9 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{call, check, completions, dev, dump, generate, publish, rollouts, serve, status};
+use super::{
+    call, check, completions, dev, dump, generate, load, publish, replay, rollouts, serve, status,
+};
 
 /// Exit code of a command that failed.
 const FAILED: u8 = 1;
@@ -33,6 +35,8 @@
         .subcommand(call::command())
         .subcommand(rollouts::command())
         .subcommand(dev::command())
+        .subcommand(replay::command())
+        .subcommand(load::command())
         .subcommand(completions::command())
         .after_help(
             "Exit codes: 0 done, 1 failed, 2 wrong usage; `call` also 3 not run, 4 may have run",
@@ -81,6 +85,8 @@
         Some(("call", args)) => call::run(args).await,
         Some(("rollouts", args)) => rollouts::run(args),
         Some(("dev", args)) => dev::run(args, json).await,
+        Some(("replay", args)) => replay::run(args),
+        Some(("load", args)) => load::run(args).await,
         _ => unreachable!("clap accepts only the subcommands above"),
     }
 }
--- a/src/endpoint/table.rs
+++ b/src/endpoint/table.rs
@@ -205,6 +205,16 @@
         chosen.into_iter()
     }
 
+    /// Returns the endpoints of a service that must not get a request, for the version that `draw`
+    /// chooses; those that are leaving are not among them.
+    ///
+    /// It counts a request to the new version, so that it is called once for each attempt.
+    pub fn barred(&mut self, service: &str, draw: f64) -> Vec<Key> {
+        let allowed: HashSet<Key> = self.candidates(service, draw).map(|(key, _)| key).collect();
+        let alive = self.alive(service).map(|(key, _)| key);
+        alive.filter(|key| !allowed.contains(key)).collect()
+    }
+
     fn choose_version(&mut self, service: &str, draw: f64) -> Option<Arc<str>> {
         let mut split = self.splits.remove(service)?;
         let has = |version: &str| self.alive(service).any(|(_, e)| &**e.version() == version);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod access;
 pub mod addressing;
+pub mod admission;
 pub mod cli;
 pub mod client;
 pub mod clock;
@@ -13,6 +14,7 @@
 pub mod document;
 pub mod endpoint;
 pub mod error;
+pub mod lane;
 pub mod ledger;
 pub mod log;
 pub mod membership;
@@ -22,7 +24,10 @@
 pub mod platform;
 pub mod questionnaire;
 pub mod reclaim;
+pub mod replay;
+pub mod retry;
 pub mod rollout;
+pub mod routing;
 pub mod settings;
 pub mod standin;
 pub mod stream;
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -15,6 +15,7 @@
 use crate::log::Offset;
 use crate::membership::{Member, Peer};
 
+use super::dispatch::PolicyDump;
 use super::held::{Held, held};
 use super::life::Stage;
 use super::refusal::refusal;
@@ -44,6 +45,7 @@
     active: Option<Arc<Active>>,
     endpoints: Vec<Endpoint>,
     streams: usize,
+    policy: PolicyDump,
     own: Member,
     peers: Vec<Peer>,
     calls: Vec<Summary>,
@@ -152,6 +154,7 @@
             active: self.active.load_full(),
             endpoints: endpoints.iter().map(|(_, e)| e.clone()).collect(),
             streams: self.streams.len(),
+            policy: self.dispatch.dump(self.clock.now()),
             calls: self.calls.summary(),
             responses: held(self),
             rollouts: self.rollouts.statements(self.clock.wall()),
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -131,6 +131,10 @@
             let error = Error::not_run(ErrorKind::Overloaded, "too many requests are in flight");
             calls::unproven(error.with_retry_after(calls::RETRY_AFTER), keyed)
         })?;
+        let permit = node
+            .admit(&request, permit)
+            .await
+            .map_err(|error| calls::unproven(error, keyed))?;
         node.count_demand(&request.account);
         let service = request.active.config.service(&request.route.service);
         match service.map(|service| service.kind) {
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -10,7 +10,7 @@
 use crate::log::Service as _;
 use crate::supervisor::Supervisor;
 
-use super::{Node, backup, gossip, polls};
+use super::{Node, backup, gossip, polls, sync};
 
 /// Time between two looks at the token file, and after a failed read of the log.
 const POLL_INTERVAL: Millis = Millis(500);
@@ -39,6 +39,8 @@
     let this = Arc::clone(node);
     supervisor.spawn("load", move |token| polls::load(Arc::clone(&this), token));
     let this = Arc::clone(node);
+    supervisor.spawn("policy", move |token| sync::run(Arc::clone(&this), token));
+    let this = Arc::clone(node);
     supervisor.spawn("gossip", move |token| gossip::run(Arc::clone(&this), token));
     let this = Arc::clone(node);
     supervisor.spawn("streams", move |token| {
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::sync::CancellationToken;
 use warp::reply::Response;
 
@@ -18,6 +17,7 @@
 
 use super::Node;
 use super::attempt::Attempt;
+use super::dispatch::Permit;
 use super::request::{Request, header};
 use super::shard::{Shard, Summary};
 use super::shard_reader::ShardReader;
@@ -153,7 +153,7 @@
 pub(super) async fn call(
     node: &Arc<Node>,
     request: Request,
-    permit: OwnedSemaphorePermit,
+    mut permit: Permit,
 ) -> Result<Response, Error> {
     let key = check(node, &request)?;
     let attempt = Attempt {
@@ -172,6 +172,9 @@
     // finished in the log.
     let task = tokio::spawn(async move {
         let result = attempt.run(&this).await;
+        if result.is_ok() {
+            permit.succeeded(0);
+        }
         drop((open, permit));
         result
     });
--- /dev/null
+++ b/src/node/dispatch.rs
@@ -0,0 +1,683 @@
+use std::collections::HashMap;
+use std::fs::File;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use eyre::WrapErr;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::admission::{Poll, Reason, Share, Ticket};
+use crate::clock::Millis;
+use crate::config::{Class, Config};
+use crate::endpoint::{Key, Table};
+use crate::error::{Error, ErrorKind};
+use crate::lane::{self, Arrival, Lane};
+use crate::replay::Recorder;
+use crate::retry::{Attempt, Backoff, Decision, Retry};
+use crate::routing::{self, Query, Report};
+use crate::settings;
+
+use super::Node;
+use super::record::Recording;
+use super::request::Request;
+
+/// Longest time until a node's demand is known to its peers, as each probes three a second.
+const DEMAND_WINDOW: Millis = Millis(5_000);
+
+/// Time after which a silent peer no longer counts in the shares of limits.
+const DEMAND_HOLD: Millis = Millis(15_000);
+
+/// Time that a refused caller should wait before another try.
+const RETRY_AFTER: Millis = Millis(1_000);
+
+/// Most accounts with a share; there are a few more only while a configuration changes.
+const MAX_SHARES: usize = 1_024;
+
+type Waiting = HashMap<u64, oneshot::Sender<Result<(), Reason>>>;
+
+/// The policy state of a node for all services.
+#[derive(Debug)]
+pub(super) struct Dispatch {
+    state: Mutex<State>,
+    pub(super) recording: Option<Recording>,
+}
+
+#[derive(Debug)]
+struct State {
+    services: HashMap<Arc<str>, Service>,
+    retry: Retry<Key>,
+    shares: HashMap<Arc<str>, Share>,
+    seed: u64,
+}
+
+#[derive(Debug)]
+struct Service {
+    lane: Lane<Key>,
+    waiting: Waiting,
+}
+
+/// What the choice of an endpoint depends on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Target<'a> {
+    pub(super) service: &'a Arc<str>,
+    pub(super) class: Class,
+    /// The prompt; empty for plain services.
+    pub(super) prompt: &'a str,
+    /// Endpoints that earlier attempts failed at.
+    pub(super) exclude: &'a [Key],
+    /// Number in [0, 1] that chooses the version, the same at all nodes for a request.
+    pub(super) draw: f64,
+}
+
+/// The part of a model request's body that admission needs.
+#[derive(Deserialize)]
+struct Sizes<'a> {
+    #[serde(borrow)]
+    prompt: std::borrow::Cow<'a, str>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+}
+
+/// The right to use endpoints for a request, given back when dropped.
+#[derive(Debug)]
+pub(super) struct Permit {
+    node: Arc<Node>,
+    /// None for a call that did not queue.
+    ticket: Option<Ticket>,
+    service: Arc<str>,
+    route: Arc<str>,
+    admitted_at: Millis,
+    generated: Option<u32>,
+    recorded: Option<crate::replay::Request>,
+    _slot: OwnedSemaphorePermit,
+}
+
+/// An attempt at an endpoint, counted there until dropped.
+#[derive(Debug)]
+pub(super) struct Placement {
+    node: Arc<Node>,
+    service: Arc<str>,
+    class: Class,
+    blocks: Vec<u64>,
+    prompt_tokens: u32,
+    predicted: u32,
+    placed_at: Millis,
+    pending: bool,
+    succeeded: bool,
+    key: Key,
+}
+
+/// An endpoint that was chosen.
+#[derive(Debug)]
+pub(super) struct Chosen {
+    pub(super) key: Key,
+    pub(super) host: Arc<str>,
+    pub(super) address: SocketAddr,
+}
+
+impl Target<'_> {
+    fn query<'q>(&self, blocks: &'q [u64], exclude: &'q [Key]) -> Query<'q, Key> {
+        let model = !self.prompt.is_empty();
+        Query {
+            blocks,
+            prompt_tokens: if model {
+                routing::tokens(self.prompt)
+            } else {
+                0
+            },
+            class: self.class,
+            exclude,
+        }
+    }
+}
+
+impl Dispatch {
+    /// Creates the state of a node without services, with an open trace file if one is set.
+    pub(super) fn new(settings: &settings::Node, now: Millis) -> eyre::Result<Self> {
+        let seed = rand::random();
+        let recording = match &settings.trace_file {
+            Some(path) => {
+                let file = File::create(path)
+                    .wrap_err_with(|| format!("creating the trace {}", path.display()))?;
+                Some(Recording::new(Recorder::new(file), now))
+            }
+            None => None,
+        };
+        Ok(Self {
+            state: Mutex::new(State {
+                services: HashMap::new(),
+                retry: Retry::new(Backoff::default(), seed),
+                shares: HashMap::new(),
+                seed,
+            }),
+            recording,
+        })
+    }
+
+    /// Takes over the accounts of a configuration.
+    pub(super) fn configure(&self, config: &Config) {
+        let mut state = self.state.lock().expect("dispatch lock");
+        for service in &config.services {
+            state.service(&service.name, config.weights.cost);
+        }
+        for service in state.services.values_mut() {
+            for account in &config.client_accounts {
+                let limit = account.limit_cost_per_s;
+                service
+                    .lane
+                    .admission
+                    .configure(&account.name, account.weight, limit);
+            }
+        }
+        if let Some(recording) = &self.recording {
+            recording.configure(config);
+        }
+    }
+
+    /// Takes over the endpoints with their prices and load.
+    pub(super) fn refresh(&self, endpoints: &Table) {
+        let mut state = self.state.lock().expect("dispatch lock");
+        for (key, endpoint) in endpoints.iter() {
+            let host = &endpoint.host;
+            if let Some(service) = state.services.get_mut(&host.service) {
+                let router = &mut service.lane.router;
+                router.upsert(key, stable_id(&host.host), host.price, !endpoint.leaving);
+                let load = &endpoint.load;
+                let report = Report {
+                    running: load.running,
+                    queued: load.queued,
+                    slots: load.slots,
+                };
+                router.report_newer(key, report, endpoint.loaded_at);
+            }
+        }
+        for service in state.services.values_mut() {
+            service
+                .lane
+                .router
+                .retain(|key| endpoints.get(key).is_some());
+        }
+        state.retry.retain(|key| endpoints.get(key).is_some());
+        if let Some(recording) = &self.recording {
+            recording.endpoints(endpoints.iter().map(|(_, endpoint)| &endpoint.host));
+        }
+    }
+}
+
+impl Dispatch {
+    /// Counts an attempt at a plain service that starts or ends.
+    pub(super) fn counted(&self, key: Key, starts: bool) {
+        let mut state = self.state.lock().expect("dispatch lock");
+        for service in state.services.values_mut() {
+            let router = &mut service.lane.router;
+            if starts {
+                router.dispatched(key, &PLAIN, Millis::ZERO);
+            } else {
+                router.finished(key, Class::Interactive, None);
+            }
+        }
+    }
+}
+
+/// The query of a plain service, which has no prompt.
+const PLAIN: Query<'_, Key> = Query {
+    blocks: &[],
+    prompt_tokens: 0,
+    class: Class::Interactive,
+    exclude: &[],
+};
+
+impl State {
+    fn service(&mut self, name: &Arc<str>, cost_weight: f64) -> &mut Service {
+        let seed = self.seed ^ stable_id(name);
+        self.services.entry(Arc::clone(name)).or_insert_with(|| {
+            let routing = routing::Settings {
+                seed,
+                ..routing::Settings::default()
+            };
+            let price_ms = routing.price_ms * cost_weight * 2.0;
+            Service {
+                lane: Lane::new(lane::Settings {
+                    routing: routing::Settings {
+                        price_ms,
+                        ..routing
+                    },
+                    ..lane::Settings::default()
+                }),
+                waiting: HashMap::new(),
+            }
+        })
+    }
+
+    fn share(&mut self, account: &Arc<str>, now: Millis) -> &mut Share {
+        if self.shares.len() >= MAX_SHARES && !self.shares.contains_key(account) {
+            self.shares.clear();
+        }
+        self.shares
+            .entry(Arc::clone(account))
+            .or_insert_with(|| Share::new(DEMAND_WINDOW, DEMAND_HOLD, now))
+    }
+}
+
+impl Service {
+    /// Dispatches and refuses what is due; what nobody waits for any more counts as ended.
+    fn pump(&mut self, now: Millis) {
+        while let Some(poll) = self.lane.poll(now) {
+            let (ticket, result) = match poll {
+                Poll::Dispatch(ticket) => (ticket, Ok(())),
+                Poll::Refuse(ticket, reason) => (ticket, Err(reason)),
+            };
+            let sender = self.waiting.remove(&ticket.id);
+            let dispatched = result.is_ok();
+            let taken = sender.is_some_and(|sender| sender.send(result).is_ok());
+            if dispatched && !taken {
+                self.lane.ended(&ticket, &"".into(), None, now);
+            }
+        }
+    }
+}
+
+/// Admission.
+impl Node {
+    /// Waits until a request may use endpoints.
+    ///
+    /// A call that isn't idempotent does not queue here: only its records in the log may refuse it
+    /// with "not run", and their writer has a bounded queue of its own.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what exceeds a limit or a queue and what can't meet its deadline. This attempt has
+    /// not run then; the caller of this function accounts for earlier ones with the same key.
+    pub(super) async fn admit(
+        self: &Arc<Self>,
+        request: &Request,
+        slot: OwnedSemaphorePermit,
+    ) -> Result<Permit, Error> {
+        if !request.route.idempotent {
+            return Ok(self.unqueued(request, slot));
+        }
+        let sizes = self.sizes(request)?;
+        let prompt = sizes.as_ref().map_or("", |sizes| &*sizes.prompt);
+        let limit = request.route.max_tokens;
+        let wanted = sizes.as_ref().and_then(|sizes| sizes.max_tokens);
+        let model = sizes.is_some();
+        let recorded = model
+            .then_some(self.dispatch.recording.as_ref())
+            .flatten()
+            .map(|recording| recording.arrive(request, prompt, self.clock.now()));
+        let offered = self.offer(request, prompt, wanted.map_or(limit, |n| n.min(limit)));
+        let (ticket, receiver) = match offered {
+            Ok(queued) => queued,
+            Err(reason) => return Err(self.refused(reason, recorded)),
+        };
+        let mut queued = Queued {
+            node: self,
+            service: &request.route.service,
+            ticket: Some(&ticket),
+        };
+        let result = receiver.await.unwrap_or(Err(Reason::QueueFull));
+        queued.ticket = None;
+        drop(queued);
+        if let Err(reason) = result {
+            return Err(self.refused(reason, recorded));
+        }
+        Ok(Permit {
+            node: Arc::clone(self),
+            service: Arc::clone(&request.route.service),
+            route: Arc::clone(&request.route.name),
+            admitted_at: self.clock.now(),
+            generated: None,
+            recorded,
+            ticket: Some(ticket),
+            _slot: slot,
+        })
+    }
+
+    fn unqueued(self: &Arc<Self>, request: &Request, slot: OwnedSemaphorePermit) -> Permit {
+        Permit {
+            node: Arc::clone(self),
+            service: Arc::clone(&request.route.service),
+            route: Arc::clone(&request.route.name),
+            admitted_at: self.clock.now(),
+            generated: None,
+            recorded: None,
+            ticket: None,
+            _slot: slot,
+        }
+    }
+
+    fn sizes<'a>(&self, request: &'a Request) -> Result<Option<Sizes<'a>>, Error> {
+        if request.route.max_tokens == 0 {
+            return Ok(None);
+        }
+        serde_json::from_slice(&request.body)
+            .map(Some)
+            .map_err(|error| Error::not_run(ErrorKind::Malformed, format!("body: {error}")))
+    }
+
+    fn offer(
+        &self,
+        request: &Request,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Result<(Ticket, oneshot::Receiver<Result<(), Reason>>), Reason> {
+        let now = self.clock.now();
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        let share = state.share(&request.account, now).current(now);
+        let cost_weight = request.active.config.weights.cost;
+        let service = state.service(&request.route.service, cost_weight);
+        let ticket = service.lane.offer(
+            &Arrival {
+                account: &request.account,
+                route: &request.route.name,
+                class: request.route.class,
+                prompt_tokens: if max_tokens > 0 {
+                    routing::tokens(prompt)
+                } else {
+                    0
+                },
+                max_tokens,
+                deadline: request.deadline,
+                share,
+            },
+            now,
+        )?;
+        let (sender, receiver) = oneshot::channel();
+        service.waiting.insert(ticket.id, sender);
+        service.pump(now);
+        Ok((ticket, receiver))
+    }
+
+    fn refused(&self, reason: Reason, recorded: Option<crate::replay::Request>) -> Error {
+        if let (Some(recording), Some(recorded)) = (&self.dispatch.recording, recorded) {
+            recording.end(recorded);
+        }
+        let (kind, message) = match reason {
+            Reason::QueueFull => (ErrorKind::Overloaded, "the queue is full"),
+            Reason::Limit => (ErrorKind::Overloaded, "the account's limit is reached"),
+            Reason::Deadline => (ErrorKind::DeadlineExceeded, "the deadline can't be met"),
+        };
+        Error::not_run(kind, message).with_retry_after(RETRY_AFTER)
+    }
+
+    /// Dispatches queued requests for which there is room now.
+    pub(super) fn pump(&self) {
+        let now = self.clock.now();
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        for service in state.services.values_mut() {
+            service.pump(now);
+        }
+    }
+}
+
+/// Routing and retries.
+impl Node {
+    /// Chooses the endpoint of an attempt.
+    pub(super) fn choose(&self, target: &Target<'_>) -> Option<Chosen> {
+        let now = self.clock.now();
+        let blocks = routing::blocks(target.prompt);
+        let mut exclude = {
+            let mut endpoints = self.endpoints.lock().expect("endpoints lock");
+            endpoints.barred(target.service, target.draw)
+        };
+        exclude.extend_from_slice(target.exclude);
+        let query = target.query(&blocks, &exclude);
+        let mut refreshed = false;
+        loop {
+            let mut state = self.dispatch.state.lock().expect("dispatch lock");
+            let router = &mut state.services.get_mut(target.service)?.lane.router;
+            let chosen = router.choose(&query, now);
+            drop(state);
+            let Some(choice) = chosen else {
+                // An endpoint may have been listed since the last refresh.
+                if std::mem::replace(&mut refreshed, true) {
+                    return None;
+                }
+                self.refresh_policy();
+                continue;
+            };
+            let key = choice.key;
+            let endpoints = self.endpoints.lock().expect("endpoints lock");
+            let endpoint = endpoints.get(key).filter(|e| !e.leaving);
+            if let Some(endpoint) = endpoint {
+                return Some(Chosen {
+                    key,
+                    host: Arc::clone(&endpoint.host.host),
+                    address: endpoint.host.address,
+                });
+            }
+            drop(endpoints);
+            // It is leaving by a signal that the router has not seen yet. Each round closes one
+            // endpoint, so that the loop ends.
+            let mut state = self.dispatch.state.lock().expect("dispatch lock");
+            let router = &mut state.services.get_mut(target.service)?.lane.router;
+            router.close(key);
+        }
+    }
+
+    /// Counts an attempt at an endpoint until the placement is dropped.
+    pub(super) fn occupy(self: &Arc<Self>, key: Key, target: &Target<'_>) -> Placement {
+        let now = self.clock.now();
+        let blocks = routing::blocks(target.prompt);
+        let query = target.query(&blocks, &[]);
+        let prompt_tokens = query.prompt_tokens;
+        let mut predicted = 0;
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(target.service) {
+            let router = &mut service.lane.router;
+            predicted = router.matched_tokens(key, &blocks);
+            router.dispatched(key, &query, now);
+        }
+        drop(state);
+        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
+        endpoints.count(key, true);
+        Placement {
+            node: Arc::clone(self),
+            service: Arc::clone(target.service),
+            class: target.class,
+            blocks,
+            prompt_tokens,
+            predicted,
+            placed_at: now,
+            pending: true,
+            succeeded: false,
+            key,
+        }
+    }
+
+    /// Counts a first attempt in the retry budgets.
+    pub(super) fn first_attempt(&self, account: &Arc<str>, endpoint: Key) {
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        state.retry.first(account, endpoint);
+    }
+
+    /// Decides whether a failed request is tried again.
+    pub(super) fn retry(&self, attempt: &Attempt<'_, Key>) -> Decision {
+        let now = self.clock.now();
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        state.retry.retry(attempt, now)
+    }
+}
+
+/// Demand, for the shares of global limits.
+impl Dispatch {
+    /// Records the demand of an account that this node announces, in requests a second.
+    pub(super) fn announce(&self, account: &Arc<str>, rate: f64, now: Millis) {
+        let mut state = self.state.lock().expect("dispatch lock");
+        state.share(account, now).announce(rate, now);
+    }
+
+    /// Records the demand that a peer announced.
+    pub(super) fn heard(&self, account: &Arc<str>, peer: &Arc<str>, rate: f64, at: Millis) {
+        let mut state = self.state.lock().expect("dispatch lock");
+        let share = state.share(account, at);
+        share.heard(peer, rate, at);
+        share.forget(None, at);
+    }
+}
+
+/// Takes a request out of the queue when its caller goes while it waits.
+struct Queued<'a> {
+    node: &'a Node,
+    service: &'a Arc<str>,
+    ticket: Option<&'a Ticket>,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
+        let now = self.node.clock.now();
+        let mut state = self.node.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(self.service) {
+            let admission = &mut service.lane.admission;
+            let queued =
+                admission.cancel(&ticket.account, ticket.class, ticket.deadline, ticket.id);
+            let waited = service.waiting.remove(&ticket.id).is_some();
+            if !queued && !waited {
+                // It was dispatched at the moment at which the caller went.
+                service.lane.ended(ticket, &"".into(), None, now);
+            }
+            service.pump(now);
+        }
+    }
+}
+
+impl Permit {
+    /// Records that the request succeeded, with the number of generated tokens.
+    pub(super) fn succeeded(&mut self, tokens: u32) {
+        self.generated = Some(tokens);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let node = Arc::clone(&self.node);
+        let now = node.clock.now();
+        let took = now - self.admitted_at;
+        let succeeded = self.generated.map(|tokens| (tokens, took));
+        let mut state = node.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(&self.service) {
+            if let Some(ticket) = &self.ticket {
+                service.lane.ended(ticket, &self.route, succeeded, now);
+            }
+            service.pump(now);
+        }
+        drop(state);
+        if let (Some(recording), Some(mut recorded)) =
+            (&node.dispatch.recording, self.recorded.take())
+        {
+            recorded.output_tokens = self.generated;
+            recording.end(recorded);
+        }
+    }
+}
+
+impl Placement {
+    /// Records that the endpoint has begun, with the prompt tokens that it found cached.
+    pub(super) fn started(&mut self, cached_tokens: u32) {
+        let now = self.node.clock.now();
+        let query = Query {
+            blocks: &self.blocks,
+            prompt_tokens: self.prompt_tokens,
+            class: self.class,
+            exclude: &[],
+        };
+        let mut state = self.node.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(&self.service) {
+            let router = &mut service.lane.router;
+            router.confirmed(self.key, &query, self.predicted, cached_tokens, now);
+        }
+    }
+
+    /// Records that the first token has arrived.
+    pub(super) fn first_token(&mut self) {
+        if !std::mem::replace(&mut self.pending, false) {
+            return;
+        }
+        let mut state = self.node.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(&self.service) {
+            let router = &mut service.lane.router;
+            router.settle(self.key, self.class, self.prompt_tokens);
+        }
+    }
+
+    /// Records that the attempt succeeded.
+    pub(super) fn succeeded(&mut self) {
+        self.succeeded = true;
+    }
+}
+
+impl Drop for Placement {
+    fn drop(&mut self) {
+        self.first_token();
+        let now = self.node.clock.now();
+        let took = self.succeeded.then_some(now - self.placed_at);
+        let mut state = self.node.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(&self.service) {
+            let router = &mut service.lane.router;
+            router.finished(self.key, self.class, took);
+            service.pump(now);
+        }
+        drop(state);
+        let mut endpoints = self.node.endpoints.lock().expect("endpoints lock");
+        endpoints.count(self.key, false);
+    }
+}
+
+/// State of the policy of one service in the dump.
+#[derive(Debug, Serialize)]
+pub(super) struct ServiceDump {
+    endpoints: Vec<routing::View<Key>>,
+    prefix_entries: usize,
+    decisions: Vec<routing::Choice<Key>>,
+    admission: serde_json::Value,
+    estimates: HashMap<Arc<str>, crate::admission::Estimate>,
+}
+
+/// State of the policy in the dump.
+#[derive(Debug, Serialize)]
+pub(super) struct PolicyDump {
+    seed: u64,
+    services: HashMap<Arc<str>, ServiceDump>,
+    retry_budgets: HashMap<Arc<str>, crate::retry::Budget>,
+    shares: HashMap<Arc<str>, f64>,
+}
+
+impl Dispatch {
+    pub(super) fn dump(&self, now: Millis) -> PolicyDump {
+        let state = self.state.lock().expect("dispatch lock");
+        let services = state.services.iter().map(|(name, service)| {
+            let lane = &service.lane;
+            let dump = ServiceDump {
+                endpoints: lane.router.views().cloned().collect(),
+                prefix_entries: lane.router.prefix_len(),
+                decisions: lane.router.recent().copied().collect(),
+                admission: serde_json::to_value(&lane.admission).unwrap_or_default(),
+                estimates: lane.estimates().map(|(k, v)| (Arc::clone(k), *v)).collect(),
+            };
+            (Arc::clone(name), dump)
+        });
+        let budgets = state.retry.accounts();
+        let shares = state.shares.iter();
+        PolicyDump {
+            seed: state.seed,
+            services: services.collect(),
+            retry_budgets: budgets.map(|(k, v)| (Arc::clone(k), *v)).collect(),
+            shares: shares
+                .map(|(k, v)| (Arc::clone(k), v.current(now)))
+                .collect(),
+        }
+    }
+}
+
+/// Returns a number for a name that is the same at all nodes.
+fn stable_id(name: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- a/src/node/drive.rs
+++ b/src/node/drive.rs
@@ -1,15 +1,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 use crate::clock::Millis;
+use crate::config::Class;
 use crate::endpoint::{Generate, Key};
 use crate::error::{Error, ErrorKind};
+use crate::retry::{Attempt, Decision};
 use crate::stream::{Chunk, Entry, Phase, Source};
 
 use super::Node;
+use super::dispatch::{Permit, Placement, Target};
 use super::engine::{Feed, Item};
 use super::pace::Pace;
 use super::rollouts::{RETRY, Timing, draw};
@@ -28,6 +30,9 @@
 /// Pause before another try after a failure.
 const RETRY_PAUSE: Millis = Millis(50);
 
+/// Pause before another try after a failure, when the retry budget is spent.
+const OVER_BUDGET_PAUSE: Millis = Millis(500);
+
 /// Time between two looks at the engine's state while no token arrives.
 const LOOK_INTERVAL: Millis = Millis(100);
 
@@ -47,6 +52,9 @@
     pub(super) node: Arc<Node>,
     pub(super) entry: Arc<Entry>,
     pub(super) endpoint: Option<Key>,
+    placement: Option<Placement>,
+    /// Pause before the next attempt.
+    pause: Millis,
     /// Endpoints that failed this request; chosen again only when there is no other.
     pub(super) avoid: Vec<Key>,
     pub(super) pace: Pace,
@@ -60,10 +68,12 @@
 }
 
 /// Starts the task that generates a response; `permit` is kept until its end.
-pub(super) fn spawn(node: &Arc<Node>, entry: Arc<Entry>, permit: Option<OwnedSemaphorePermit>) {
+pub(super) fn spawn(node: &Arc<Node>, entry: Arc<Entry>, mut permit: Option<Permit>) {
     let driver = Driver {
         node: Arc::clone(node),
         endpoint: None,
+        placement: None,
+        pause: Millis::ZERO,
         avoid: Vec::new(),
         pace: Pace::default(),
         computed: entry.attempt() > 0,
@@ -74,14 +84,20 @@
         entry,
     };
     tokio::spawn(async move {
-        driver.run().await;
+        let entry = Arc::clone(&driver.entry);
+        let succeeded = driver.run().await;
+        if let Some(permit) = &mut permit
+            && succeeded
+        {
+            permit.succeeded(entry.len());
+        }
         drop(permit);
     });
 }
 
 /// The life of the response.
 impl Driver {
-    async fn run(mut self) {
+    async fn run(mut self) -> bool {
         let entry = Arc::clone(&self.entry);
         let node = Arc::clone(&self.node);
         let left = entry.work().deadline - node.clock.wall();
@@ -99,8 +115,9 @@
         };
         self.leave();
         let Some(result) = result else {
-            return;
+            return false;
         };
+        let succeeded = result.is_ok();
         if result.is_err()
             && let Some(source) = entry.source()
         {
@@ -111,6 +128,7 @@
             result.map_or_else(Phase::Failed, |()| Phase::Done),
             node.clock.now(),
         );
+        succeeded
     }
 
     async fn generate(&mut self) -> Result<(), Error> {
@@ -165,17 +183,30 @@
             };
             heard = self.node.clock.now();
             match item {
-                Item::Start(start) => self.started(feed, start.handle, start.prefill_tokens),
+                Item::Start(start) => {
+                    if let Some(placement) = &mut self.placement {
+                        placement.started(start.cached_tokens);
+                    }
+                    self.started(feed, start.handle, start.prefill_tokens);
+                }
                 Item::Token(token) => {
                     self.pace.token(heard);
                     self.timing.token(heard);
+                    if let Some(placement) = &mut self.placement {
+                        placement.first_token();
+                    }
                     self.entry.push(&Chunk {
                         attempt: feed.attempt,
                         offset: token.offset,
                         text: token.text,
                     });
                 }
-                Item::Done => return End::Done,
+                Item::Done => {
+                    if let Some(placement) = &mut self.placement {
+                        placement.succeeded();
+                    }
+                    return End::Done;
+                }
                 Item::Failed(error) => return End::Failed(error),
                 Item::Cut(error) => return End::Lost(error),
             }
@@ -202,12 +233,20 @@
     /// Starts the next attempt on some endpoint; waits while there is none.
     async fn start(&mut self) -> Result<Feed, Error> {
         loop {
+            tokio::time::sleep(std::mem::take(&mut self.pause).into()).await;
             if let Some((key, address)) = self.choose() {
+                if self.entry.attempt() == 0 {
+                    self.node.first_attempt(&self.entry.work().account, key);
+                }
                 let order = self.order();
                 self.timing = Timing::start(self.node.clock.now());
+                // Counted from here on, as the engine may queue the request before it answers.
+                let placement = self.placement(key);
                 match self.node.generate(address, &order).await {
                     Ok(feed) => {
-                        self.enter(key);
+                        self.leave();
+                        self.endpoint = Some(key);
+                        self.placement = Some(placement);
                         return Ok(feed);
                     }
                     Err(error) => {
@@ -222,17 +261,35 @@
     }
 
     pub(super) fn choose(&mut self) -> Option<(Key, std::net::SocketAddr)> {
-        let work = self.entry.work();
         let draw = if self.entry.attempt() == 0 {
-            draw(work.id.as_bytes())
+            draw(self.entry.work().id.as_bytes())
         } else {
             RETRY
         };
-        let chosen = self.node.choose_except(&work.service, &self.avoid, draw);
+        let chosen = self.node.choose(&self.target(&self.avoid, draw));
         if chosen.is_none() {
             self.avoid.clear();
         }
-        chosen
+        chosen.map(|chosen| (chosen.key, chosen.address))
+    }
+
+    fn target<'a>(&'a self, exclude: &'a [Key], draw: f64) -> Target<'a> {
+        let work = self.entry.work();
+        Target {
+            service: &work.service,
+            class: if work.priority == 0 {
+                Class::Interactive
+            } else {
+                Class::Long
+            },
+            prompt: &work.prompt,
+            exclude,
+            draw,
+        }
+    }
+
+    fn placement(&self, key: Key) -> Placement {
+        self.node.occupy(key, &self.target(&[], RETRY))
     }
 
     fn order(&self) -> Generate {
@@ -293,6 +350,7 @@
             self.avoid.push(key);
             self.observe(key, Some(&error));
         }
+        let failed = self.avoid.last().copied();
         self.leave();
         self.silent = 0;
         // A request that reached no engine says nothing about the request itself.
@@ -302,6 +360,32 @@
         if self.failures >= MAX_FAILURES {
             return Err(error);
         }
+        self.pace_retry(failed, error)
+    }
+
+    /// Sets the pause before the next attempt; fails when no time is left for one.
+    ///
+    /// A spent retry budget does not fail accepted work, but slows its attempts down.
+    fn pace_retry(&mut self, endpoint: Option<Key>, error: Error) -> Result<(), Error> {
+        let Some(endpoint) = endpoint else {
+            return Ok(());
+        };
+        let work = self.entry.work();
+        let now = self.node.clock.now();
+        let decision = self.node.retry(&Attempt {
+            account: &work.account,
+            endpoint,
+            attempts: self.failures.max(1),
+            idempotent: true,
+            verdict: error.verdict(),
+            expected: Millis::ZERO,
+            deadline: now + (work.deadline - self.node.clock.wall()),
+        });
+        self.pause = match decision {
+            Decision::After(delay) => delay,
+            Decision::Deadline => return Err(error),
+            Decision::Budget | Decision::Attempts | Decision::NotIdempotent => OVER_BUDGET_PAUSE,
+        };
         Ok(())
     }
 
@@ -313,14 +397,13 @@
 
     pub(super) fn enter(&mut self, key: Key) {
         self.leave();
-        self.node.count(key, true);
+        self.placement = Some(self.placement(key));
         self.endpoint = Some(key);
     }
 
     pub(super) fn leave(&mut self) {
-        if let Some(key) = self.endpoint.take() {
-            self.node.count(key, false);
-        }
+        self.endpoint = None;
+        self.placement = None;
     }
 }
 
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -236,6 +236,7 @@
         }
         info!(self.log, "configuration active"; "version" => active.version.0);
         self.active.store(Some(Arc::new(active.clone())));
+        self.dispatch.configure(&active.config);
         drop(control);
         self.relay();
     }
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -2,7 +2,6 @@
 use std::sync::Arc;
 
 use serde::Deserialize;
-use tokio::sync::OwnedSemaphorePermit;
 use warp::reply::Response;
 
 use crate::config::Class;
@@ -10,6 +9,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::stream::{Cursor, Work};
 
+use super::dispatch::Permit;
 use super::request::Request;
 use super::{Node, drive, response};
 
@@ -25,7 +25,7 @@
 pub(super) async fn call(
     node: &Arc<Node>,
     request: Request,
-    permit: OwnedSemaphorePermit,
+    permit: Permit,
 ) -> Result<Response, Error> {
     let work = work(node, &request)?;
     if let Some(known) = node.streams.get(request.id) {
@@ -74,22 +74,6 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight, without those in `avoid`, of the
-    /// version that `draw` chooses.
-    pub(super) fn choose_except(
-        &self,
-        service: &str,
-        avoid: &[Key],
-        draw: f64,
-    ) -> Option<(Key, SocketAddr)> {
-        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
-        endpoints
-            .candidates(service, draw)
-            .filter(|(key, _)| !avoid.contains(key))
-            .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
-            .map(|(key, e)| (key, e.host.address))
-    }
-
     /// Returns the endpoint with this address.
     pub(super) fn endpoint_at(&self, address: SocketAddr) -> Option<Key> {
         let endpoints = self.endpoints.lock().expect("endpoints lock");
@@ -109,5 +93,6 @@
             .lock()
             .expect("endpoints lock")
             .count(key, starts);
+        self.dispatch.counted(key, starts);
     }
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -24,6 +24,7 @@
 use super::backup::{Copies, Replication};
 use super::calls::{self, Calls};
 use super::cluster::Cluster;
+use super::dispatch::Dispatch;
 use super::life::Control;
 use super::rollouts::{self, Watch};
 use super::{admin, api, background, drain};
@@ -47,6 +48,7 @@
     pub(super) refused: ArcSwapOption<String>,
     pub(super) endpoints: Mutex<Table>,
     pub(super) rollouts: Watch,
+    pub(super) dispatch: Dispatch,
     pub(super) streams: Store,
     pub(super) life: Control,
     /// Cancelled during a drain when callers can no longer hold this node's address.
@@ -78,8 +80,10 @@
             .install_recorder()
             .wrap_err("installing the metrics recorder")?;
         let clock = Clock::system();
+        let dispatch = Dispatch::new(&settings, clock.now())?;
         Ok(Arc::new(Self {
             cluster: Cluster::new(&settings, &clock),
+            dispatch,
             clock,
             log: log.new(o!("node" => settings.name.to_string())),
             access: ArcSwap::from_pointee(access),
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -6,18 +6,20 @@
 use bytes::Bytes;
 use hyper::Method;
 use hyper::body::Incoming;
-use tokio::sync::OwnedSemaphorePermit;
 use warp::http::{HeaderValue, StatusCode};
 use warp::reply::Response;
 
 use crate::clock::Millis;
+use crate::config::Class;
 use crate::endpoint;
 use crate::error::{Error, ErrorKind};
 use crate::ledger::{Blob, Outcome};
+use crate::retry::{Attempt, Decision};
 use crate::rollout;
 
 use super::Node;
 use super::calls;
+use super::dispatch::{Permit, Target};
 use super::request::Request;
 use super::rollouts::{RETRY, Timing, draw};
 
@@ -103,7 +105,7 @@
 pub(super) async fn call(
     node: &Arc<Node>,
     request: Request,
-    permit: OwnedSemaphorePermit,
+    mut permit: Permit,
 ) -> Result<Response, Error> {
     if !request.route.idempotent {
         return calls::call(node, request, permit).await;
@@ -121,6 +123,9 @@
             break;
         };
         tried.push(endpoint);
+        if tried.len() == 1 {
+            node.first_attempt(&request.account, endpoint);
+        }
         node.count(endpoint, true);
         let left = request.deadline - node.clock.now();
         let last = tried.len() == MAX_ATTEMPTS;
@@ -132,11 +137,27 @@
         let evidence = Reply::evidence(&result, &timing);
         node.observe(endpoint, &request.route.name, evidence);
         match result {
-            Ok(reply) => return Ok(reply.response()),
+            Ok(reply) => {
+                permit.succeeded(0);
+                return Ok(reply.response());
+            }
             Err(error) => {
                 let earlier = failure.map_or(error.verdict(), |failure| failure.verdict());
                 let verdict = error.verdict().combine(earlier);
+                let decision = node.retry(&Attempt {
+                    account: &request.account,
+                    endpoint,
+                    attempts: tried.len() as u32,
+                    idempotent: true,
+                    verdict,
+                    expected: Millis::ZERO,
+                    deadline: request.deadline,
+                });
                 failure = Some(error.with_verdict(verdict));
+                let Decision::After(delay) = decision else {
+                    break;
+                };
+                tokio::time::sleep(delay.into()).await;
             }
         }
     }
@@ -171,19 +192,20 @@
 }
 
 impl Node {
-    /// Chooses the endpoint with the fewest requests in flight among those not tried yet; `draw`
-    /// chooses the version.
+    /// Chooses an endpoint of a plain service among those not tried yet; `draw` chooses the version.
     pub(super) fn choose_other(
         &self,
-        service: &str,
+        service: &Arc<str>,
         tried: &[endpoint::Key],
         draw: f64,
     ) -> Option<(endpoint::Key, Arc<str>, SocketAddr)> {
-        let mut endpoints = self.endpoints.lock().expect("endpoints lock");
-        endpoints
-            .candidates(service, draw)
-            .filter(|(key, _)| !tried.contains(key))
-            .min_by_key(|(_, e)| e.in_flight + e.load.running + e.load.queued)
-            .map(|(key, e)| (key, Arc::clone(&e.host.host), e.host.address))
+        let chosen = self.choose(&Target {
+            service,
+            class: Class::Interactive,
+            prompt: "",
+            exclude: tried,
+            draw,
+        })?;
+        Some((chosen.key, chosen.host, chosen.address))
     }
 }
--- /dev/null
+++ b/src/node/record.rs
@@ -0,0 +1,113 @@
+use std::collections::HashSet;
+use std::fs::File;
+use std::sync::{Arc, Mutex};
+
+use crate::clock::Millis;
+use crate::config::Config;
+use crate::endpoint::Host;
+use crate::replay::{self, Header, Line, Recorder, Site, Weight};
+use crate::routing;
+
+use super::request::Request;
+
+/// The trace that a node records of the requests to its model services.
+#[derive(Debug)]
+pub(super) struct Recording {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    recorder: Recorder<File>,
+    started: Millis,
+    header: bool,
+    /// Accounts and endpoints that have a line.
+    named: HashSet<Arc<str>>,
+}
+
+impl Recording {
+    pub(super) fn new(recorder: Recorder<File>, now: Millis) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                recorder,
+                started: now,
+                header: false,
+                named: HashSet::new(),
+            }),
+        }
+    }
+
+    /// Writes the header when there is none yet, and lines for new accounts.
+    pub(super) fn configure(&self, config: &Config) {
+        let mut inner = self.inner.lock().expect("recording lock");
+        if !std::mem::replace(&mut inner.header, true) {
+            let header = Header::new(Arc::clone(&config.deployment));
+            inner.write(&Line::Header(header));
+        }
+        for account in &config.client_accounts {
+            if inner.named.insert(Arc::clone(&account.name)) {
+                inner.write(&Line::Account(Weight {
+                    name: Arc::clone(&account.name),
+                    weight: account.weight,
+                }));
+            }
+        }
+    }
+
+    /// Writes lines for new endpoints.
+    pub(super) fn endpoints<'a, I>(&self, hosts: I)
+    where
+        I: Iterator<Item = &'a Host>,
+    {
+        let mut inner = self.inner.lock().expect("recording lock");
+        if !inner.header {
+            return;
+        }
+        for host in hosts {
+            if inner.named.insert(Arc::clone(&host.host)) {
+                inner.write(&Line::Endpoint(Site {
+                    name: Arc::clone(&host.host),
+                    service: Arc::clone(&host.service),
+                    domain: Arc::clone(&host.domain),
+                    price: host.price,
+                }));
+            }
+        }
+    }
+
+    /// Numbers a request that arrives; its line is written when it ends.
+    pub(super) fn arrive(&self, request: &Request, prompt: &str, now: Millis) -> replay::Request {
+        let blocks = routing::blocks(prompt);
+        let mut inner = self.inner.lock().expect("recording lock");
+        let (n, shared) = inner.recorder.arrive(&blocks);
+        replay::Request {
+            n,
+            at_ms: now - inner.started,
+            account: Arc::clone(&request.account),
+            route: Arc::clone(&request.route.name),
+            service: Arc::clone(&request.route.service),
+            class: request.route.class,
+            idempotent: request.route.idempotent,
+            deadline_ms: request.deadline - now,
+            prompt_tokens: routing::tokens(prompt),
+            blocks: u32::try_from(blocks.len()).unwrap_or(u32::MAX),
+            shared,
+            output_tokens: None,
+        }
+    }
+
+    /// Writes the line of a request that ended.
+    pub(super) fn end(&self, request: replay::Request) {
+        let mut inner = self.inner.lock().expect("recording lock");
+        inner.write(&Line::Request(request));
+    }
+}
+
+impl Inner {
+    /// A full disk must not fail the requests that are recorded.
+    fn write(&mut self, line: &Line) {
+        if self.recorder.write(line).is_err() {
+            metrics::counter!("almondpath_trace_write_failures_total").increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/sync.rs
@@ -0,0 +1,74 @@
+use std::sync::Arc;
+
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+use crate::membership::short_hash;
+
+use super::Node;
+
+/// Time between two looks at endpoints and load reports; it bounds how long a new report waits.
+const INTERVAL: Millis = Millis(100);
+
+/// Looks between two updates of the shares of limits.
+const SHARE_LOOKS: u32 = 10;
+
+/// Hands what the node learns of endpoints and of the peers' demand to the policy, and dispatches
+/// or refuses queued requests whose time has come.
+pub(super) async fn run(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let mut looks = 0_u32;
+    while !token.is_cancelled() {
+        node.refresh_policy();
+        if looks.is_multiple_of(SHARE_LOOKS) {
+            node.update_shares();
+        }
+        looks = looks.wrapping_add(1);
+        node.pump();
+        tokio::select! {
+            () = token.cancelled() => {}
+            () = tokio::time::sleep(INTERVAL.into()) => {}
+        }
+    }
+    Ok(())
+}
+
+impl Node {
+    /// Takes over the endpoints with their newest load reports.
+    pub(super) fn refresh_policy(&self) {
+        let endpoints = self.endpoints.lock().expect("endpoints lock");
+        self.dispatch.refresh(&endpoints);
+    }
+
+    /// Updates the demand of the accounts that have a limit.
+    fn update_shares(&self) {
+        let Some(active) = self.active.load_full() else {
+            return;
+        };
+        let now = self.clock.now();
+        let accounts = &active.config.client_accounts;
+        for account in accounts.iter().filter(|a| a.limit_cost_per_s.is_some()) {
+            let hash = short_hash(&account.name);
+            let own = self.cluster.rates.lock().expect("rates lock").demand(now);
+            let rate = own
+                .iter()
+                .find(|d| d.account == hash)
+                .map_or(0.0, |d| d.rate);
+            self.dispatch.announce(&account.name, f64::from(rate), now);
+            let heard: Vec<_> = self
+                .cluster
+                .view()
+                .peers()
+                .filter_map(|peer| {
+                    let demand = &peer.header.as_ref()?.demand;
+                    let rate = demand.iter().find(|d| d.account == hash);
+                    let rate = rate.map_or(0.0, |d| d.rate);
+                    Some((Arc::clone(&peer.member.name), rate, peer.heard_at?))
+                })
+                .collect();
+            for (peer, rate, at) in heard {
+                self.dispatch
+                    .heard(&account.name, &peer, f64::from(rate), at);
+            }
+        }
+    }
+}
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -54,6 +54,8 @@
     pub stall_ms: Millis,
     /// Longest time a graceful shutdown waits for open requests before it hands them over.
     pub drain_ms: Millis,
+    /// File to record a trace of model requests to, for `replay`; none records nothing.
+    pub trace_file: Option<PathBuf>,
     /// Number of streams that non-idempotent calls are spread over; must be the same on all nodes.
     ///
     /// The first node writes it to the log; a node with another number refuses these calls.
@@ -120,6 +122,9 @@
                 as usize,
             stall_ms: section.millis_or("stall_ms", STALL, 100..=DAY_MS),
             drain_ms: section.millis_or("drain_ms", DRAIN, 0..=DAY_MS),
+            trace_file: section
+                .optional_text("trace_file")
+                .map(|path| PathBuf::from(&*path)),
             call_shards: section.integer_or("call_shards", CALL_SHARDS, 1..=64) as u32,
             retry_window_ms: section.millis_or("retry_window_ms", RETRY_WINDOW, 1_000..=DAY_MS),
             dispatch_bound_ms: section.millis_or("dispatch_bound_ms", DISPATCH_BOUND, 100..=60_000),
--- /dev/null
+++ b/tests/integration/admission.rs
@@ -0,0 +1,328 @@
+//! Fair shares, classes, deadlines, bounds and shares of global limits.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use almondpath::admission::{Admission, Poll, Reason, Room, Settings, Share, Ticket};
+use almondpath::clock::Millis;
+use almondpath::config::Class;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const ROOM: Room = Room {
+    any: 1,
+    long: 1,
+    slots: 1,
+};
+
+fn ticket(id: u64, account: &str, class: Class) -> Ticket {
+    Ticket {
+        id,
+        account: account.into(),
+        class,
+        cost: 100.0,
+        expected: Millis(100),
+        deadline: Millis(60_000),
+    }
+}
+
+fn offer(admission: &mut Admission, ticket: Ticket) -> Result<(), Reason> {
+    admission.offer(ticket, 1.0, Millis(0))
+}
+
+/// Dispatches up to `count` requests and returns their ids.
+fn dispatch(admission: &mut Admission, room: Room, count: usize) -> Vec<u64> {
+    let mut ids = Vec::new();
+    while ids.len() < count
+        && let Some(Poll::Dispatch(ticket)) = admission.poll(room, Millis(0))
+    {
+        ids.push(ticket.id);
+    }
+    ids
+}
+
+/// Guards against an account that gets more than its weight while others wait.
+#[test]
+fn backlogged_accounts_share_by_weight() {
+    let mut admission = Admission::new(Settings::default());
+    admission.configure(&"large".into(), 3.0, None);
+    admission.configure(&"small".into(), 1.0, None);
+    for id in 0..200 {
+        let account = if id % 2 == 0 { "large" } else { "small" };
+        offer(&mut admission, ticket(id, account, Class::Interactive)).expect("room to queue");
+    }
+    let ids = dispatch(&mut admission, ROOM, 80);
+    let large = ids.iter().filter(|id| *id % 2 == 0).count();
+    assert!((58..=62).contains(&large), "{large} of 80");
+}
+
+/// Guards against idle capacity while work waits, and against a debt for capacity that nobody
+/// else wanted.
+#[test]
+fn unused_shares_are_lent_without_a_debt() {
+    let mut admission = Admission::new(Settings::default());
+    for id in 0..100 {
+        offer(&mut admission, ticket(id, "busy", Class::Interactive)).expect("room to queue");
+    }
+    assert_eq!(dispatch(&mut admission, ROOM, 80).len(), 80);
+    for id in 100..120 {
+        offer(&mut admission, ticket(id, "late", Class::Interactive)).expect("room to queue");
+    }
+    let ids = dispatch(&mut admission, ROOM, 20);
+    let late = ids.iter().filter(|id| **id >= 100).count();
+    assert!((9..=11).contains(&late), "{late} of 20");
+}
+
+/// Guards against interactive requests behind long ones, and against an account that uses the
+/// priority of its interactive requests to take the others' share.
+#[test]
+fn classes_order_requests_within_shares() {
+    let mut admission = Admission::new(Settings {
+        lead: 500.0,
+        ..Settings::default()
+    });
+    for id in 0..50 {
+        offer(&mut admission, ticket(id, "reviews", Class::Long)).expect("room to queue");
+        offer(
+            &mut admission,
+            ticket(id + 100, "chats", Class::Interactive),
+        )
+        .expect("room");
+    }
+    let ids = dispatch(&mut admission, ROOM, 40);
+    assert!(ids[..5].iter().all(|id| *id >= 100), "{ids:?}");
+    let long = ids.iter().filter(|id| **id < 100).count();
+    assert!((16..=20).contains(&long), "{long} of 40");
+    // Without room for long work only interactive requests go.
+    let ids = dispatch(
+        &mut admission,
+        Room {
+            any: 1,
+            long: 0,
+            slots: 1,
+        },
+        10,
+    );
+    assert!(
+        ids.len() == 10 && ids.iter().all(|id| *id >= 100),
+        "{ids:?}"
+    );
+}
+
+/// Guards against requests in order of arrival that miss deadlines others could wait for.
+#[test]
+fn the_earliest_deadline_goes_first() {
+    let mut admission = Admission::new(Settings::default());
+    for (id, deadline) in [(0, 9_000), (1, 3_000), (2, 6_000)] {
+        let ticket = Ticket {
+            deadline: Millis(deadline),
+            ..ticket(id, "ada", Class::Interactive)
+        };
+        offer(&mut admission, ticket).expect("room to queue");
+    }
+    assert_eq!(dispatch(&mut admission, ROOM, 3), [1, 2, 0]);
+}
+
+/// Guards against refusals without a reason, work that is done for nothing and endless queues.
+#[test]
+fn what_cannot_be_served_is_refused() {
+    struct Case {
+        name: &'static str,
+        queued: u64,
+        limit: Option<f64>,
+        deadline: Millis,
+        expected: Result<(), Reason>,
+    }
+    let served = Case {
+        name: "served",
+        queued: 0,
+        limit: None,
+        deadline: Millis(60_000),
+        expected: Ok(()),
+    };
+    let cases = [
+        Case {
+            name: "too little time even at once",
+            deadline: Millis(99),
+            expected: Err(Reason::Deadline),
+            ..served
+        },
+        Case {
+            name: "too little time after the queue",
+            queued: 10,
+            // Ten requests of 100 units at 1,000 units a second take a second and fit their deadline.
+            deadline: Millis(1_050),
+            expected: Err(Reason::Deadline),
+            ..served
+        },
+        Case {
+            name: "enough time after the queue",
+            queued: 10,
+            deadline: Millis(1_300),
+            ..served
+        },
+        Case {
+            name: "full queue",
+            queued: 256,
+            expected: Err(Reason::QueueFull),
+            ..served
+        },
+        Case {
+            name: "spent limit",
+            queued: 3,
+            limit: Some(150.0),
+            expected: Err(Reason::Limit),
+            ..served
+        },
+        served,
+    ];
+    for case in cases {
+        let mut admission = Admission::new(Settings::default());
+        admission.configure(&"ada".into(), 1.0, case.limit);
+        for step in 0..10 {
+            admission.finished("ada", 100.0, Millis(step * 100));
+        }
+        let now = Millis(1_000);
+        for id in 0..case.queued {
+            let queued = Ticket {
+                expected: Millis(0),
+                cost: 1_000.0 / case.queued.max(10) as f64,
+                deadline: Millis(2_000),
+                ..ticket(id, "ada", Class::Interactive)
+            };
+            let _ = admission.offer(queued, 1.0, now);
+        }
+        let ticket = Ticket {
+            deadline: now + case.deadline,
+            ..ticket(1_000, "ada", Class::Interactive)
+        };
+        assert_eq!(
+            admission.offer(ticket, 1.0, now),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against a request that is dispatched after waiting too long, and one that stays queued
+/// for ever while there is no room.
+#[test]
+fn expired_requests_leave_the_queue_unserved() {
+    let mut admission = Admission::new(Settings::default());
+    offer(&mut admission, ticket(7, "ada", Class::Long)).expect("room to queue");
+    let full = Room {
+        any: 0,
+        long: 0,
+        slots: 1,
+    };
+    assert_eq!(admission.poll(full, Millis(59_900)), None);
+    let expired = admission.poll(full, Millis(59_901));
+    assert!(matches!(expired, Some(Poll::Refuse(t, Reason::Deadline)) if t.id == 7));
+    assert_eq!(admission.queued(), 0);
+}
+
+const WINDOW: u64 = 2_000;
+const HOLD: u64 = 6_000;
+const STEP: u64 = 250;
+const FLOOR: f64 = 0.02;
+
+/// What happens to the nodes in one step.
+#[derive(Clone, Debug)]
+enum Change {
+    Demand(usize, f64),
+    Join,
+    Leave(usize),
+    Part(bool),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        6 => (0..8_usize, prop_oneof![Just(0.0), 1.0..1_000.0]).prop_map(|(n, d)| Change::Demand(n, d)),
+        1 => Just(Change::Join),
+        1 => (0..8_usize).prop_map(Change::Leave),
+        1 => any::<bool>().prop_map(Change::Part),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against nodes that together let through more than the limit while demand moves,
+    /// nodes come and go, announcements are late, and the nodes are parted.
+    #[test]
+    fn shares_of_a_limit_stay_within_the_bound(
+        changes in prop::collection::vec((0..12_u64, change()), 1..80),
+        delays in prop::collection::vec(0..WINDOW, 64),
+    ) {
+        let name = |id: usize| -> Arc<str> { format!("node-{id}").into() };
+        let start = |id: usize, now| (id, Share::new(Millis(WINDOW), Millis(HOLD), Millis(now)), 0.0);
+        let mut nodes = vec![start(0, 0), start(1, 0), start(2, 0)];
+        let mut next = 3;
+        let mut parted = false;
+        let mut whole_since = 0;
+        // Announcements under way: (arrival, number) to (receiver, sender, demand).
+        let mut messages = BTreeMap::new();
+        let (mut now, mut sent) = (0, 0_usize);
+        for (steps, change) in changes {
+            match change {
+                Change::Demand(index, demand) => {
+                    let count = nodes.len();
+                    nodes[index % count].2 = demand;
+                }
+                Change::Join if nodes.len() < 8 => {
+                    nodes.push(start(next, now));
+                    next += 1;
+                }
+                Change::Leave(index) if nodes.len() > 1 => {
+                    nodes.remove(index % nodes.len());
+                }
+                Change::Part(apart) => {
+                    parted = apart;
+                }
+                _ => {}
+            }
+            for _ in 0..=steps {
+                now += STEP;
+                let ids: Vec<usize> = nodes.iter().map(|n| n.0).collect();
+                for (id, share, demand) in &mut nodes {
+                    share.announce(*demand, Millis(now));
+                    for to in ids.iter().filter(|to| *to != id && (!parted || *to % 2 == *id % 2)) {
+                        sent += 1;
+                        // Per pair the delay is constant, so that announcements stay in order.
+                        let delay = delays[(*id * 8 + to) % 64] / 2;
+                        messages.insert((now + delay, sent), (*to, *id, *demand));
+                    }
+                }
+                let later = messages.split_off(&(now + 1, 0));
+                for (to, from, demand) in std::mem::replace(&mut messages, later).into_values() {
+                    if let Some(node) = nodes.iter_mut().find(|n| n.0 == to) {
+                        node.1.heard(&name(from), demand, Millis(now));
+                    }
+                }
+                let sum: f64 = nodes.iter().map(|n| n.1.current(Millis(now))).sum();
+                if parted {
+                    whole_since = now;
+                }
+                let healed = whole_since == 0 || now >= whole_since + WINDOW + STEP;
+                let groups = if healed { 1.0 } else { 2.0 };
+                let bound = groups + FLOOR * nodes.len() as f64;
+                prop_assert!(sum <= bound + 1e-9, "{sum} over {bound} at {now}");
+            }
+        }
+    }
+}
+
+/// Guards against shares that don't follow the demand.
+#[test]
+fn shares_follow_demand() {
+    let mut share = Share::new(Millis(WINDOW), Millis(HOLD), Millis(0));
+    let peer: Arc<str> = "peer".into();
+    for step in 0..20 {
+        share.announce(300.0, Millis(step * STEP));
+        share.heard(&peer, 100.0, Millis(step * STEP));
+    }
+    assert!((share.current(Millis(5_000)) - 0.75).abs() < 1e-9);
+    share.forget(Some("peer"), Millis(HOLD));
+    assert!((share.current(Millis(HOLD)) - 1.0).abs() < 1e-9);
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod accepted_work;
 mod addresses;
+mod admission;
 mod at_most_once;
 mod broken_files;
 mod call_harness;
@@ -19,8 +20,11 @@
 mod planned_stop;
 mod refusals;
 mod relay;
+mod replay;
+mod retry;
 mod rollout_policy;
 mod rollouts;
+mod routing;
 mod stalled_connections;
 mod streaming;
 mod untrusted_input;
