End a call at its deadline while a node only sends keep-alives

With the takeover of silent owners switched off (trial), the test of lost entry hosts ran for over 60 s instead of failing after its 15 s: the caller checked its deadline between connections only, and keep-alives kept the connection alive.

--- a/src/client/follow.rs
+++ b/src/client/follow.rs
@@ -60,7 +60,12 @@
         }
         if let Some(response) = response.take() {
             unknown_since = None;
-            match read(client, response, &mut text, progress).await? {
+            // Keep-alives go on while a node waits, so that silence alone does not end the call.
+            let reading = read(client, response, &mut text, progress);
+            let Ok(read) = timeout((until - now).into(), reading).await else {
+                continue;
+            };
+            match read? {
                 None => return Ok(Some(text.as_str().to_owned())),
                 Some(Interruption::Moved(addresses)) => directory.prefer(&addresses),
                 Some(Interruption::Lost) => {}
