--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! and an explicit clock; drivers around them do the I/O.
 
 pub mod access;
+pub mod addressing;
 pub mod cli;
 pub mod client;
 pub mod clock;
--- a/src/node/api.rs
+++ b/src/node/api.rs
@@ -2,29 +2,34 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use uuid::Uuid;
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Rejection, Reply};
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::addressing;
+use crate::clock::Millis;
 use crate::config::Kind;
 use crate::error::{Error, ErrorKind};
 use crate::stream::Cursor;
+use crate::transport;
 
-use super::body_limit::Refused;
 use super::life::Stage;
 use super::refusal::refusal;
 use super::request::Request;
-use super::{Node, backup, body_limit, calls, model, plain};
-
-/// Time for which a caller may keep an address response.
-const ADDRESS_TTL_MS: u64 = 2_000;
+use super::{Node, backup, calls, model, plain};
 
 #[derive(Debug, Serialize)]
 struct Addresses {
     addresses: Vec<Address>,
-    ttl_ms: u64,
+    ttl_ms: Millis,
+}
+
+#[derive(Debug, Deserialize)]
+struct Caller {
+    session: Option<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -42,20 +47,27 @@
 + Sync
 + 'static
 + use<> {
-    let limit = node.settings.body_limit_bytes;
     let with = warp::any().map(move || Arc::clone(&node));
     let addresses = warp::path!("v1" / "addresses")
         .and(warp::get())
+        .and(warp::query())
         .and(with.clone())
-        .map(|node: Arc<Node>| addresses(&node))
+        .map(|caller: Caller, node: Arc<Node>| addresses(&node, caller.session.as_deref()))
         .boxed();
     let route = warp::path!("v1" / "routes" / String)
         .and(warp::post())
-        .and(body_limit::headers(limit))
-        .and(warp::body::bytes())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
         .and(with.clone())
-        .then(|route: String, headers, body, node| async move {
-            call(node, &route, headers, body).await
+        .then(|route: String, headers, body, node: Arc<Node>| async move {
+            match transport::collect(body, node.settings.body_limit_bytes).await {
+                Ok(body) => call(node, &route, headers, body).await,
+                // The limit is a setting, so another node may have accepted the same call.
+                Err(error) => {
+                    let keyed = headers.contains_key("idempotency-key");
+                    refusal(&calls::unproven(error, keyed))
+                }
+            }
         })
         .boxed();
     let resume = warp::path!("v1" / "requests" / Uuid)
@@ -92,13 +104,18 @@
         .unify()
 }
 
-fn addresses(node: &Node) -> Response {
+fn addresses(node: &Node, session: Option<&str>) -> Response {
+    let key = session.map_or_else(rand::random, |session| xxh3_64(session.as_bytes()));
+    let ranked = addressing::rank(node.cluster.candidates(node.weight()), key);
     let body = Addresses {
-        addresses: vec![Address {
-            address: node.settings.listen.to_string(),
-            domain: Arc::clone(&node.settings.failure_domain),
-        }],
-        ttl_ms: ADDRESS_TTL_MS,
+        addresses: ranked
+            .into_iter()
+            .map(|candidate| Address {
+                address: candidate.address.to_string(),
+                domain: candidate.domain,
+            })
+            .collect(),
+        ttl_ms: addressing::TTL,
     };
     warp::reply::json(&body).into_response()
 }
@@ -114,6 +131,7 @@
             let error = Error::not_run(ErrorKind::Overloaded, "too many requests are in flight");
             calls::unproven(error.with_retry_after(calls::RETRY_AFTER), keyed)
         })?;
+        node.count_demand(&request.account);
         let service = request.active.config.service(&request.route.service);
         match service.map(|service| service.kind) {
             Some(Kind::Model) => model::call(&node, request, permit).await,
@@ -141,7 +159,8 @@
 }
 
 fn ready(node: &Node) -> Response {
-    if node.active.load().is_some() && node.life.stage() == Stage::Serving {
+    let serves = node.life.stage() == Stage::Serving && !node.cluster.is_leaving();
+    if serves && node.active.load().is_some() {
         return "ready\n".into_response();
     }
     warp::reply::with_status("not ready\n", StatusCode::SERVICE_UNAVAILABLE).into_response()
@@ -150,8 +169,8 @@
 async fn recover(rejection: Rejection) -> Result<Response, Infallible> {
     let error = if rejection.is_not_found() {
         Error::not_run(ErrorKind::NotFound, "there is no such path")
-    } else if let Some(refused) = rejection.find::<Refused>() {
-        refused.0.clone()
+    } else if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        Error::not_run(ErrorKind::MethodNotAllowed, "the path has no such method")
     } else {
         Error::not_run(ErrorKind::Malformed, "the request can't be parsed")
     };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,17 +1,17 @@
 //! The `serve` process: accepts requests, routes them to endpoints and streams the responses.
 
 mod admin;
+mod answers;
 mod api;
 mod attempt;
 mod background;
-#[allow(dead_code, unused_imports, reason = "called by the peer handler")]
 mod backup;
-mod body_limit;
 mod calls;
+mod cluster;
 mod drain;
 mod drive;
 mod engine;
-mod follow;
+mod gossip;
 mod held;
 mod leaving;
 mod life;
@@ -19,8 +19,10 @@
 mod node;
 mod pace;
 mod plain;
+mod polls;
 mod refusal;
 mod request;
+mod response;
 mod rollouts;
 mod shard;
 mod shard_reader;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use eyre::WrapErr;
@@ -20,8 +20,10 @@
 use crate::supervisor::Supervisor;
 use crate::transport;
 
+use super::answers::Answers;
 use super::backup::{Copies, Replication};
 use super::calls::{self, Calls};
+use super::cluster::Cluster;
 use super::life::Control;
 use super::rollouts::{self, Watch};
 use super::{admin, api, background, drain};
@@ -45,7 +47,6 @@
     pub(super) refused: ArcSwapOption<String>,
     pub(super) endpoints: Mutex<Table>,
     pub(super) rollouts: Watch,
-    pub(super) peer_handle: OnceLock<peer::Handle>,
     pub(super) streams: Store,
     pub(super) life: Control,
     /// Cancelled during a drain when callers can no longer hold this node's address.
@@ -58,6 +59,7 @@
     pub(super) calls: Calls,
     pub(super) metrics: PrometheusHandle,
     pub(super) token: CancellationToken,
+    pub(super) cluster: Cluster,
 }
 
 impl Node {
@@ -75,8 +77,10 @@
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .wrap_err("installing the metrics recorder")?;
+        let clock = Clock::system();
         Ok(Arc::new(Self {
-            clock: Clock::system(),
+            cluster: Cluster::new(&settings, &clock),
+            clock,
             log: log.new(o!("node" => settings.name.to_string())),
             access: ArcSwap::from_pointee(access),
             active: ArcSwapOption::empty(),
@@ -88,7 +92,6 @@
             replication: Replication::default(),
             copies: Copies::default(),
             rollouts: Watch::new(rand::random()),
-            peer_handle: OnceLock::new(),
             permits: Arc::new(Semaphore::new(settings.request_limit)),
             http: transport::Client::new(ENDPOINT_TIMEOUT),
             log_service: log::Client::new(settings.log_service),
@@ -107,11 +110,11 @@
     pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
         let callers = bind(self.settings.listen).await?;
         let operators = bind(self.settings.admin).await?;
+        self.listen_to_peers()?;
         let mut supervisor =
             Supervisor::new(self.token.clone(), self.clock.clone(), self.log.clone());
         background::spawn(&self, &mut supervisor);
         calls::spawn(&self, &mut supervisor);
-        self.connect_peers()?;
         rollouts::spawn(&self, &mut supervisor);
         info!(self.log, "serving"; "listen" => self.settings.listen.to_string());
         let admin = transport::Server::new(operators)
@@ -130,9 +133,24 @@
             () = serving => {}
             () = stopping => info!(self.log, "connections cut off"),
         }
+        self.cluster.token.cancel();
         info!(self.log, "stopped");
         Ok(())
     }
+
+    fn listen_to_peers(self: &Arc<Self>) -> eyre::Result<()> {
+        let answers = Answers {
+            node: Arc::clone(self),
+        };
+        let handle = peer::spawn(
+            self.settings.peer,
+            Arc::new(answers),
+            self.settings.stall_ms,
+            self.cluster.token.clone(),
+        )?;
+        self.cluster.connect(handle);
+        Ok(())
+    }
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- a/src/node/rollouts/exchange.rs
+++ b/src/node/rollouts/exchange.rs
@@ -57,7 +57,7 @@
 
 impl Node {
     /// Tells all nodes of a trip; each of them announces it further once.
-    pub(super) fn announce(self: &Arc<Self>, trip: Trip) {
+    pub(super) fn announce_trip(self: &Arc<Self>, trip: Trip) {
         warn!(self.log, "version tripped"; "reason" => trip.to_string());
         metrics::counter!("almondpath_rollout_trips_total").increment(1);
         self.tell(self.rollout_peers(), Vec::new(), vec![trip]);
--- a/src/node/rollouts/mod.rs
+++ b/src/node/rollouts/mod.rs
@@ -48,7 +48,7 @@
             node.rollouts.tick(&mut endpoints, now, wall)
         };
         for trip in trips {
-            node.announce(trip);
+            node.announce_trip(trip);
         }
         tokio::select! {
             () = token.cancelled() => {}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod broken_files;
 mod call_harness;
+mod config_spread;
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
@@ -20,4 +21,5 @@
 mod rollouts;
 mod stalled_connections;
 mod streaming;
+mod untrusted_input;
 mod whole_response;
--- a/tests/integration/placement.rs
+++ b/tests/integration/placement.rs
@@ -1,9 +1,16 @@
 //! Host mixes and starts.
 
 use almondpath::clock::Millis;
+use almondpath::error::ErrorKind;
 use almondpath::placement::{Class, Need, Offer, Starter, plan, wave};
+use almondpath::platform::{Http, StartHost, Starts, Weights};
+use almondpath::transport;
+use almondpath::verdict::Verdict;
+use serde_json::{Value, json};
 use uuid::Uuid;
 
+use crate::harness::{double, eventually};
+
 fn offers(refused: &[(&str, Class)]) -> Vec<Offer> {
     let prices = [
         ("a", Class::Reclaimable, 1.0),
@@ -132,3 +139,54 @@
         assert!(policy.cost <= 0.75 * on_demand.cost);
     }
 }
+
+/// Guards against a second host for a start whose answer was lost, and against refusals that look
+/// like unknown outcomes.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_platform_starts_one_host_per_token() {
+    let double = double("platform");
+    let http = transport::Client::new(Millis(2_000));
+    let platform = Http::new(double.address);
+    let started = async || -> usize {
+        let list: Vec<Value> = http
+            .get_json(double.address, "/starts")
+            .await
+            .expect("a list");
+        list.len()
+    };
+    let faults = async |faults: Value| {
+        let set = http.post_json::<_, Value>(double.address, "/faults", &faults);
+        set.await.expect("the faults are accepted");
+    };
+    eventually("the platform listens", async || {
+        tokio::net::TcpStream::connect(double.address).await.is_ok()
+    })
+    .await;
+    let start = StartHost {
+        token: Uuid::from_u128(1),
+        domain: "a".into(),
+        class: Class::Reclaimable,
+    };
+
+    faults(json!({"refuse_starts": true})).await;
+    let error = platform.start(&start).await.expect_err("refused");
+    assert_eq!(error.verdict(), Verdict::NotRun);
+    assert_eq!(started().await, 0);
+
+    faults(json!({"lose_start_answers": 1})).await;
+    let error = platform
+        .start(&start)
+        .await
+        .expect_err("the answer is lost");
+    assert_eq!(error.verdict(), Verdict::MayHaveRun);
+    platform.start(&start).await.expect("repeated");
+    assert_eq!(started().await, 1);
+    platform.cancel(start.token).await.expect("cancelled");
+    assert_eq!(started().await, 0);
+
+    faults(json!({"fetch_interval_ms": 60_000})).await;
+    platform.fetch("v2").await.expect("the first fetch");
+    let error = platform.fetch("v2").await.expect_err("at the limit");
+    assert_eq!(error.kind(), ErrorKind::Overloaded);
+    assert!(error.retry_after().is_some());
+}
