--- a/src/endpoint/table.rs
+++ b/src/endpoint/table.rs
@@ -19,9 +19,9 @@
 pub struct Table {
     endpoints: SlotMap<Key, Endpoint>,
     by_host: HashMap<Arc<str>, Key>,
-    splits: HashMap<Arc<str>, Split>,
     by_hash: HashMap<u32, Key>,
     departures: Departures,
+    splits: HashMap<Arc<str>, Split>,
 }
 
 impl Table {
--- a/src/node/rollouts/link.rs
+++ b/src/node/rollouts/link.rs
@@ -27,9 +27,10 @@
         to: SocketAddr,
         exchange: &Exchange,
     ) -> Result<(), Error> {
-        if let Some(handle) = self.cluster.handle() {
-            let _: bool = handle.trip(to, exchange).await?;
-        }
+        let Some(handle) = self.cluster.handle() else {
+            return Ok(());
+        };
+        let _: bool = handle.trip(to, exchange).await?;
         Ok(())
     }
 }
