--- a/src/control/fold.rs
+++ b/src/control/fold.rs
@@ -32,6 +32,7 @@
 pub struct Fold {
     next: Offset,
     active: Option<Active>,
+    #[serde(default)]
     rollouts: Rollouts,
 }
 
--- a/src/node/answers.rs
+++ b/src/node/answers.rs
@@ -43,6 +43,10 @@
         backup::on_find(&self.node, &payload)
     }
 
+    async fn trip(&self, payload: Bytes) -> Result<Bytes, Error> {
+        self.node.on_trip(&payload)
+    }
+
     async fn config(&self, _: Bytes) -> Result<Bytes, Error> {
         let control = self.node.cluster.control.lock().expect("control lock");
         if control.active().is_none() {
@@ -55,8 +59,4 @@
             .map(Bytes::from)
             .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))
     }
-
-    async fn trip(&self, payload: Bytes) -> Result<Bytes, Error> {
-        self.node.learn_payload(&payload)
-    }
 }
--- a/src/node/rollouts/link.rs
+++ b/src/node/rollouts/link.rs
@@ -9,7 +9,7 @@
 
 impl Node {
     /// Answers the call `trip` of the peer protocol.
-    pub(in crate::node) fn learn_payload(self: &Arc<Self>, payload: &[u8]) -> Result<Bytes, Error> {
+    pub(in crate::node) fn on_trip(self: &Arc<Self>, payload: &[u8]) -> Result<Bytes, Error> {
         let exchange: Exchange = serde_json::from_slice(payload)
             .map_err(|error| Error::not_run(ErrorKind::Malformed, format!("trip: {error}")))?;
         self.learn(&exchange);
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -16,8 +16,8 @@
 /// The platform over HTTP.
 #[derive(Clone, Debug)]
 pub struct Http {
-    http: transport::Client,
-    address: SocketAddr,
+    pub(super) http: transport::Client,
+    pub(super) address: SocketAddr,
 }
 
 impl Http {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,8 +4,10 @@
 mod host_list;
 mod http;
 mod orders;
+mod starts;
 
 pub use self::cloud::{Cloud, Reclaim};
 pub use self::host_list::HostList;
 pub use self::http::Http;
 pub use self::orders::{Fenced, HttpOrders, Order, Orders};
+pub use self::starts::{StartHost, Starts, Weights};
--- /dev/null
+++ b/src/platform/starts.rs
@@ -0,0 +1,81 @@
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::error::Error;
+use crate::placement::{Class, Token};
+
+use super::Http;
+
+/// Body of `POST /starts`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartHost {
+    /// The platform starts at most one host for a token.
+    pub token: Token,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Class.
+    pub class: Class,
+}
+
+/// Starts and stops of hosts.
+#[async_trait]
+pub trait Starts: Send + Sync {
+    /// Starts a host.
+    ///
+    /// # Errors
+    ///
+    /// `NotRun` when the platform refused; otherwise the host may have been started, and only a
+    /// repetition with the same token is safe.
+    async fn start(&self, start: &StartHost) -> Result<(), Error>;
+
+    /// Cancels a start or stops its host; a token without a host is no error.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform doesn't answer; the host may still run.
+    async fn cancel(&self, token: Token) -> Result<(), Error>;
+}
+
+/// The store from which hosts load the weights of a version.
+#[async_trait]
+pub trait Weights: Send + Sync {
+    /// Asks for the right to load a version's weights once.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` with a time to wait when the store is at its limit.
+    async fn fetch(&self, version: &str) -> Result<(), Error>;
+}
+
+#[async_trait]
+impl Starts for Http {
+    async fn start(&self, start: &StartHost) -> Result<(), Error> {
+        self.http
+            .post_json::<_, Value>(self.address, "/starts", start)
+            .await
+            .map(drop)
+    }
+
+    async fn cancel(&self, token: Token) -> Result<(), Error> {
+        let path = format!("/starts/{token}");
+        let request =
+            self.http
+                .request(Method::DELETE, self.address, &path, bytes::Bytes::new())?;
+        self.http.send(request).await.map(drop)
+    }
+}
+
+#[async_trait]
+impl Weights for Http {
+    async fn fetch(&self, version: &str) -> Result<(), Error> {
+        let body = serde_json::json!({ "version": version });
+        self.http
+            .post_json::<_, Value>(self.address, "/fetches", &body)
+            .await
+            .map(drop)
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod prefix_cache;
 mod sampling;
+mod starts;
 mod token_text;
 
 pub use self::engine::{Engine, EngineFaults};
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -10,6 +10,7 @@
 use crate::platform::Reclaim;
 
 use super::reply;
+use super::starts::Starts;
 
 /// Faults of the platform's host list and cloud API.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -27,6 +28,10 @@
     pub lag_ms: Millis,
     /// Refuses to start hosts.
     pub refuse_starts: bool,
+    /// Number of starts that take effect but whose response is lost.
+    pub lose_start_answers: u32,
+    /// Time between two fetches that the weight store serves; 0 is no limit.
+    pub fetch_interval_ms: Millis,
 }
 
 /// The platform's host list and cloud API.
@@ -35,6 +40,7 @@
     hosts: Arc<Mutex<Vec<Host>>>,
     notices: Arc<Mutex<Vec<Reclaim>>>,
     faults: Arc<Mutex<PlatformFaults>>,
+    starts: Starts,
 }
 
 impl Platform {
@@ -45,6 +51,7 @@
             hosts: Arc::new(Mutex::new(hosts)),
             notices: Arc::default(),
             faults: Arc::default(),
+            starts: Starts::default(),
         }
     }
 
@@ -100,6 +107,8 @@
             })
             .boxed();
         list.or(replace)
+            .unify()
+            .or(self.starts.filter(&self.faults))
             .unify()
             .or(notices)
             .unify()
