--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -3,7 +3,10 @@
 use crate::clock::Millis;
 use crate::log::{Offset, writer};
 
-use super::{Action, Digest, Entry, FUTURE_LIMIT, Key, Order, Outcome, Part, Record, SLACK, State};
+use super::{
+    Action, Applied, Digest, Effect, Entry, FUTURE_LIMIT, Key, Order, Outcome, Part, Record, SLACK,
+    State,
+};
 
 /// Entries of one shard beyond which calls are no longer accepted.
 ///
