--- a/src/admission/share.rs
+++ b/src/admission/share.rs
@@ -53,7 +53,7 @@
 ///
 /// While every announcement arrives within the window, each node counts every peer with at least
 /// the demand that the peer counts itself with. Then the shares add up to at most
-/// `sum(d_i / sum(d_j)) = 1`, plus [`FLOOR`] for each node whose demand is below the floor: at
+/// `sum(d_i / sum(d_j)) = 1`, plus `FLOOR` for each node whose demand is below the floor: at
 /// most `1 + 0.02 * nodes`, whether demand moves, nodes join (a new node starts at the floor and, when it
 /// hears nobody, stays there for `hold`) or
 /// nodes leave (a peer counts until it was silent for `hold`). While the nodes are parted into `k`
