Checkpoint the control stream, and recover from it after a gap

Cause: when the record of the active configuration had expired, nodes that all restarted at once had nobody to ask and never became ready, and `publish` read the rest of the stream as if nothing had been published: in a trial it reported success for a record that the nodes refused.

The state is now written into the stream before it expires, at the interval of the calls streams and by mostly one node, and a reader that finds a gap goes on from the newest state whose later records are all there. `publish` uses the same reader and starts from the node's state when it runs in one. Ruled out: longer retention, which only moves the time, and asking other nodes only, which was there already.

The new test failed without the recovery (the second configuration never became active) and passes with it.

--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -94,7 +94,14 @@
     let node = Node::new(node_settings(file.clone())?, logger(json), token)?;
     let serving = tokio::spawn(node.run());
     let config = Config::from_document(&Document::parse("the built-in configuration", CONFIG)?)?;
-    control::publish(&log::Client::new(LOG.parse()?), "dev", None, config).await?;
+    control::publish(
+        &log::Client::new(LOG.parse()?),
+        Default::default(),
+        "dev",
+        None,
+        config,
+    )
+    .await?;
     serving.await??;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -74,7 +74,14 @@
             let operator = args
                 .get_one::<String>("operator")
                 .expect("required by clap");
-            control::publish(&log::Client::new(address), operator, base, config).await
+            control::publish(
+                &log::Client::new(address),
+                Default::default(),
+                operator,
+                base,
+                config,
+            )
+            .await
         }
         None => through_node(&Operator::new(args)?, base, &config).await,
     };
--- a/src/control/fold.rs
+++ b/src/control/fold.rs
@@ -28,7 +28,7 @@
 }
 
 /// State of the `control` stream up to an offset.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Fold {
     next: Offset,
     active: Option<Active>,
@@ -68,6 +68,8 @@
                 config,
                 ..
             }) => self.publish(offset, base, operator, *config),
+            // A reader that has the state has nothing to learn from it.
+            Ok(Record::Checkpoint(_)) => Outcome::Applied,
             Ok(Record::Change(change)) => {
                 let config = self.active.as_ref().map(|active| &*active.config);
                 self.rollouts.apply(offset, change, config)
--- a/src/control/publish.rs
+++ b/src/control/publish.rs
@@ -7,7 +7,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::log::{Offset, Service};
 
-use super::{Fold, Outcome, Record, STREAM};
+use super::{Fold, Outcome, Reader, Record, STREAM};
 
 const READ_LIMIT: usize = 256;
 
@@ -19,17 +19,18 @@
 
 /// Publishes a configuration and returns its version.
 ///
-/// `base` is the version that the configuration was made from; without it, the active version is
-/// taken. Whether the configuration was published is decided by reading the stream, never by the
+/// `known` is a state of the stream to start from. `base` is the version that the configuration was
+/// made from; without it, the active version is taken. Whether the configuration was published is decided by reading the stream, never by the
 /// response to the append.
 ///
 /// # Errors
 ///
 /// `Malformed` when the configuration is not valid, `Conflict` when another version was published
-/// first, and `LogUnavailable` when the log service does not answer; its verdict is "may have run"
-/// when the record may still appear.
+/// first, and `LogUnavailable` when the log service does not answer or no longer has the records to
+/// tell the active version; its verdict is "may have run" when the record may still appear.
 pub async fn publish<S>(
     log: &S,
+    known: Fold,
     operator: &str,
     base: Option<Offset>,
     config: Config,
@@ -41,15 +42,19 @@
         let message = format!("{}: {}", issue.path, issue.message);
         return Err(Error::not_run(ErrorKind::Malformed, message));
     }
-    let mut fold = Fold::default();
+    let mut reader = Reader::new(known);
     let before = |error: Error| {
         Error::not_run(ErrorKind::LogUnavailable, error.message()).with_retry_after(READ_WAIT)
     };
-    read_all(log, &mut fold, None).await.map_err(before)?;
+    read_all(log, &mut reader, None).await.map_err(before)?;
+    if reader.is_gap() {
+        let message = "the log no longer has the active configuration; publish through a node";
+        return Err(Error::not_run(ErrorKind::LogUnavailable, message));
+    }
     let id = Uuid::new_v4();
     let record = Record::Publish {
         id,
-        base: base.or_else(|| fold.active().map(|active| active.version)),
+        base: base.or_else(|| reader.fold().active().map(|active| active.version)),
         operator: operator.into(),
         config: Box::new(config),
     };
@@ -58,7 +63,7 @@
         .into();
     let appended = log.append(STREAM, vec![text]).await;
     for _ in 0..READS {
-        match read_all(log, &mut fold, Some(id)).await {
+        match read_all(log, &mut reader, Some(id)).await {
             Ok(Some((offset, Outcome::Applied))) => return Ok(offset),
             Ok(Some((_, Outcome::Rejected(reason)))) => {
                 return Err(Error::not_run(ErrorKind::Conflict, reason));
@@ -74,7 +79,7 @@
 /// Applies the records up to the end of the stream; returns what became of the record `id`.
 async fn read_all<S>(
     log: &S,
-    fold: &mut Fold,
+    reader: &mut Reader,
     id: Option<Uuid>,
 ) -> Result<Option<(Offset, Outcome)>, Error>
 where
@@ -83,15 +88,15 @@
     let mut found = None;
     loop {
         let page = log
-            .read(STREAM, fold.next(), READ_LIMIT, Millis::ZERO)
+            .read(STREAM, reader.next(), READ_LIMIT, Millis::ZERO)
             .await?;
-        for entry in &page.records {
-            let outcome = fold.apply(entry.offset, &entry.data);
+        let outcomes = reader.take(&page);
+        for (entry, (offset, outcome)) in page.records.iter().zip(outcomes) {
             if id.is_some_and(|id| is_publish(&entry.data, id)) {
-                found.get_or_insert((entry.offset, outcome));
+                found.get_or_insert((offset, outcome));
             }
         }
-        if fold.next() >= page.end || page.records.is_empty() {
+        if reader.next() >= page.end {
             return Ok(found);
         }
     }
--- a/src/control/record.rs
+++ b/src/control/record.rs
@@ -5,7 +5,7 @@
 use crate::config::Config;
 use crate::log::Offset;
 
-use super::Change;
+use super::{Change, Fold};
 
 /// A record of the `control` stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -22,6 +22,8 @@
         /// The configuration.
         config: Box<Config>,
     },
+    /// The state before a record, from which a reader goes on when older records have expired.
+    Checkpoint(Box<Fold>),
     /// Changes a rollout or a claim.
     #[serde(untagged)]
     Change(Change),
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -121,7 +121,7 @@
     let publication: Publication = serde_json::from_slice(body)
         .map_err(|error| Error::not_run(ErrorKind::Malformed, format!("body: {error}")))?;
     let Publication { base, config } = publication;
-    let version = control::publish(&node.log_service, &name, base, config).await?;
+    let version = control::publish(&node.log_service, node.control(), &name, base, config).await?;
     Ok(warp::reply::json(&Published { version }).into_response())
 }
 
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -6,8 +6,8 @@
 
 use crate::access::Access;
 use crate::clock::Millis;
-use crate::control::{self, Fold, Outcome};
-use crate::log::Service as _;
+use crate::control::{self, Fold, Outcome, Reader, Record};
+use crate::log::{Page, Service as _};
 use crate::supervisor::Supervisor;
 
 use super::{Node, backup, gossip, polls, sync};
@@ -57,11 +57,17 @@
 }
 
 async fn tail_control(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let mut reader = Reader::default();
+    let mut checkpoint = Checkpoint::new(node.clock.now());
     while !token.is_cancelled() {
-        let mut fold = node.control();
+        let known = node.control();
+        if known.next() > reader.fold().next() {
+            // Another node knew more.
+            reader = Reader::new(known);
+        }
         let page = node
             .log_service
-            .read(control::STREAM, fold.next(), TAIL_LIMIT, TAIL_WAIT);
+            .read(control::STREAM, reader.next(), TAIL_LIMIT, TAIL_WAIT);
         let page = tokio::select! {
             () = token.cancelled() => return Ok(()),
             page = page => page,
@@ -71,28 +77,91 @@
             pause(&token).await;
             continue;
         };
-        let gap = page.earliest > fold.next();
-        node.cluster.gap.store(gap, Ordering::SeqCst);
-        if gap {
-            // Records in between have expired; another node may know their effect.
+        for (offset, outcome) in reader.take(&page) {
+            if let Outcome::Rejected(reason) = outcome {
+                let reason = format!("record {offset}: {reason}");
+                node.refused.store(Some(Arc::new(reason)));
+            }
+        }
+        node.cluster.gap.store(reader.is_gap(), Ordering::SeqCst);
+        if reader.is_gap() {
+            // Another node may know the state, or write a checkpoint.
             metrics::counter!("almondpath_log_gaps_total").increment(1);
             pause(&token).await;
             continue;
         }
-        for entry in page.records {
-            if let Outcome::Rejected(reason) = fold.apply(entry.offset, &entry.data) {
-                let reason = format!("record {}: {reason}", entry.offset);
-                node.refused.store(Some(Arc::new(reason)));
-            }
+        node.adopt(reader.fold());
+        checkpoint.seen(&page, node.clock.now());
+        if reader.next() >= page.end {
+            checkpoint.write_if_due(&node, reader.fold());
         }
-        node.adopt(&fold);
     }
     Ok(())
 }
 
+/// Writes the state of the `control` stream into it before its records expire.
+struct Checkpoint {
+    /// When the last one was read or written.
+    at: Millis,
+    /// Records read since then.
+    records: u64,
+    /// Part of the interval that this process waits longer, so that mostly one node writes.
+    delay: f64,
+}
+
+impl Checkpoint {
+    /// Longest additional wait as a share of the interval.
+    const MAX_DELAY: f64 = 0.25;
+
+    fn new(now: Millis) -> Self {
+        Self {
+            at: now,
+            records: 0,
+            delay: rand::random_range(0.0..Self::MAX_DELAY),
+        }
+    }
+
+    fn seen(&mut self, page: &Page, now: Millis) {
+        for entry in &page.records {
+            self.records += 1;
+            if matches!(serde_json::from_str(&entry.data), Ok(Record::Checkpoint(_))) {
+                self.at = now;
+                self.records = 0;
+            }
+        }
+    }
+
+    fn write_if_due(&mut self, node: &Arc<Node>, fold: &Fold) {
+        let settings = &node.settings;
+        let now = node.clock.now();
+        let late = 1.0 + self.delay;
+        let interval = Millis((settings.checkpoint_interval_ms.as_f64() * late) as u64);
+        let records = (settings.checkpoint_records as f64 * late) as u64;
+        let due = now - self.at >= interval || self.records >= records;
+        if !due || fold.active().is_none() {
+            return;
+        }
+        self.at = now;
+        self.records = 0;
+        metrics::counter!("almondpath_control_checkpoints_total").increment(1);
+        let record = Record::Checkpoint(Box::new(fold.clone()));
+        let Ok(text) = serde_json::to_string(&record) else {
+            return;
+        };
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            // A lost one is followed by another after the interval.
+            let _ = node
+                .log_service
+                .append(control::STREAM, vec![text.into()])
+                .await;
+        });
+    }
+}
+
 impl Node {
     /// Returns the newest known state of the `control` stream.
-    fn control(&self) -> Fold {
+    pub(super) fn control(&self) -> Fold {
         self.cluster.control.lock().expect("control lock").clone()
     }
 }
--- a/tests/integration/config_spread.rs
+++ b/tests/integration/config_spread.rs
@@ -3,9 +3,12 @@
 
 use std::time::{Duration, Instant};
 
+use almondpath::clock::Millis;
+use almondpath::control;
+use almondpath::log::{self, Offset, Service as _};
 use serde_json::json;
 
-use crate::harness::{Cluster, Node};
+use crate::harness::{Cluster, Node, eventually};
 use crate::relay::{Mode, Relay};
 
 const NODES: usize = 8;
@@ -135,3 +138,46 @@
     let dump = cluster.dump(&cluster.nodes[1]).await.expect("a dump");
     assert_eq!(dump["active"]["version"], 1);
 }
+
+/// Guards against nodes that find neither the active configuration in the log nor another node that
+/// knows it, and against an operator who publishes on top of records that have expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_nodes_restart_after_the_configuration_has_expired() {
+    let mut cluster = Cluster::start_with(2, 0, 0, "checkpoint_interval_ms: 1000\n").await;
+    let keep = json!({"keep": 2});
+    cluster.set_faults(cluster.log.address, keep).await;
+    await_expiry(&cluster, 0).await;
+
+    cluster.publish(CONFIG).await;
+    let version = async |cluster: &Cluster, node: usize| {
+        let dump = cluster.dump(&cluster.nodes[node]).await?;
+        dump["active"]["version"].as_u64()
+    };
+    eventually("the second configuration is active", async || {
+        version(&cluster, 0).await > Some(0) && version(&cluster, 1).await > Some(0)
+    })
+    .await;
+    let published = version(&cluster, 0).await.expect("a version");
+    await_expiry(&cluster, published).await;
+
+    for node in &mut cluster.nodes {
+        node.process.kill();
+    }
+    for node in 0..2 {
+        cluster.restart_node(node);
+    }
+    for node in 0..2 {
+        cluster.await_ready(&cluster.nodes[node]).await;
+        assert_eq!(version(&cluster, node).await, Some(published));
+    }
+}
+
+/// Waits until the log no longer has the record at an offset of the `control` stream.
+async fn await_expiry(cluster: &Cluster, offset: u64) {
+    let log = log::Client::new(cluster.log.address);
+    eventually("the record has expired", async || {
+        let read = log.read(control::STREAM, Offset(0), 1, Millis::ZERO).await;
+        read.is_ok_and(|page| page.earliest > Offset(offset))
+    })
+    .await;
+}
--- a/tests/integration/operators.rs
+++ b/tests/integration/operators.rs
@@ -68,8 +68,8 @@
     let config = Config::load(CONFIG.as_ref()).expect("a sound configuration");
     let base = Some(Offset(0));
     let (ada, bola) = tokio::join!(
-        control::publish(&log, "ada", base, config.clone()),
-        control::publish(&log, "bola", base, config.clone()),
+        control::publish(&log, Default::default(), "ada", base, config.clone()),
+        control::publish(&log, Default::default(), "bola", base, config.clone()),
     );
     let (winner, error) = match (&ada, &bola) {
         (Ok(_), Err(error)) => ("ada", error),
@@ -97,7 +97,7 @@
             .set_faults(cluster.log.address, faults.clone())
             .await;
         let log = log::Client::new(cluster.log.address);
-        let version = control::publish(&log, "ada", None, config.clone()).await;
+        let version = control::publish(&log, Default::default(), "ada", None, config.clone()).await;
         assert_eq!(version, Ok(Offset(1)), "case {index}: {faults}");
     }
 }
@@ -109,7 +109,7 @@
     let log = log::Client::new(cluster.log.address);
     let mut config = Config::load(CONFIG.as_ref()).expect("a sound configuration");
     config.routes[0].service = "nowhere".into();
-    let error = control::publish(&log, "ada", None, config.clone())
+    let error = control::publish(&log, Default::default(), "ada", None, config.clone())
         .await
         .expect_err("it is not valid");
     assert_eq!(error.kind(), ErrorKind::Malformed);
