Let a test of refusals wait for earlier records

The records that end the calls before it were still queued when the test switched appends off, so that the node knew at once that the log takes nothing, and gave the other sound answer (log_unavailable, may_have_run).

--- a/tests/integration/call_harness.rs
+++ b/tests/integration/call_harness.rs
@@ -1,5 +1,7 @@
 //! Sends service calls with chosen headers to chosen nodes and keeps all that the caller sees.
 
+use std::time::Duration;
+
 use std::net::SocketAddr;
 
 use almondpath::clock::{Clock, Millis};
@@ -128,4 +130,17 @@
             .await;
         }
     }
+
+    /// Waits until no node has a record to append, so that a fault of the log meets new calls only.
+    pub(crate) async fn await_appends(&self) {
+        for node in &self.nodes {
+            eventually("all records are appended", async || {
+                let dump = self.dump(node).await.unwrap_or_default();
+                dump["calls"][0]["queued"] == 0
+            })
+            .await;
+        }
+        // An append that is under way takes a few milliseconds.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
 }
