Document configuration, proofs and decisions

Adds the configuration reference with a test that it names every setting, the page of proofs with what is not proved, the decisions that the design left open, and a bench of what replication costs.

--- a/benches/streams.rs
+++ b/benches/streams.rs
@@ -1,7 +1,7 @@
 //! Time that a node adds to a call, and memory of open streams, with the processes that serve.
 //!
 //! `cargo bench --bench streams` starts two nodes in different failure domains and the test
-//! doubles, and prints two tables.
+//! doubles, and prints three tables.
 
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,15 @@
 /// Open streams at which the memory is read.
 const STREAMS: [usize; 4] = [0, 500, 1_000, 2_000];
 
+/// Streams that generate at the same time while the replication is measured.
+const GENERATING: [usize; 4] = [0, 20, 40, 80];
+
+/// Time over which the replication is measured; the streams last longer.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Time between two tokens of a stream while the replication is measured.
+const TOKEN_MS: u64 = 50;
+
 /// Bytes of the prompt of an open stream.
 const PROMPT_BYTES: usize = 2_048;
 
@@ -69,6 +78,7 @@
     runtime.block_on(async {
         added_time().await;
         memory().await;
+        replication().await;
     });
 }
 
@@ -223,3 +233,60 @@
     line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
         .unwrap_or(0)
 }
+
+/// Measures what a node sends to the backup node and the processor time that it uses, while streams
+/// generate a token each [`TOKEN_MS`].
+async fn replication() {
+    println!("\n| streams | tokens/s | sent to peers B/s | processor time ms/s |");
+    println!("|---|---|---|---|");
+    for streams in GENERATING {
+        let cluster = Cluster::start(2, 8, 0).await;
+        for engine in &cluster.engines {
+            let faults = json!({ "token_ms": TOKEN_MS, "prefill_ms": 0 });
+            cluster.set_faults(engine.address, faults).await;
+        }
+        let http = transport::Client::new(almondpath::clock::Millis(30_000));
+        let body = json!({ "prompt": "x".repeat(PROMPT_BYTES), "max_tokens": 256 });
+        let node = &cluster.nodes[0];
+        let mut open = Vec::new();
+        for _ in 0..streams {
+            open.push(post(&http, node.listen, "/v1/routes/question", &body).await);
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let before = (sent_to_peers(&cluster, node).await, processor_ms(node));
+        tokio::time::sleep(WINDOW).await;
+        let after = (sent_to_peers(&cluster, node).await, processor_ms(node));
+        let per_second = |from: u64, to: u64| (to - from) as f64 / WINDOW.as_secs_f64();
+        println!(
+            "| {streams} | {} | {:.0} | {:.1} |",
+            streams as u64 * 1_000 / TOKEN_MS,
+            per_second(before.0, after.0),
+            per_second(before.1, after.1),
+        );
+    }
+}
+
+async fn sent_to_peers(cluster: &Cluster, node: &harness::Node) -> u64 {
+    let request = cluster
+        .http
+        .request(Method::GET, node.admin, "/metrics", Default::default())
+        .expect("a valid request");
+    let response = cluster.http.send(request).await.expect("an answer");
+    let body = cluster.http.body(response).await.expect("a body");
+    let text = String::from_utf8_lossy(&body).into_owned();
+    text.lines()
+        .filter(|line| line.starts_with("almondpath_peer_bytes_total") && line.contains("sent"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok())
+        .sum()
+}
+
+/// Returns the processor time that a node has used, in milliseconds.
+fn processor_ms(node: &harness::Node) -> u64 {
+    /// Length of a clock tick of the kernel's process statistics.
+    const TICK_MS: u64 = 10;
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", node.process.id()));
+    let stat = stat.unwrap_or_default();
+    let after_name = stat.rsplit(") ").next().unwrap_or_default();
+    let times = after_name.split(' ').skip(11).take(2);
+    times.filter_map(|t| t.parse::<u64>().ok()).sum::<u64>() * TICK_MS
+}
--- a/tests/integration/broken_files.rs
+++ b/tests/integration/broken_files.rs
@@ -291,6 +291,23 @@
     }
 }
 
+/// Guards against a setting that the reference page does not explain.
+#[test]
+fn every_setting_is_documented() {
+    let page = include_str!("../../docs/configuration.md");
+    let text = format!("{SETTINGS}unknown: 1\n");
+    let problems = Kind::Settings.check(&text).expect_err("an unknown key");
+    let message = &problems.list[0].issue.message;
+    let keys: Vec<_> = message.split('`').skip(1).step_by(2).collect();
+    assert!(keys.len() > 20, "{message}");
+    for key in keys {
+        assert!(page.contains(&format!("`{key}`")), "{key} is not documented");
+    }
+    Kind::Settings
+        .check(include_str!("../../examples/node.yaml"))
+        .unwrap_or_else(|problems| panic!("{problems}"));
+}
+
 /// Guards against a token that appears in a message, and so in a log.
 #[test]
 fn messages_never_contain_a_token() {
