--- a/src/config/config.rs
+++ b/src/config/config.rs
@@ -94,11 +94,7 @@
             weights: section
                 .section("weights", Weights::bind)
                 .unwrap_or(Weights::EVEN),
-            failure_domains: section
-                .parsed_list::<String>("failure_domains", "a name")
-                .into_iter()
-                .map(Arc::from)
-                .collect(),
+            failure_domains: section.names("failure_domains"),
             client_accounts: section.list("client_accounts", Account::bind),
             services: section.list("services", Service::bind),
             routes: section.list("routes", Route::bind),
--- a/src/document/section.rs
+++ b/src/document/section.rs
@@ -98,6 +98,12 @@
             .collect()
     }
 
+    /// Reads a list of names; an absent list is empty.
+    pub fn names(&self, key: &str) -> Vec<Arc<str>> {
+        let names = self.parsed_list::<String>(key, "a name");
+        names.into_iter().map(Arc::from).collect()
+    }
+
     /// Reads a required number within a range.
     pub fn number(&self, key: &str, range: RangeInclusive<f64>) -> f64 {
         let start = *range.start();
--- a/src/questionnaire/answers.rs
+++ b/src/questionnaire/answers.rs
@@ -117,11 +117,7 @@
             deployment: section.text("deployment"),
             cost_importance,
             rollout_importance,
-            failure_domains: section
-                .parsed_list::<String>("failure_domains", "a name")
-                .into_iter()
-                .map(Arc::from)
-                .collect(),
+            failure_domains: section.names("failure_domains"),
             client_accounts: section.list("client_accounts", Account::bind),
             services: section.list("services", Service::bind),
             requests: section.list("requests", Request::bind),
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -244,52 +244,35 @@
     }
 
     fn start_nodes(&mut self, count: usize, extra: &str) {
-        let ports: Vec<[SocketAddr; 3]> = (0..count)
-            .map(|_| [free_address(), free_address(), free_address()])
-            .collect();
-        let seeds: Vec<String> = ports.iter().map(|p| format!("\"{}\"", p[2])).collect();
-        let tokens = self.token_file();
         let source = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("examples/dev/tokens.yaml");
-        std::fs::copy(source, &tokens).expect("the token file can be copied");
-        for (index, [listen, admin, peer]) in ports.into_iter().enumerate() {
-            let name = format!("node-{index}");
-            let text = format!(
-                "name: {name}\nfailure_domain: {}\nlisten: {listen}\nadmin: {admin}\n\
-                 peer: {peer}\nseeds: [{}]\nlog_service: {}\nplatform: {}\ntoken_file: {}\n{extra}",
-                domain(index),
-                seeds.join(", "),
-                self.log.address,
-                self.platform.address,
-                tokens.display(),
-            );
-            let settings = self.directory.path().join(format!("{name}.yaml"));
-            std::fs::write(&settings, text).expect("the settings can be written");
-            let process = Process::start(&["serve", settings.to_str().expect("a UTF-8 path")]);
-            self.nodes.push(Node {
-                name,
-                listen,
-                admin,
-                peer,
-                settings,
-                process,
-            });
+        std::fs::copy(source, self.token_file()).expect("the token file can be copied");
+        let ports: Vec<_> = (0..count).map(|_| free_ports()).collect();
+        let seeds: Vec<_> = ports.iter().map(|ports| ports[2]).collect();
+        for ports in ports {
+            self.start_node(ports, &seeds, self.log.address, extra);
         }
     }
 
     /// Starts one more node that reads the log at `log_service` and knows the nodes so far.
     pub(crate) fn add_node(&mut self, log_service: SocketAddr) {
+        let seeds: Vec<_> = self.nodes.iter().map(|node| node.peer).collect();
+        self.start_node(free_ports(), &seeds, log_service, "");
+    }
+
+    fn start_node(
+        &mut self,
+        [listen, admin, peer]: [SocketAddr; 3],
+        seeds: &[SocketAddr],
+        log_service: SocketAddr,
+        extra: &str,
+    ) {
         let index = self.nodes.len();
         let name = format!("node-{index}");
-        let [listen, admin, peer] = [free_address(), free_address(), free_address()];
-        let seeds: Vec<String> = self
-            .nodes
-            .iter()
-            .map(|n| format!("\"{}\"", n.peer))
-            .collect();
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "name: {name}\nfailure_domain: {}\nlisten: {listen}\nadmin: {admin}\n\
              peer: {peer}\nseeds: [{}]\nlog_service: {log_service}\nplatform: {}\n\
-             token_file: {}\n",
+             token_file: {}\n{extra}",
             domain(index),
             seeds.join(", "),
             self.platform.address,
@@ -374,6 +357,11 @@
     Double { address, process }
 }
 
+/// Returns addresses for callers, operators and other nodes.
+fn free_ports() -> [SocketAddr; 3] {
+    [free_address(), free_address(), free_address()]
+}
+
 /// Returns a loopback address whose port is free.
 ///
 /// The ports lie below those that the kernel gives to outgoing connections: one of these could
