Print the state of rollouts in the status of a node

Cause: status showed rollouts in its JSON output only, so that the text that operators read did not say whether a rollout is done or rolled back. Found by reading the commands as a newcomer. A test checks the sentence of each state.

--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -81,6 +81,9 @@
             "{} {}: {}, configuration {version} by {by}",
             self.address, status.node, status.state
         );
+        for rollout in &status.rollouts {
+            println!("  {rollout}");
+        }
         if let Some(refused) = &status.refused {
             println!("  refused: {refused}");
         }
--- a/src/control/statement.rs
+++ b/src/control/statement.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -73,3 +74,22 @@
         }
     }
 }
+
+impl fmt::Display for Statement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} from {} to {}: ", self.service, self.from, self.to)?;
+        match self.state {
+            State::InProgress => write!(
+                f,
+                "in progress, stage {} of {} with {:.0}% of the traffic",
+                self.stage, self.stages, self.share_percent
+            ),
+            State::DoneBaking => f.write_str("done, the old version still has to stay"),
+            State::Done => f.write_str("done"),
+            State::RolledBack => {
+                let reason = self.reason.as_deref().unwrap_or("no reason is known");
+                write!(f, "rolled back: {reason}")
+            }
+        }
+    }
+}
--- a/tests/integration/rollouts.rs
+++ b/tests/integration/rollouts.rs
@@ -405,3 +405,38 @@
         eventually("the engine serves v1 again", async || serves("v1").await).await;
     }
 }
+
+/// Guards against a status that doesn't tell operators whether a rollout is done or rolled back.
+#[test]
+fn a_statement_names_the_state_and_the_reason() {
+    let statement = |state, reason: Option<&str>| Statement {
+        rollout: almondpath::log::Offset(3),
+        service: "ledger".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        state,
+        stage: 2,
+        stages: 5,
+        share_percent: 5.0,
+        deadline: Millis(0),
+        reason: reason.map(str::to_owned),
+    };
+    let cases = [
+        (
+            State::InProgress,
+            None,
+            "in progress, stage 2 of 5 with 5% of the traffic",
+        ),
+        (
+            State::DoneBaking,
+            None,
+            "done, the old version still has to stay",
+        ),
+        (State::Done, None, "done"),
+        (State::RolledBack, Some("deadline"), "rolled back: deadline"),
+    ];
+    for (state, reason, expected) in cases {
+        let text = statement(state, reason).to_string();
+        assert_eq!(text, format!("ledger from v1 to v2: {expected}"));
+    }
+}
