Let all tests of calls start from an empty queue

By reading, not reproduced: the record that ends the call before it was still being appended when the test made the log slow, so that the claim waited behind it for 900 ms, and the pause began after 450 ms. It is the cause found earlier in a test of refusals, which had been mended in that test only; `await_calls`, which all of them use, now waits until the records are appended. No check is changed.

--- a/tests/integration/call_harness.rs
+++ b/tests/integration/call_harness.rs
@@ -129,10 +129,11 @@
             })
             .await;
         }
+        self.await_appends().await;
     }
 
     /// Waits until no node has a record to append, so that a fault of the log meets new calls only.
-    pub(crate) async fn await_appends(&self) {
+    async fn await_appends(&self) {
         for node in &self.nodes {
             eventually("all records are appended", async || {
                 let dump = self.dump(node).await.unwrap_or_default();
--- a/tests/integration/refusals.rs
+++ b/tests/integration/refusals.rs
@@ -132,7 +132,6 @@
 async fn a_call_without_an_endpoint_is_ruled_out_for_good() {
     let cluster = Cluster::start(2, 0, 1).await;
     cluster.await_calls().await;
-    cluster.await_appends().await;
     let append_refused = json!({ "refuse_appends": true });
     cluster.put_hosts(&[]).await;
     cluster
