Order endpoints by name only while a rollout leaves some out

Each attempt sorted all endpoints of its service by name. The order only decides which of them get requests during the first stages of a rollout; outside of these all are taken, and the caller uses the set.

--- a/src/endpoint/table.rs
+++ b/src/endpoint/table.rs
@@ -199,8 +199,12 @@
             .filter(|(_, e)| version.as_ref().is_none_or(|v| v == e.version()))
             .collect();
         if let (Some(split), Some(version)) = (self.splits.get(service), &version) {
-            chosen.sort_by(|(_, a), (_, b)| a.host.host.cmp(&b.host.host));
-            chosen.truncate(split.in_use(version, chosen.len()));
+            let in_use = split.in_use(version, chosen.len());
+            // The order only decides which ones get requests while some don't.
+            if in_use < chosen.len() {
+                chosen.sort_by(|(_, a), (_, b)| a.host.host.cmp(&b.host.host));
+                chosen.truncate(in_use);
+            }
         }
         chosen.into_iter()
     }
