Reserve the ports of tests without listening on them

The check listened on the port and closed the socket; a process that another test started at that moment had inherited the socket and held it until it ran its program, some milliseconds later.

Ruled out: outgoing connections (the ports lie below their range), two tests with one port (the counter is shared), and TIME_WAIT (both binds use SO_REUSEADDR).

A reservation is now a bound socket that never listens and stays for the whole run, so a process that holds a copy of it does not matter.

--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -1,8 +1,9 @@
 //! Starts nodes and test doubles as separate processes and talks to them over HTTP.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,7 @@
 use hyper::Method;
 use serde_json::Value;
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 
 /// Longest wait for a condition that a test expects to come true.
 const WAIT: Duration = Duration::from_secs(20);
@@ -362,26 +364,39 @@
     [free_address(), free_address(), free_address()]
 }
 
-/// Returns a loopback address whose port is free.
+/// Returns a loopback address whose port is reserved for the process that the test starts next.
 ///
-/// The ports lie below those that the kernel gives to outgoing connections: one of these could
-/// take a port between this call and the moment when the process under test binds it.
+/// The reservation is a socket that is bound and never listens. With `SO_REUSEADDR` on both, it
+/// does not keep a server from the port, also not while a process that starts holds a copy of it.
+/// The ports lie below those that the kernel gives to outgoing connections.
 pub(crate) fn free_address() -> SocketAddr {
     const FIRST: u32 = 10_000;
     const COUNT: u32 = 22_000;
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    static RESERVED: Mutex<Vec<TcpSocket>> = Mutex::new(Vec::new());
     // Runs of the tests at the same time begin at different ports.
     let start = std::process::id().wrapping_mul(997);
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST + start.wrapping_add(step) % COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
+        if let Ok(socket) = reserve(address) {
+            RESERVED
+                .lock()
+                .expect("no panic with the lock")
+                .push(socket);
             return address;
         }
     }
 }
 
+fn reserve(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn eventually<F>(what: &str, mut condition: F)
 where
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod placement;
 mod planned_stop;
+mod ports;
 mod refusals;
 mod relay;
 mod replay;
