Let a few nodes of each failure domain wait at the log

Cause: every node long-polled the control stream, 370 reads a second at the target size that mostly return nothing.

Ruled out: longer polls (a stalled connection would be noticed later than the bound of 8 s allows) and one reader for each failure domain (one stalled node would delay its domain). The idea is option C of PIP-63, "Readonly Topic Ownership Support".

The 6 to 8 nodes of today all wait at the log, as before.

--- a/benches/membership.rs
+++ b/benches/membership.rs
@@ -34,14 +34,14 @@
     }
 }
 
-fn header() -> Header {
+fn header(control_end: u64) -> Header {
     let demand = (0..5).map(|account| Demand { account, rate: 1.0 });
     Header {
         protocol: 1,
         format: 1,
         incarnation: 0,
         config: Some(Offset(100)),
-        control_end: Offset(101),
+        control_end: Offset(control_end),
         weight: 255,
         draining: false,
         joining: false,
@@ -63,6 +63,8 @@
 /// All nodes, each with its address.
 struct World {
     views: Vec<View>,
+    /// Up to which offset each node knows the `control` stream.
+    ends: Vec<u64>,
     index: std::collections::HashMap<SocketAddr, usize>,
     now: Millis,
     sent: usize,
@@ -76,6 +78,7 @@
         let views = (0..nodes).map(|index| View::new(member(index), seeds.clone(), index as u64));
         let mut world = Self {
             views: views.collect(),
+            ends: vec![101; nodes],
             index: (0..nodes)
                 .map(|index| (member(index).peer, index))
                 .collect(),
@@ -89,14 +92,18 @@
 
     fn exchange(&mut self, from: usize, target: &Target) -> bool {
         let to = self.index[&target.address];
-        let ask = self.views[from].message(self.now, target.name.as_deref(), header());
+        let ask =
+            self.views[from].message(self.now, target.name.as_deref(), header(self.ends[from]));
         self.sent += encoded_bytes(&ask) + ASK_FRAME_BYTES;
         self.exchanges += 1;
         let (sender, joining) = (ask.header.incarnation, ask.header.joining);
         let urgent = self.views[to].receive(self.now, ask).urgent;
-        let answer = self.views[to].answer(self.now, sender, joining, header());
+        let answer = self.views[to].answer(self.now, sender, joining, header(self.ends[to]));
         self.sent += encoded_bytes(&answer) + ANSWER_FRAME_BYTES;
         let back = self.views[from].answered(self.now, answer).urgent;
+        // A node reads the stream as soon as it hears that it has grown.
+        let end = self.ends[from].max(self.ends[to]);
+        (self.ends[from], self.ends[to]) = (end, end);
         if urgent {
             self.relay(to);
         }
@@ -191,11 +198,34 @@
     }
 }
 
+/// Prints the virtual time until all nodes have heard that the `control` stream has grown, when
+/// four nodes of each failure domain wait at the log for its records.
+fn growth(_: &mut Criterion) {
+    const DIRECT_READERS: usize = 4;
+    for (nodes, _) in SIZES {
+        let mut world = World::start(nodes);
+        let start = world.now;
+        for index in 0..nodes {
+            if world.views[index].domain_rank() < DIRECT_READERS {
+                world.ends[index] += 1;
+            }
+        }
+        let direct = world.ends.iter().filter(|end| **end == 102).count();
+        while world.ends.contains(&101) && world.now - start < Millis::from_secs(60) {
+            world.run(TICK, 0);
+        }
+        println!(
+            "{nodes:5} nodes, {direct} at the log: growth known to all within {}",
+            world.now - start
+        );
+    }
+}
+
 fn tick(criterion: &mut Criterion) {
     for (nodes, endpoints) in SIZES {
         let mut world = World::start(nodes);
         world.run(Millis::from_secs(10), endpoints);
-        let ask: Message = world.views[1].message(world.now, Some("entry-0000"), header());
+        let ask: Message = world.views[1].message(world.now, Some("entry-0000"), header(101));
         let view = world.views[0].clone();
         let now = world.now + TICK;
         criterion.bench_function(&format!("tick, {nodes} nodes"), |bencher| {
@@ -205,10 +235,10 @@
                     // One probe that is sent and one that is answered.
                     let target = view.tick(now).expect("a known node");
                     let name = target.name.as_deref();
-                    black_box(view.message(now, name, header()));
+                    black_box(view.message(now, name, header(101)));
                     let sender = ask.header.incarnation;
                     view.receive(now, ask.clone());
-                    black_box(view.answer(now, sender, false, header()));
+                    black_box(view.answer(now, sender, false, header(101)));
                 },
                 BatchSize::SmallInput,
             );
@@ -218,7 +248,7 @@
 
 #[allow(missing_docs, reason = "defined by a macro")]
 mod groups {
-    use super::{bytes, spread, tick};
-    criterion::criterion_group!(benches, bytes, spread, tick);
+    use super::{bytes, growth, spread, tick};
+    criterion::criterion_group!(benches, bytes, spread, growth, tick);
 }
 criterion_main!(groups::benches);
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,5 +1,6 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -9,7 +10,7 @@
 use super::outbox::Outbox;
 use super::roster::{Merge, Roster};
 use super::schedule::Schedule;
-use super::{Header, Load, Member, Message, Notice, Peer, State, Target};
+use super::{Header, Load, Member, Message, Notice, Peer, State, Target, short_hash};
 
 /// Time between two ticks: three probes a second.
 pub const TICK: Millis = Millis(333);
@@ -114,6 +115,18 @@
         self.roster.live()
     }
 
+    /// Returns how many nodes of the own failure domain that may get new work come before this one
+    /// in an order that is the same at all nodes and mixes those that started at the same time.
+    #[must_use]
+    pub fn domain_rank(&self) -> usize {
+        let own = self.own();
+        let before = |other: &Member| {
+            let order = |member: &Member| (short_hash(&member.name), Arc::clone(&member.name));
+            other.domain == own.domain && order(other) < order(own)
+        };
+        self.available().filter(|p| before(&p.member)).count()
+    }
+
     /// Returns the number of updates that wait to be passed on.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -1,31 +1,21 @@
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use slog::{info, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::access::Access;
 use crate::clock::Millis;
-use crate::control::{self, Fold, Outcome, Reader, Record};
-use crate::log::{Page, Service as _};
 use crate::supervisor::Supervisor;
 
-use super::{Node, backup, gossip, polls, sync};
+use super::{Node, backup, gossip, polls, sync, tail};
 
-/// Time between two looks at the token file, and after a failed read of the log.
+/// Time between two looks at the token file and at finished responses.
 const POLL_INTERVAL: Millis = Millis(500);
 
-/// Longest time that one read of the `control` stream waits for a record.
-const TAIL_WAIT: Millis = Millis(1_000);
-
-const TAIL_LIMIT: usize = 256;
-
 /// Starts the node's background tasks.
 pub(super) fn spawn(node: &Arc<Node>, supervisor: &mut Supervisor) {
     let this = Arc::clone(node);
-    supervisor.spawn("control", move |token| {
-        tail_control(Arc::clone(&this), token)
-    });
+    supervisor.spawn("control", move |token| tail::run(Arc::clone(&this), token));
     let this = Arc::clone(node);
     supervisor.spawn("access", move |token| {
         reload_access(Arc::clone(&this), token)
@@ -56,116 +46,6 @@
     });
 }
 
-async fn tail_control(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
-    let mut reader = Reader::default();
-    let mut checkpoint = Checkpoint::new(node.clock.now());
-    while !token.is_cancelled() {
-        let known = node.control();
-        if known.next() > reader.fold().next() {
-            // Another node knew more.
-            reader = Reader::new(known);
-        }
-        let page = node
-            .log_service
-            .read(control::STREAM, reader.next(), TAIL_LIMIT, TAIL_WAIT);
-        let page = tokio::select! {
-            () = token.cancelled() => return Ok(()),
-            page = page => page,
-        };
-        let Ok(page) = page else {
-            metrics::counter!("almondpath_log_read_failures_total").increment(1);
-            pause(&token).await;
-            continue;
-        };
-        for (offset, outcome) in reader.take(&page) {
-            if let Outcome::Rejected(reason) = outcome {
-                let reason = format!("record {offset}: {reason}");
-                node.refused.store(Some(Arc::new(reason)));
-            }
-        }
-        node.cluster.gap.store(reader.is_gap(), Ordering::SeqCst);
-        if reader.is_gap() {
-            // Another node may know the state, or write a checkpoint.
-            metrics::counter!("almondpath_log_gaps_total").increment(1);
-            pause(&token).await;
-            continue;
-        }
-        node.adopt(reader.fold());
-        checkpoint.seen(&page, node.clock.now());
-        if reader.next() >= page.end {
-            checkpoint.write_if_due(&node, reader.fold());
-        }
-    }
-    Ok(())
-}
-
-/// Writes the state of the `control` stream into it before its records expire.
-struct Checkpoint {
-    /// When the last one was read or written.
-    at: Millis,
-    /// Records read since then.
-    records: u64,
-    /// Part of the interval that this process waits longer, so that mostly one node writes.
-    delay: f64,
-}
-
-impl Checkpoint {
-    /// Longest additional wait as a share of the interval.
-    const MAX_DELAY: f64 = 0.25;
-
-    fn new(now: Millis) -> Self {
-        Self {
-            at: now,
-            records: 0,
-            delay: rand::random_range(0.0..Self::MAX_DELAY),
-        }
-    }
-
-    fn seen(&mut self, page: &Page, now: Millis) {
-        for entry in &page.records {
-            self.records += 1;
-            if matches!(serde_json::from_str(&entry.data), Ok(Record::Checkpoint(_))) {
-                self.at = now;
-                self.records = 0;
-            }
-        }
-    }
-
-    fn write_if_due(&mut self, node: &Arc<Node>, fold: &Fold) {
-        let settings = &node.settings;
-        let now = node.clock.now();
-        let late = 1.0 + self.delay;
-        let interval = Millis((settings.checkpoint_interval_ms.as_f64() * late) as u64);
-        let records = (settings.checkpoint_records as f64 * late) as u64;
-        let due = now - self.at >= interval || self.records >= records;
-        if !due || fold.active().is_none() {
-            return;
-        }
-        self.at = now;
-        self.records = 0;
-        metrics::counter!("almondpath_control_checkpoints_total").increment(1);
-        let record = Record::Checkpoint(Box::new(fold.clone()));
-        let Ok(text) = serde_json::to_string(&record) else {
-            return;
-        };
-        let node = Arc::clone(node);
-        tokio::spawn(async move {
-            // A lost one is followed by another after the interval.
-            let _ = node
-                .log_service
-                .append(control::STREAM, vec![text.into()])
-                .await;
-        });
-    }
-}
-
-impl Node {
-    /// Returns the newest known state of the `control` stream.
-    pub(super) fn control(&self) -> Fold {
-        self.cluster.control.lock().expect("control lock").clone()
-    }
-}
-
 /// Drops finished responses after their retention period.
 async fn sweep_streams(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
     while !token.is_cancelled() {
--- a/src/node/cluster.rs
+++ b/src/node/cluster.rs
@@ -1,7 +1,8 @@
 use std::collections::HashMap;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Mutex, MutexGuard, OnceLock};
 
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::addressing::Candidate;
@@ -23,6 +24,12 @@
     pub(super) fetching: AtomicBool,
     /// Whether the log no longer has the next record of the `control` stream.
     pub(super) gap: AtomicBool,
+    /// Offset up to which this process has read the `control` stream at the log.
+    pub(super) read_to: AtomicU64,
+    /// Whether the last read of the `control` stream succeeded.
+    pub(super) log_reached: AtomicBool,
+    /// Notified when the `control` stream has probably grown.
+    pub(super) grown: Notify,
     /// Demand of the callers of this node.
     pub(super) rates: Mutex<Rates>,
     /// Endpoints whose process is not known, by the hash of their host's name.
@@ -50,6 +57,9 @@
             control: Mutex::default(),
             fetching: AtomicBool::new(false),
             gap: AtomicBool::new(false),
+            read_to: AtomicU64::new(0),
+            log_reached: AtomicBool::new(false),
+            grown: Notify::new(),
             rates: Mutex::default(),
             unread: Mutex::default(),
             platform: platform::Http::new(settings.platform),
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -107,7 +107,7 @@
 
     fn header(&self) -> Header {
         let now = self.clock.now();
-        let control_end = self.cluster.control.lock().expect("control lock").next();
+        let control_end = self.control_end();
         Header {
             protocol: peer::PROTOCOL,
             format: u16::try_from(FORMAT).unwrap_or(u16::MAX),
@@ -159,6 +159,9 @@
         if received.urgent {
             self.relay();
         }
+        if facts.control_end.0 > self.cluster.read_to.load(Ordering::SeqCst) {
+            self.cluster.grown.notify_one();
+        }
         if let Some(sender) = received.sender
             && self.is_behind(facts)
         {
@@ -183,13 +186,22 @@
 
 /// The `control` stream as other nodes know it.
 impl Node {
+    /// Returns the offset after the newest known record of the `control` stream.
+    fn control_end(&self) -> Offset {
+        self.cluster.control.lock().expect("control lock").next()
+    }
+
     fn is_behind(&self, facts: Facts) -> bool {
+        if self.cluster.gap.load(Ordering::SeqCst) {
+            // The records have expired at the log.
+            return facts.control_end > self.control_end();
+        }
+        if !self.is_direct_reader() && self.cluster.log_reached.load(Ordering::SeqCst) {
+            // The read that has just been triggered costs less than the whole state.
+            return false;
+        }
         let active = self.active.load().as_ref().map(|active| active.version);
-        // The end alone does not tell, because the log delivers the same records in a moment,
-        // unless they have expired there.
-        let end = self.cluster.control.lock().expect("control lock").next();
-        let gap = self.cluster.gap.load(Ordering::SeqCst);
-        facts.config > active || (gap && facts.control_end > end)
+        facts.config > active
     }
 
     fn fetch_control(self: &Arc<Self>, from: std::net::SocketAddr) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -31,6 +31,7 @@
 mod status;
 mod stop;
 mod sync;
+mod tail;
 mod takeover;
 
 pub use self::node::Node;
--- /dev/null
+++ b/src/node/tail.rs
@@ -0,0 +1,174 @@
+//! Follows the `control` stream.
+//!
+//! A few nodes of each failure domain wait at the log for the next record. The other ones read when
+//! a probe tells them that the stream has grown, and now and then in case no probe does. So the
+//! reads that return nothing do not grow with the number of nodes. This is the idea of PIP-63,
+//! "Readonly Topic Ownership Support", option C: a reader asks only when its stream has not
+//! advanced.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+use crate::control::{self, Fold, Outcome, Reader, Record};
+use crate::error::Error;
+use crate::log::{Offset, Page, Service as _};
+
+use super::Node;
+
+/// Pause after a failed read of the log.
+const RETRY_INTERVAL: Millis = Millis(500);
+
+/// Longest time that one read of the `control` stream waits for a record.
+const TAIL_WAIT: Millis = Millis(1_000);
+
+/// Longest time between two reads of a node that does not wait at the log. Together with the spread
+/// by probes it stays below the 8 s in which a configuration has to be active everywhere.
+const FOLLOW_INTERVAL: Millis = Millis(4_000);
+
+const TAIL_LIMIT: usize = 256;
+
+/// Nodes of each failure domain that wait at the log. With the 6 to 8 nodes in 3 domains of today
+/// these are all.
+const DIRECT_READERS: usize = 4;
+
+pub(super) async fn run(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let mut reader = Reader::default();
+    let mut checkpoint = Checkpoint::new(node.clock.now());
+    while !token.is_cancelled() {
+        let known = node.control();
+        if known.next() > reader.fold().next() {
+            // Another node knew more.
+            reader = Reader::new(known);
+        }
+        let page = tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            page = node.read_control(reader.next()) => page,
+        };
+        node.cluster
+            .log_reached
+            .store(page.is_ok(), Ordering::SeqCst);
+        let Ok(page) = page else {
+            metrics::counter!("almondpath_log_read_failures_total").increment(1);
+            pause(&token).await;
+            continue;
+        };
+        for (offset, outcome) in reader.take(&page) {
+            if let Outcome::Rejected(reason) = outcome {
+                let reason = format!("record {offset}: {reason}");
+                node.refused.store(Some(Arc::new(reason)));
+            }
+        }
+        let read_to = reader.next().0;
+        node.cluster.read_to.store(read_to, Ordering::SeqCst);
+        node.cluster.gap.store(reader.is_gap(), Ordering::SeqCst);
+        if reader.is_gap() {
+            // Another node may know the state, or write a checkpoint.
+            metrics::counter!("almondpath_log_gaps_total").increment(1);
+            pause(&token).await;
+            continue;
+        }
+        node.adopt(reader.fold());
+        checkpoint.seen(&page, node.clock.now());
+        if reader.next() >= page.end {
+            checkpoint.write_if_due(&node, reader.fold());
+        }
+    }
+    Ok(())
+}
+
+/// Writes the state of the `control` stream into it before its records expire.
+struct Checkpoint {
+    /// When the last one was read or written.
+    at: Millis,
+    /// Records read since then.
+    records: u64,
+    /// Part of the interval that this process waits longer, so that mostly one node writes.
+    delay: f64,
+}
+
+impl Checkpoint {
+    /// Longest additional wait as a share of the interval.
+    const MAX_DELAY: f64 = 0.25;
+
+    fn new(now: Millis) -> Self {
+        Self {
+            at: now,
+            records: 0,
+            delay: rand::random_range(0.0..Self::MAX_DELAY),
+        }
+    }
+
+    fn seen(&mut self, page: &Page, now: Millis) {
+        for entry in &page.records {
+            self.records += 1;
+            if matches!(serde_json::from_str(&entry.data), Ok(Record::Checkpoint(_))) {
+                self.at = now;
+                self.records = 0;
+            }
+        }
+    }
+
+    fn write_if_due(&mut self, node: &Arc<Node>, fold: &Fold) {
+        let settings = &node.settings;
+        let now = node.clock.now();
+        let late = 1.0 + self.delay;
+        let interval = Millis((settings.checkpoint_interval_ms.as_f64() * late) as u64);
+        let records = (settings.checkpoint_records as f64 * late) as u64;
+        let due = now - self.at >= interval || self.records >= records;
+        if !due || fold.active().is_none() {
+            return;
+        }
+        self.at = now;
+        self.records = 0;
+        metrics::counter!("almondpath_control_checkpoints_total").increment(1);
+        let record = Record::Checkpoint(Box::new(fold.clone()));
+        let Ok(text) = serde_json::to_string(&record) else {
+            return;
+        };
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            // A lost one is followed by another after the interval.
+            let _ = node
+                .log_service
+                .append(control::STREAM, vec![text.into()])
+                .await;
+        });
+    }
+}
+
+impl Node {
+    /// Reads the `control` stream, at once or when there is probably something to read.
+    async fn read_control(&self, from: Offset) -> Result<Page, Error> {
+        let wait = if self.is_direct_reader() {
+            TAIL_WAIT
+        } else {
+            // Elapsed: it reads all the same.
+            let _ = timeout(FOLLOW_INTERVAL.into(), self.cluster.grown.notified()).await;
+            Millis::ZERO
+        };
+        self.log_service
+            .read(control::STREAM, from, TAIL_LIMIT, wait)
+            .await
+    }
+
+    /// Returns whether this node waits at the log for the next record of the `control` stream.
+    pub(super) fn is_direct_reader(&self) -> bool {
+        self.cluster.view().domain_rank() < DIRECT_READERS
+    }
+
+    /// Returns the newest known state of the `control` stream.
+    pub(super) fn control(&self) -> Fold {
+        self.cluster.control.lock().expect("control lock").clone()
+    }
+}
+
+async fn pause(token: &CancellationToken) {
+    tokio::select! {
+        () = token.cancelled() => {}
+        () = tokio::time::sleep(RETRY_INTERVAL.into()) => {}
+    }
+}
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
 
@@ -34,13 +34,15 @@
     pub keep: usize,
 }
 
-/// Numbers of appends and records that took effect.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Numbers of appends and records that took effect, and of reads.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogStats {
     /// Appends.
     pub appends: u64,
     /// Records.
     pub records: u64,
+    /// Reads that arrived, by stream.
+    pub reads: BTreeMap<String, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -230,7 +232,13 @@
         first
     }
 
+    fn count_read(&self, stream: &str) {
+        let mut stats = self.inner.stats.lock().expect("stats lock");
+        *stats.reads.entry(stream.to_owned()).or_default() += 1;
+    }
+
     async fn read(self, stream: String, query: Query) -> Result<super::Answer, Infallible> {
+        self.count_read(&stream);
         if self.enter().await.is_none() {
             return super::unavailable();
         }
--- a/tests/integration/config_spread.rs
+++ b/tests/integration/config_spread.rs
@@ -6,6 +6,8 @@
 use almondpath::clock::Millis;
 use almondpath::control;
 use almondpath::log::{self, Offset, Service as _};
+use almondpath::membership::short_hash;
+use almondpath::standin::LogStats;
 use serde_json::json;
 
 use crate::harness::{Cluster, Node, eventually};
@@ -25,10 +27,10 @@
 }
 
 impl Setup {
-    async fn start() -> Self {
+    async fn start(nodes: usize) -> Self {
         let mut cluster = Cluster::start(0, 0, 0).await;
         let mut relays = Vec::new();
-        for _ in 0..NODES {
+        for _ in 0..nodes {
             let relay = Relay::start(cluster.log.address).await;
             cluster.add_node(relay.address);
             relays.push(relay);
@@ -46,7 +48,7 @@
     /// Waits until all nodes have the version; no node may show an older one than before.
     async fn await_version(&self, expected: u64, what: &str) {
         let started = Instant::now();
-        let mut seen = [None; NODES];
+        let mut seen = vec![None; self.cluster.nodes.len()];
         while seen.iter().any(|version| *version != Some(expected)) {
             for (node, seen) in self.cluster.nodes.iter().zip(&mut seen) {
                 let version = self.version(node).await;
@@ -66,6 +68,13 @@
         println!("{what}: active everywhere after {:?}", started.elapsed());
     }
 
+    async fn control_reads(&self) -> u64 {
+        let http = &self.cluster.http;
+        let stats = http.get_json(self.cluster.log.address, "/stats").await;
+        let stats: LogStats = stats.expect("the log service answers");
+        stats.reads["control"]
+    }
+
     fn freeze(&self, nodes: std::ops::Range<usize>, mode: Mode) {
         for relay in &self.relays[nodes] {
             relay.set(mode);
@@ -82,7 +91,7 @@
 /// against a node that goes back to an older one after a restart or a pause.
 #[tokio::test(flavor = "multi_thread")]
 async fn active_everywhere_and_never_reverted() {
-    let mut setup = Setup::start().await;
+    let mut setup = Setup::start(NODES).await;
     setup.await_version(0, "first start").await;
 
     setup.cluster.publish(CONFIG).await;
@@ -124,6 +133,47 @@
         .await;
 }
 
+/// Guards against reads of the log that grow with the number of nodes although nothing changes, and
+/// against nodes that miss a configuration because they don't wait at the log for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_nodes_of_a_domain_wait_at_the_log() {
+    const DOMAINS: usize = 3;
+    const PER_DOMAIN: usize = 6;
+    const DIRECT: usize = 4;
+    /// One read a second of each node that waits at the log, one in 4 s of each other one, and a
+    /// fifth more for the edges of the interval.
+    const MAX_READS_PER_S: f64 =
+        1.2 * (DOMAINS * DIRECT) as f64 + 0.3 * (DOMAINS * (PER_DOMAIN - DIRECT)) as f64;
+    const INTERVAL: Duration = Duration::from_secs(5);
+
+    let setup = Setup::start(DOMAINS * PER_DOMAIN).await;
+    setup.await_version(0, "first start of 18 nodes").await;
+    setup.cluster.publish(CONFIG).await;
+    setup.await_version(1, "18 nodes").await;
+
+    let before = setup.control_reads().await;
+    tokio::time::sleep(INTERVAL).await;
+    let reads = (setup.control_reads().await - before) as f64 / INTERVAL.as_secs_f64();
+    println!("18 nodes: {reads:.1} reads of `control` a second");
+    assert!(
+        reads <= MAX_READS_PER_S,
+        "{reads:.1} > {MAX_READS_PER_S:.1}"
+    );
+
+    // Only nodes that don't wait at the log can reach it.
+    for domain in 0..DOMAINS {
+        let mut nodes: Vec<usize> = (domain..DOMAINS * PER_DOMAIN).step_by(DOMAINS).collect();
+        nodes.sort_by_key(|index| short_hash(&setup.cluster.nodes[*index].name));
+        for index in &nodes[..DIRECT] {
+            setup.relays[*index].set(Mode::FreezeAll);
+        }
+    }
+    setup.cluster.publish(CONFIG).await;
+    setup
+        .await_version(2, "18 nodes, those that wait at the log cut off from it")
+        .await;
+}
+
 /// Guards against a node that takes what is left of an expired log for the whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_node_survives_expired_records() {
