--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -8,6 +8,24 @@
 using Rust = import "/rust.capnp";
 $Rust.parentModule("peer");
 
+# What a node that asks for a token offers on a new connection.
+interface Authentication {
+  # Returns the node's methods to a holder of one of its tokens.
+  authenticate @0 (token :Data) -> (session :Session);
+}
+
+# What a node that asks for no token offers on a new connection: nodes without a token, also those of
+# a release before `Authentication`, call its methods at once.
+interface OpenPeer extends(Authentication, Peer) {}
+
+struct Session {
+  union {
+    peer @0 :Peer;
+    # A JSON document with kind, verdict and message.
+    error @1 :Data;
+  }
+}
+
 interface Peer {
   # Exchanges state with a node and shows that it responds.
   probe @0 (message :Probe) -> (message :Probe);
--- a/src/access/access.rs
+++ b/src/access/access.rs
@@ -41,9 +41,10 @@
         document.bind(|section| {
             let accounts = section.secrets("client_accounts").into_iter();
             let operators = section.secrets("operators").into_iter();
-            let accounts = accounts.map(|(name, token)| (digest(&token), Identity::Account(name)));
+            let accounts =
+                accounts.map(|(name, token)| (digest(token.as_bytes()), Identity::Account(name)));
             let operators =
-                operators.map(|(name, token)| (digest(&token), Identity::Operator(name)));
+                operators.map(|(name, token)| (digest(token.as_bytes()), Identity::Operator(name)));
             let entries: Vec<_> = accounts.chain(operators).collect();
             for (index, (known, _)) in entries.iter().enumerate() {
                 if entries[..index].iter().any(|(other, _)| other == known) {
@@ -60,7 +61,7 @@
     #[must_use]
     pub fn identify(&self, header: Option<&str>) -> Option<Identity> {
         let token = header?.strip_prefix("Bearer ")?;
-        let wanted = digest(token);
+        let wanted = digest(token.as_bytes());
         let mut found = None;
         for (known, identity) in &self.entries {
             if bool::from(known.ct_eq(&wanted)) {
@@ -79,6 +80,7 @@
     }
 }
 
-fn digest(token: &str) -> [u8; 32] {
-    Sha256::digest(token.as_bytes()).into()
+/// Returns the SHA-256 digest of a token.
+pub(crate) fn digest(token: &[u8]) -> [u8; 32] {
+    Sha256::digest(token).into()
 }
--- a/src/access/mod.rs
+++ b/src/access/mod.rs
@@ -2,4 +2,5 @@
 
 mod access;
 
+pub(crate) use self::access::digest;
 pub use self::access::{Access, Identity};
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -7,6 +7,7 @@
 use crate::access::Access;
 use crate::config::Config;
 use crate::document::{Document, Problems};
+use crate::peer;
 use crate::questionnaire::Answers;
 use crate::settings;
 
@@ -29,6 +30,7 @@
     Config,
     Settings,
     Tokens,
+    PeerTokens,
 }
 
 pub(super) fn command() -> Command {
@@ -46,7 +48,7 @@
         .arg(
             Arg::new("kind")
                 .long("kind")
-                .value_parser(["answers", "config", "settings", "tokens"])
+                .value_parser(["answers", "config", "settings", "tokens", "peer-tokens"])
                 .help("What the files contain; told from their keys if left out"),
         )
         .arg(format_arg())
@@ -61,6 +63,7 @@
             "answers" => Kind::Answers,
             "config" => Kind::Config,
             "settings" => Kind::Settings,
+            "peer-tokens" => Kind::PeerTokens,
             _ => Kind::Tokens,
         });
     let mut findings = Vec::new();
@@ -90,6 +93,7 @@
         Kind::Config => Config::from_document(&document).map(drop),
         Kind::Settings => settings::Node::from_document(&document).map(drop),
         Kind::Tokens => Access::from_document(&document).map(drop),
+        Kind::PeerTokens => peer::Tokens::from_document(&document).map(drop),
     };
     Ok(result.map_or_else(Finding::list, |()| Vec::new()))
 }
@@ -102,6 +106,7 @@
         ("listen", Kind::Settings),
         ("log_service", Kind::Settings),
         ("operators", Kind::Tokens),
+        ("peer_tokens", Kind::PeerTokens),
     ];
     kinds
         .iter()
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -1,13 +1,15 @@
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use tokio_util::sync::CancellationToken;
 
 use crate::access::Access;
 use crate::clock::Millis;
 use crate::control::{self, Fold, Outcome, Reader, Record};
 use crate::log::{Page, Service as _};
+use crate::peer;
 use crate::supervisor::Supervisor;
 
 use super::{Node, backup, gossip, polls, sync};
@@ -31,6 +33,10 @@
         reload_access(Arc::clone(&this), token)
     });
     let this = Arc::clone(node);
+    supervisor.spawn("peer tokens", move |token| {
+        reload_peer_tokens(Arc::clone(&this), token)
+    });
+    let this = Arc::clone(node);
     supervisor.spawn("hosts", move |token| polls::hosts(Arc::clone(&this), token));
     let this = Arc::clone(node);
     supervisor.spawn("notices", move |token| {
@@ -182,9 +188,38 @@
     }
 }
 
-/// Takes over changes of the token file; a broken file changes nothing.
+/// Takes over changes of the file with the tokens of client accounts and operators.
 async fn reload_access(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
-    let path = &node.settings.token_file;
+    let path = node.settings.token_file.clone();
+    reload(&node.log, &path, &token, Access::load, |access| {
+        node.access.store(access);
+    })
+    .await
+}
+
+/// Takes over changes of the file with the tokens of nodes.
+async fn reload_peer_tokens(node: Arc<Node>, token: CancellationToken) -> eyre::Result<()> {
+    let Some(path) = node.settings.peer_token_file.clone() else {
+        token.cancelled().await;
+        return Ok(());
+    };
+    reload(&node.log, &path, &token, peer::Tokens::load, |tokens| {
+        node.peer_tokens.send_replace(tokens);
+    })
+    .await
+}
+
+/// Takes over changes of a token file; a broken file changes nothing.
+async fn reload<T, F>(
+    log: &Logger,
+    path: &Path,
+    token: &CancellationToken,
+    load: fn(&Path) -> eyre::Result<T>,
+    store: F,
+) -> eyre::Result<()>
+where
+    F: Fn(Arc<T>),
+{
     let modified = || {
         std::fs::metadata(path)
             .and_then(|data| data.modified())
@@ -192,19 +227,21 @@
     };
     let mut seen = modified();
     while !token.is_cancelled() {
-        pause(&token).await;
+        pause(token).await;
         let current = modified();
         if current == seen {
             continue;
         }
         seen = current;
-        match Access::load(path) {
-            Ok(access) => {
-                info!(node.log, "token file reloaded");
-                node.access.store(Arc::new(access));
+        let file = path.display().to_string();
+        match load(path) {
+            Ok(tokens) => {
+                info!(log, "token file reloaded"; "file" => file);
+                store(Arc::new(tokens));
             }
             Err(error) => {
-                warn!(node.log, "token file not reloaded"; "reason" => format!("{error:#}"));
+                let reason = format!("{error:#}");
+                warn!(log, "token file not reloaded"; "file" => file, "reason" => reason);
             }
         }
     }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -4,9 +4,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use eyre::WrapErr;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use slog::{Logger, info, o};
+use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::access::Access;
@@ -43,6 +43,7 @@
     pub(super) clock: Clock,
     pub(super) log: Logger,
     pub(super) access: ArcSwap<Access>,
+    pub(super) peer_tokens: watch::Sender<Arc<peer::Tokens>>,
     pub(super) active: ArcSwapOption<Active>,
     /// Why the last control record without effect was refused.
     pub(super) refused: ArcSwapOption<String>,
@@ -69,13 +70,17 @@
     ///
     /// # Errors
     ///
-    /// Fails when the token file can't be read or the metrics recorder can't be installed.
+    /// Fails when a token file can't be read or the metrics recorder can't be installed.
     pub fn new(
         settings: settings::Node,
         log: Logger,
         token: CancellationToken,
     ) -> eyre::Result<Arc<Self>> {
         let access = Access::load(&settings.token_file)?;
+        let peer_tokens = match &settings.peer_token_file {
+            Some(file) => peer::Tokens::load(file)?,
+            None => peer::Tokens::default(),
+        };
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .wrap_err("installing the metrics recorder")?;
@@ -87,6 +92,7 @@
             clock,
             log: log.new(o!("node" => settings.name.to_string())),
             access: ArcSwap::from_pointee(access),
+            peer_tokens: watch::Sender::new(Arc::new(peer_tokens)),
             active: ArcSwapOption::empty(),
             refused: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
@@ -143,6 +149,9 @@
     }
 
     fn listen_to_peers(self: &Arc<Self>) -> eyre::Result<()> {
+        if self.settings.peer_token_file.is_none() {
+            warn!(self.log, "other nodes are not authenticated"; "missing" => "peer_token_file");
+        }
         let answers = Answers {
             node: Arc::clone(self),
         };
@@ -150,6 +159,7 @@
             self.settings.peer,
             Arc::new(answers),
             self.settings.stall_ms,
+            self.peer_tokens.subscribe(),
             self.cluster.token.clone(),
         )?;
         self.cluster.connect(handle);
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -1,23 +1,17 @@
-use std::rc::Rc;
-
+use capnp::capability::Client;
 use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use tokio::net::TcpStream;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use super::peer_capnp::peer;
 use super::traffic::Traffic;
 
 /// Largest message in words of 8 bytes: 8 MiB, as for the bodies of HTTP requests.
 const MAX_MESSAGE_WORDS: usize = 1024 * 1024;
 
 /// Returns the RPC system of a connection.
-pub(super) fn system(
-    stream: TcpStream,
-    side: Side,
-    bootstrap: Option<Rc<peer::Client>>,
-) -> RpcSystem<Side> {
+pub(super) fn system(stream: TcpStream, side: Side, bootstrap: Option<Client>) -> RpcSystem<Side> {
     // Nagle's algorithm delays small messages; failing to switch it off does no harm otherwise.
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
@@ -29,7 +23,6 @@
         side,
         options,
     );
-    let bootstrap = bootstrap.map(|client| client.as_ref().clone().client);
     let mut system = RpcSystem::new(Box::new(network), bootstrap);
     // The caller of a method learns about errors from its result.
     system.set_background_error_handler(|_| {});
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -23,7 +23,9 @@
 mod peer_capnp;
 mod pool;
 mod server;
+mod session;
 mod thread;
+mod tokens;
 mod traffic;
 mod wire;
 
@@ -31,6 +33,7 @@
 pub use self::handler::Handler;
 pub use self::method::Method;
 pub use self::thread::spawn;
+pub use self::tokens::Tokens;
 pub use self::wire::encoded_bytes;
 
 /// Version of the protocol that this program speaks.
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -6,6 +6,894 @@
 
 
 
+pub mod authentication {
+    #![allow(unused_variables)]
+    pub type AuthenticateParams<> = ::capnp::capability::Params<crate::peer::peer_capnp::authentication::authenticate_params::Owned>;
+    pub type AuthenticateResults<> = ::capnp::capability::Results<crate::peer::peer_capnp::authentication::authenticate_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn authenticate_request(&self) -> ::capnp::capability::Request<crate::peer::peer_capnp::authentication::authenticate_params::Owned,crate::peer::peer_capnp::authentication::authenticate_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn authenticate(self: ::capnp::capability::Rc<Self>, _: AuthenticateParams<>, _: AuthenticateResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method authentication::Server::authenticate not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::authenticate(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xc639_e4f4_07dd_192b;
+    }
+
+    pub mod authenticate_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_token(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_token(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_token(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_token(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_token(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_token(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(191, 116, 219, 252, 20, 62, 25, 150),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 65, 117, 116, 104, 101),
+                ::capnp::word(110, 116, 105, 99, 97, 116, 105, 111),
+                ::capnp::word(110, 46, 97, 117, 116, 104, 101, 110),
+                ::capnp::word(116, 105, 99, 97, 116, 101, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9619_3e14_fcdb_74bf;
+        }
+    }
+
+    pub mod authenticate_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_session(self) -> ::capnp::Result<crate::peer::peer_capnp::session::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_session(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_session(self) -> ::capnp::Result<crate::peer::peer_capnp::session::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_session(&mut self, value: crate::peer::peer_capnp::session::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_session(self, ) -> crate::peer::peer_capnp::session::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_session(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_session(&self) -> crate::peer::peer_capnp::session::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(107, 78, 27, 14, 178, 106, 227, 223),
+                ::capnp::word(26, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 122, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 65, 117, 116, 104, 101),
+                ::capnp::word(110, 116, 105, 99, 97, 116, 105, 111),
+                ::capnp::word(110, 46, 97, 117, 116, 104, 101, 110),
+                ::capnp::word(116, 105, 99, 97, 116, 101, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 140, 50, 81, 149, 114, 252, 150),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::peer::peer_capnp::session::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xdfe3_6ab2_0e1b_4e6b;
+        }
+    }
+}
+
+
+pub mod open_peer {
+    #![allow(unused_variables)]
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+    }
+    pub trait Server<> : crate::peer::peer_capnp::authentication::Server + crate::peer::peer_capnp::peer::Server + 'static  {
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                0xc639e4f407dd192b => crate::peer::peer_capnp::authentication::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
+                0xc30dac193b60316e => crate::peer::peer_capnp::peer::ServerDispatch::<_T>::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xf3c7_fbec_11ff_3a26;
+    }
+}
+
+pub mod session {
+    pub use self::Which::{Peer,Error};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn has_peer(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_error(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 1 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Peer(
+                        match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Error(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn set_peer(&mut self, value: crate::peer::peer_capnp::peer::Client)  {
+            self.builder.set_data_field::<u16>(0, 0);
+            self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+        }
+        #[inline]
+        pub fn has_peer(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_error(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_error(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 1);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_error(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 1 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(0) {
+                0 => {
+                    ::core::result::Result::Ok(Peer(
+                        match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Error(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(13, 140, 50, 81, 149, 114, 252, 150),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(70, 152, 62, 127, 192, 161, 181, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 101, 115, 115, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 101, 101, 114, 0, 0, 0, 0),
+            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 49, 96, 59, 25, 172, 13, 195),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 114, 111, 114, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::peer::peer_capnp::peer::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0x96fc_7295_5132_8c0d;
+    }
+    pub enum Which<A0> {
+        Peer(::capnp::Result<crate::peer::peer_capnp::peer::Client>),
+        Error(A0),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::data::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::data::Builder<'a>>>;
+}
+
+
 pub mod peer {
     #![allow(unused_variables)]
     pub type ProbeParams<> = ::capnp::capability::Params<crate::peer::peer_capnp::peer::probe_params::Owned>;
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -3,11 +3,13 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use capnp::capability::FromClientHook as _;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use tokio::net::TcpStream;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, watch};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -16,8 +18,8 @@
 use crate::membership::Message;
 use crate::verdict::Verdict;
 
-use super::peer_capnp::{answer, peer};
-use super::{Method, connection, wire};
+use super::peer_capnp::{answer, authentication, peer, session};
+use super::{Method, Tokens, connection, wire};
 
 /// Time within which another node accepts a connection. Nodes of other regions are less than
 /// 200 ms away; the rest allows for one lost packet of the handshake.
@@ -26,6 +28,9 @@
 /// Time within which a probe is answered on one connection.
 const PROBE_BOUND: Millis = Millis(500);
 
+/// Time within which a new connection is authenticated.
+const AUTHENTICATION_BOUND: Millis = Millis(500);
+
 /// Most pooled connections; a node at the design size has 369.
 const MAX_CONNECTIONS: usize = 512;
 
@@ -33,6 +38,7 @@
 pub(super) struct Pool {
     connections: RefCell<HashMap<SocketAddr, Connection>>,
     call_bound: Millis,
+    tokens: watch::Receiver<Arc<Tokens>>,
     /// Held while a connection is made, so that concurrent calls share it.
     locks: RefCell<HashMap<SocketAddr, Rc<Mutex<()>>>>,
     /// Id of the next connection, from 1.
@@ -48,10 +54,11 @@
 
 impl Pool {
     /// Creates an empty pool whose calls other than probes are answered within `call_bound`.
-    pub(super) fn new(call_bound: Millis) -> Self {
+    pub(super) fn new(call_bound: Millis, tokens: watch::Receiver<Arc<Tokens>>) -> Self {
         Self {
             connections: RefCell::default(),
             call_bound,
+            tokens,
             locks: RefCell::default(),
             next: Cell::new(1),
         }
@@ -175,8 +182,19 @@
             .map_err(|_| refused(format!("no answer within {CONNECT_BOUND}")))?
             .map_err(|error| refused(error.to_string()))?;
         let mut system = connection::system(stream, Side::Client, None);
-        let client: peer::Client = system.bootstrap(Side::Server);
+        let bootstrap: authentication::Client = system.bootstrap(Side::Server);
         let driver = tokio::task::spawn_local(system).abort_handle();
+        let tokens = Arc::clone(&self.tokens.borrow());
+        let session = timeout(
+            AUTHENTICATION_BOUND.into(),
+            authenticate(bootstrap, &tokens),
+        );
+        let client = session
+            .await
+            .map_err(|_| refused(format!("not authenticated within {AUTHENTICATION_BOUND}")))
+            .and_then(|session| session.map_err(|error| refused(error.to_string())))
+            .flatten()
+            .inspect_err(|_| driver.abort())?;
         let id = self.next.get();
         self.next.set(id + 1);
         let connection = Connection { id, client, driver };
@@ -210,6 +228,34 @@
     }
 }
 
+/// Presents this node's token on a new connection.
+///
+/// A node of a release before [`authentication`] offers its methods at once. Once tokens are
+/// required here, its methods are not called, because it does not check who it talks to.
+async fn authenticate(
+    bootstrap: authentication::Client,
+    tokens: &Tokens,
+) -> capnp::Result<Result<peer::Client, Error>> {
+    let mut request = bootstrap.authenticate_request();
+    request.get().set_token(tokens.sent());
+    let response = match request.send().promise.await {
+        Ok(response) => response,
+        Err(error) if error.kind == capnp::ErrorKind::Unimplemented && !tokens.is_required() => {
+            return Ok(Ok(bootstrap.cast_to()));
+        }
+        Err(error) => return Err(error),
+    };
+    Ok(match response.get()?.get_session()?.which()? {
+        session::Which::Peer(client) => Ok(client?),
+        session::Which::Error(error) => Err(decode_error(error?)?),
+    })
+}
+
+fn decode_error(from: &[u8]) -> capnp::Result<Error> {
+    serde_json::from_slice(from)
+        .map_err(|error| capnp::Error::failed(format!("unexpected error: {error}")))
+}
+
 /// Calls a method and reads its answer.
 macro_rules! call {
     ($client:ident, $request:ident, $payload:ident) => {{
@@ -238,7 +284,6 @@
 fn read(from: answer::Reader<'_>) -> capnp::Result<Result<Bytes, Error>> {
     Ok(match from.which()? {
         answer::Which::Payload(payload) => Ok(Bytes::copy_from_slice(payload?)),
-        answer::Which::Error(error) => Err(serde_json::from_slice(error?)
-            .map_err(|error| capnp::Error::failed(format!("unexpected error: {error}")))?),
+        answer::Which::Error(error) => Err(decode_error(error?)?),
     })
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -7,16 +7,14 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle as Runtime;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
-use super::peer_capnp::{answer, peer};
-use super::{Handler, connection, wire};
-
-/// Most connections from other nodes; a node at the design size has 369.
-const MAX_CONNECTIONS: usize = 1_024;
+use super::peer_capnp::{answer, authentication, open_peer, peer};
+use super::session::{Places, Session};
+use super::{Handler, Tokens, connection, wire};
 
 /// Most calls of other nodes that are handled at the same time.
 const MAX_CALLS: usize = 1_024;
@@ -25,8 +23,13 @@
 const ACCEPT_PAUSE: Millis = Millis(100);
 
 /// Accepts connections and answers calls until it is dropped.
-pub(super) async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, runtime: Runtime) {
-    let connections = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+pub(super) async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    runtime: Runtime,
+    tokens: watch::Receiver<Arc<Tokens>>,
+) {
+    let places = Places::new();
     let calls = Arc::new(Semaphore::new(MAX_CALLS));
     loop {
         let (stream, from) = match listener.accept().await {
@@ -36,7 +39,7 @@
                 continue;
             }
         };
-        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+        let Some(session) = Session::new(&places, tokens.clone()) else {
             metrics::counter!("almondpath_peer_connections_refused_total").increment(1);
             continue;
         };
@@ -45,26 +48,34 @@
             runtime: runtime.clone(),
             calls: Arc::clone(&calls),
             from,
+            session,
         };
-        tokio::task::spawn_local(async move {
-            drive(stream, server).await;
-            drop(permit);
-        });
+        tokio::task::spawn_local(drive(stream, server));
     }
 }
 
 async fn drive(stream: TcpStream, server: Server) {
-    let client: peer::Client = capnp_rpc::new_client(server);
+    let session = Rc::clone(&server.session);
+    let bootstrap = if session.is_open() {
+        capnp_rpc::new_client::<open_peer::Client, _>(server).client
+    } else {
+        capnp_rpc::new_client::<authentication::Client, _>(server).client
+    };
     // A connection that ends with an error has no one to tell: its calls have failed already.
-    let _ = connection::system(stream, Side::Server, Some(Rc::new(client))).await;
+    tokio::select! {
+        _ = connection::system(stream, Side::Server, Some(bootstrap)) => {}
+        () = session.expired() => {}
+    }
 }
 
-/// The interface that another node sees on one connection.
+/// The interfaces that another node sees on one connection.
+#[derive(Clone)]
 struct Server {
     handler: Arc<dyn Handler>,
     runtime: Runtime,
     calls: Arc<Semaphore>,
     from: SocketAddr,
+    session: Rc<Session>,
 }
 
 impl Server {
@@ -145,3 +156,21 @@
     forward!(config, ConfigParams, ConfigResults);
     forward!(trip, TripParams, TripResults);
 }
+
+impl authentication::Server for Server {
+    async fn authenticate(
+        self: Rc<Self>,
+        params: authentication::AuthenticateParams,
+        mut results: authentication::AuthenticateResults,
+    ) -> Result<(), capnp::Error> {
+        let token = params.get()?.get_token()?;
+        let mut session = results.get().init_session();
+        match self.session.authenticate(token) {
+            Ok(()) => session.set_peer(capnp_rpc::new_client(Self::clone(&self))),
+            Err(error) => session.set_error(&serde_json::to_vec(&error).map_err(failed)?),
+        }
+        Ok(())
+    }
+}
+
+impl open_peer::Server for Server {}
--- a/src/peer/thread.rs
+++ b/src/peer/thread.rs
@@ -5,7 +5,7 @@
 use eyre::WrapErr;
 use tokio::net::TcpListener;
 use tokio::runtime;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 
@@ -13,7 +13,7 @@
 
 use super::handle::{Body, Command};
 use super::pool::Pool;
-use super::{Handle, Handler, server};
+use super::{Handle, Handler, Tokens, server};
 
 /// Most calls that wait for the thread.
 const COMMAND_QUEUE: usize = 1_024;
@@ -23,8 +23,9 @@
 
 /// Binds `address` and starts the thread that owns the connections to other nodes.
 ///
-/// Calls other than probes are answered within `call_bound` on one connection. The thread ends
-/// when `token` is cancelled. Has to be called within the main runtime, which runs the handler.
+/// Calls other than probes are answered within `call_bound` on one connection. Changes of `tokens`
+/// take effect at once, also on open connections. The thread ends when `token` is cancelled. Has to
+/// be called within the main runtime, which runs the handler.
 ///
 /// # Errors
 ///
@@ -33,6 +34,7 @@
     address: SocketAddr,
     handler: Arc<dyn Handler>,
     call_bound: Millis,
+    tokens: watch::Receiver<Arc<Tokens>>,
     token: CancellationToken,
 ) -> eyre::Result<Handle> {
     let listener = std::net::TcpListener::bind(address)
@@ -50,8 +52,8 @@
             let set = LocalSet::new();
             let work = async move {
                 let listener = TcpListener::from_std(listener).expect("a bound listener");
-                let pool = Rc::new(Pool::new(call_bound));
-                tokio::task::spawn_local(server::serve(listener, handler, main));
+                let pool = Rc::new(Pool::new(call_bound, tokens.clone()));
+                tokio::task::spawn_local(server::serve(listener, handler, main, tokens));
                 tokio::select! {
                     () = token.cancelled() => {}
                     () = dispatch(pool, commands) => {}
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -46,6 +46,8 @@
     pub platform: SocketAddr,
     /// File with the tokens of client accounts and operators.
     pub token_file: PathBuf,
+    /// File with the tokens by which nodes know each other; none accepts every node.
+    pub peer_token_file: Option<PathBuf>,
     /// Largest request body in bytes.
     pub body_limit_bytes: u64,
     /// Most requests in flight.
@@ -113,6 +115,9 @@
             log_service: address("log_service"),
             platform: address("platform"),
             token_file: PathBuf::from(&*section.text("token_file")),
+            peer_token_file: section
+                .optional_text("peer_token_file")
+                .map(|path| PathBuf::from(&*path)),
             body_limit_bytes: section.integer_or(
                 "body_limit_bytes",
                 BODY_LIMIT_BYTES,
--- a/tests/integration/broken_files.rs
+++ b/tests/integration/broken_files.rs
@@ -3,6 +3,7 @@
 use almondpath::access::Access;
 use almondpath::config::Config;
 use almondpath::document::{Document, Problems};
+use almondpath::peer;
 use almondpath::questionnaire::{Answers, Generated};
 use almondpath::settings;
 use proptest::prelude::*;
@@ -12,6 +13,7 @@
 const ANSWERS: &str = include_str!("../../examples/ikeja/answers.yaml");
 const CONFIG: &str = include_str!("../../examples/dev/config.yaml");
 const TOKENS: &str = include_str!("../../examples/dev/tokens.yaml");
+const PEER_TOKENS: &str = include_str!("../../examples/dev/peer_tokens.yaml");
 const SETTINGS: &str = "\
 name: node-1
 failure_domain: a
@@ -30,6 +32,7 @@
     Config,
     Settings,
     Tokens,
+    PeerTokens,
 }
 
 impl Kind {
@@ -39,6 +42,7 @@
             Self::Config => CONFIG,
             Self::Settings => SETTINGS,
             Self::Tokens => TOKENS,
+            Self::PeerTokens => PEER_TOKENS,
         }
     }
 
@@ -49,6 +53,7 @@
             Self::Config => Config::from_document(&document).map(drop),
             Self::Settings => settings::Node::from_document(&document).map(drop),
             Self::Tokens => Access::from_document(&document).map(drop),
+            Self::PeerTokens => peer::Tokens::from_document(&document).map(drop),
         }
     }
 }
@@ -285,7 +290,14 @@
 /// Guards against a sound example that is refused.
 #[test]
 fn sound_files_pass() {
-    for kind in [Kind::Answers, Kind::Config, Kind::Settings, Kind::Tokens] {
+    let kinds = [
+        Kind::Answers,
+        Kind::Config,
+        Kind::Settings,
+        Kind::Tokens,
+        Kind::PeerTokens,
+    ];
+    for kind in kinds {
         kind.check(kind.text())
             .unwrap_or_else(|p| panic!("{kind:?}: {p}"));
     }
@@ -314,13 +326,31 @@
 /// Guards against a token that appears in a message, and so in a log.
 #[test]
 fn messages_never_contain_a_token() {
-    for (sound, broken) in [
-        ("demo: demo-token", "demo: {secret-token: 1}"),
-        ("dev: dev-operator-token", "dev: [secret-token]"),
-        ("operators:", "operators: secret-token\nothers:"),
+    for (kind, sound, broken) in [
+        (Kind::Tokens, "demo: demo-token", "demo: {secret-token: 1}"),
+        (
+            Kind::Tokens,
+            "dev: dev-operator-token",
+            "dev: [secret-token]",
+        ),
+        (
+            Kind::Tokens,
+            "operators:",
+            "operators: secret-token\nothers:",
+        ),
+        (
+            Kind::PeerTokens,
+            "dev: dev-peer-token",
+            "a: secret-token\n  b: secret-token",
+        ),
+        (
+            Kind::PeerTokens,
+            "dev: dev-peer-token",
+            "dev: [secret-token]",
+        ),
     ] {
-        let text = TOKENS.replacen(sound, broken, 1);
-        let message = Kind::Tokens
+        let text = kind.text().replacen(sound, broken, 1);
+        let message = kind
             .check(&text)
             .expect_err("the file is broken")
             .to_string();
--- a/tests/integration/peer.rs
+++ b/tests/integration/peer.rs
@@ -2,24 +2,38 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use almondpath::clock::Millis;
+use almondpath::document::Document;
 use almondpath::error::{Error, ErrorKind};
 use almondpath::membership::Message;
-use almondpath::peer::{self, Handle, Handler};
+use almondpath::peer::{self, Handle, Handler, Tokens};
 use almondpath::verdict::Verdict;
 use async_trait::async_trait;
 use bytes::Bytes;
+use serde_json::Value;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::harness::free_address;
+use crate::harness::{Cluster, eventually, free_address};
 use crate::relay::{Mode, Relay};
+use crate::streaming::Streaming;
 
 const BOUND: Millis = Millis(300);
 
-/// Answers `hold` with its payload and `find` with an error.
-struct Echo;
+/// Time within which a node has read a changed token file.
+const RELOAD: Duration = Duration::from_secs(2);
+
+/// Answers `hold`, which it counts, with its payload and `find` with an error.
+#[derive(Default)]
+struct Echo {
+    held: Arc<AtomicU32>,
+}
 
 #[async_trait]
 impl Handler for Echo {
@@ -28,6 +42,7 @@
     }
 
     async fn hold(&self, payload: Bytes) -> Result<Bytes, Error> {
+        self.held.fetch_add(1, Ordering::SeqCst);
         Ok(payload)
     }
 
@@ -37,12 +52,56 @@
 }
 
 fn start() -> (SocketAddr, Handle, DropGuard) {
-    let address = free_address();
-    let token = CancellationToken::new();
-    let handle = peer::spawn(address, Arc::new(Echo), BOUND, token.clone()).expect("a free port");
-    (address, handle, token.drop_guard())
+    let peer = Peer::start(None);
+    (peer.address, peer.handle, peer.guard)
+}
+
+/// A node with its tokens.
+struct Peer {
+    address: SocketAddr,
+    handle: Handle,
+    guard: DropGuard,
+    tokens: watch::Sender<Arc<Tokens>>,
+    held: Arc<AtomicU32>,
+}
+
+impl Peer {
+    /// Starts a node with the tokens of this file; none is a node without the setting.
+    fn start(file: Option<&str>) -> Self {
+        let address = free_address();
+        let token = CancellationToken::new();
+        let (sender, receiver) = watch::channel(Arc::new(tokens(file)));
+        let echo = Echo::default();
+        let held = Arc::clone(&echo.held);
+        let handle = peer::spawn(address, Arc::new(echo), BOUND, receiver, token.clone());
+        Self {
+            address,
+            handle: handle.expect("a free port"),
+            guard: token.drop_guard(),
+            tokens: sender,
+            held,
+        }
+    }
+
+    async fn hold(&self, at: &Self) -> Result<u32, Error> {
+        self.handle.hold(at.address, &7).await
+    }
+}
+
+fn tokens(file: Option<&str>) -> Tokens {
+    let Some(text) = file else {
+        return Tokens::default();
+    };
+    let document = Document::parse("peer_tokens.yaml", text).expect("valid YAML");
+    Tokens::from_document(&document).expect("a valid file")
 }
 
+const NEW: &str = "peer_tokens: { new: bb }";
+const OLD: &str = "peer_tokens: { old: aa }";
+const OLD_THEN_NEW: &str = "peer_tokens: { old: aa, new: bb }";
+const NEW_THEN_OLD: &str = "peer_tokens: { new: bb, old: aa }";
+const OPTIONAL: &str = "{ peer_tokens: { old: aa }, required: false }";
+
 /// Guards against errors of the other node that arrive as a lost connection, and against a method
 /// without an implementation that answers like one that ran.
 #[tokio::test(flavor = "multi_thread")]
@@ -103,3 +162,153 @@
         assert_eq!(relay.accepted(), connections, "{mode:?}");
     }
 }
+
+/// Guards against a node that answers whoever reaches its address, against a refusal that does not
+/// say that the call did not run, and against nodes that refuse each other while a token is
+/// replaced or the setting is rolled out.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_know_each_other_by_token() {
+    struct Case {
+        caller: Option<&'static str>,
+        callee: Option<&'static str>,
+        answered: bool,
+    }
+    let case = |caller, callee, answered| Case {
+        caller,
+        callee,
+        answered,
+    };
+    let cases = [
+        case(Some(OLD), Some(OLD), true),
+        // Wrong and missing.
+        case(Some(NEW), Some(OLD), false),
+        case(None, Some(OLD), false),
+        case(Some(NEW), Some(OPTIONAL), false),
+        // Rotation: each step meets the one before and the one after.
+        case(Some(OLD), Some(OLD_THEN_NEW), true),
+        case(Some(OLD_THEN_NEW), Some(OLD), true),
+        case(Some(OLD_THEN_NEW), Some(NEW_THEN_OLD), true),
+        case(Some(NEW_THEN_OLD), Some(OLD_THEN_NEW), true),
+        case(Some(NEW_THEN_OLD), Some(NEW), true),
+        case(Some(NEW), Some(NEW_THEN_OLD), true),
+        // Introduction of the setting.
+        case(None, Some(OPTIONAL), true),
+        case(Some(OPTIONAL), None, true),
+        case(Some(OPTIONAL), Some(OLD), true),
+        case(Some(OLD), Some(OPTIONAL), true),
+        case(None, None, true),
+    ];
+    for Case {
+        caller,
+        callee,
+        answered,
+    } in cases
+    {
+        let what = format!("{caller:?} to {callee:?}");
+        let (one, other) = (Peer::start(caller), Peer::start(callee));
+        let result = one.hold(&other).await;
+        assert_eq!(
+            other.held.load(Ordering::SeqCst),
+            u32::from(answered),
+            "{what}"
+        );
+        match result {
+            Ok(_) => assert!(answered, "{what}"),
+            Err(error) => {
+                assert!(!answered, "{what}: {error}");
+                assert_eq!(error.kind(), ErrorKind::Unauthorized, "{what}");
+                assert_eq!(error.verdict(), Verdict::NotRun, "{what}");
+                assert!(error.message().contains("token"), "{what}: {error}");
+            }
+        }
+    }
+}
+
+/// Guards against a token that stays good on open connections after it was removed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_token_closes_its_connections() {
+    let (one, other) = (Peer::start(Some(OLD)), Peer::start(Some(OLD_THEN_NEW)));
+    one.hold(&other).await.expect("a known token");
+    other.tokens.send_replace(Arc::new(tokens(Some(NEW))));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let refused = one.hold(&other).await.expect_err("a removed token");
+    assert_eq!(refused.kind(), ErrorKind::Unauthorized);
+    assert_eq!(other.held.load(Ordering::SeqCst), 1);
+    one.tokens.send_replace(Arc::new(tokens(Some(NEW))));
+    one.hold(&other).await.expect("the new token");
+}
+
+/// Guards against connections that stay open without a token, and against so many of them that
+/// nodes with a token find no place later.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_without_a_token_are_bounded() {
+    const CONNECTIONS: usize = 200;
+    const LIMIT: usize = 64;
+    let peer = Peer::start(Some(OLD));
+    let mut open = Vec::new();
+    for _ in 0..CONNECTIONS {
+        open.push(
+            TcpStream::connect(peer.address)
+                .await
+                .expect("a connection"),
+        );
+    }
+    let mut at_once = 0;
+    for stream in &mut open {
+        let closed = timeout(Duration::from_millis(1), stream.read_u8()).await;
+        at_once += usize::from(closed.is_ok());
+    }
+    assert!(at_once >= CONNECTIONS - LIMIT, "{at_once} closed at once");
+    for stream in &mut open {
+        let closed = timeout(Duration::from_secs(3), stream.read_u8()).await;
+        assert!(closed.is_ok(), "still open");
+    }
+    peer.hold(&peer).await.expect("a free place");
+}
+
+/// Guards against nodes that accept or refuse each other in spite of their settings, and against a
+/// refusal that no metric shows.
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_read_their_tokens_again() {
+    const FAILURES: &str = "almondpath_peer_authentication_failures_total";
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let file = directory.path().join("peer_tokens.yaml");
+    std::fs::write(&file, OLD).expect("the file can be written");
+    let settings = format!("peer_token_file: {}\n", file.display());
+    let cluster = Cluster::start_with(2, 1, 0, &settings).await;
+    let stranger = Peer::start(None);
+    let node = cluster.nodes[0].peer;
+    let ids = serde_json::json!({ "ids": [], "account": null });
+    let found: Result<Value, Error> = stranger.handle.find(node, &ids).await;
+    let refused = found.expect_err("no token");
+    assert_eq!(refused.kind(), ErrorKind::Unauthorized);
+    assert_eq!(refused.verdict(), Verdict::NotRun);
+    let missing = format!("{FAILURES}{{why=\"missing\"}}");
+    assert!(cluster.metric(&[0], &missing).await >= 1.0);
+
+    std::fs::write(&file, OLD_THEN_NEW).expect("the file can be written");
+    let (old, new) = (Peer::start(Some(OLD)), Peer::start(Some(NEW)));
+    let accepts = async |peer: &Peer| {
+        let mut answers = Vec::new();
+        for node in &cluster.nodes {
+            let found: Result<Value, Error> = peer.handle.find(node.peer, &ids).await;
+            answers.push(found.is_ok());
+        }
+        answers
+    };
+    eventually("the new token is accepted", async || {
+        accepts(&new).await == [true, true]
+    })
+    .await;
+    std::fs::write(&file, NEW_THEN_OLD).expect("the file can be written");
+    tokio::time::sleep(RELOAD).await;
+    std::fs::write(&file, NEW).expect("the file can be written");
+    eventually("the old token is refused", async || {
+        accepts(&old).await == [false, false]
+    })
+    .await;
+    let response = Streaming::start(cluster.caller(&[0, 1]), "rotated", 5);
+    response.complete("rotated").await;
+    let alone = cluster.metric(&[0, 1], "almondpath_accepted_without_backup_total");
+    assert_eq!(alone.await, 0.0);
+}
