Hedge slow idempotent calls to plain services

The policy for a second attempt had tests, but no node used it. The first success wins and the other attempt is dropped; when both fail, the verdict is the greatest of both.

An attempt that is dropped was counted at its endpoint for ever, also when its caller had gone. A guard now ends the count. A slow attempt that lost still counts with the time it ran, as evidence about its version and for the delay: dropping it would hide a slow version and bring each hedge forward.

Ruled out: an answer of 5xx as a success, since the other attempt may do better; counting fast attempts that were cancelled, which say nothing.

--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -16,7 +16,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::lane::{self, Arrival, Lane};
 use crate::replay::Recorder;
-use crate::retry::{Attempt, Backoff, Decision, Retry};
+use crate::retry::{Attempt, Backoff, Decision, Latencies, Retry, Room};
 use crate::routing::{self, Query, Report};
 use crate::settings;
 
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 struct Service {
     lane: Lane<Key>,
+    /// Latencies of attempts at a plain service, per route.
+    latencies: HashMap<Arc<str>, Latencies>,
     waiting: Waiting,
 }
 
@@ -164,6 +166,9 @@
             state.service(&service.name, config.weights.cost);
         }
         for service in state.services.values_mut() {
+            service
+                .latencies
+                .retain(|route, _| config.route(route).is_some());
             for account in &config.client_accounts {
                 let limit = account.limit_cost_per_s;
                 service
@@ -247,6 +252,7 @@
                     },
                     ..lane::Settings::default()
                 }),
+                latencies: HashMap::new(),
                 waiting: HashMap::new(),
             }
         })
@@ -500,6 +506,40 @@
         let mut state = self.dispatch.state.lock().expect("dispatch lock");
         state.retry.retry(attempt, now)
     }
+
+    /// Takes in the latency of an attempt at a plain service.
+    pub(super) fn sample_latency(&self, service: &Arc<str>, route: &Arc<str>, took: Millis) {
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        if let Some(service) = state.services.get_mut(service) {
+            let latencies = service.latencies.entry(Arc::clone(route)).or_default();
+            latencies.sample(took);
+        }
+    }
+
+    /// Returns the time after which an attempt on a route counts as slow, if it is known.
+    pub(super) fn usual_latency(&self, service: &Arc<str>, route: &Arc<str>) -> Option<Millis> {
+        let state = self.dispatch.state.lock().expect("dispatch lock");
+        let latencies = state.services.get(service)?.latencies.get(route)?;
+        latencies.usual()
+    }
+
+    /// Decides whether a second attempt runs beside a slow one, and charges the budgets if so.
+    pub(super) fn hedge(
+        &self,
+        service: &Arc<str>,
+        attempt: &Attempt<'_, Key>,
+        waited: Millis,
+        usual: Millis,
+    ) -> bool {
+        let now = self.clock.now();
+        let mut state = self.dispatch.state.lock().expect("dispatch lock");
+        let room = state.services.get(service).map(|service| Room {
+            queued: service.lane.admission.queued(),
+            free: service.lane.router.room(Class::Interactive, now),
+            slots: service.lane.router.slots(),
+        });
+        room.is_some_and(Room::allows_hedge) && state.retry.hedge(attempt, waited, usual, now)
+    }
 }
 
 /// Demand, for the shares of global limits.
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -1,9 +1,11 @@
 //! Calls of plain services.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::future::Either;
 use hyper::Method;
 use hyper::body::Incoming;
 use warp::http::{HeaderValue, StatusCode};
@@ -16,6 +18,7 @@
 use crate::ledger::{Blob, Outcome};
 use crate::retry::{Attempt, Decision};
 use crate::rollout;
+use crate::verdict::Verdict;
 
 use super::Node;
 use super::calls;
@@ -115,23 +118,23 @@
     let mut failure: Option<Error> = None;
     let mut next = node.choose_other(service, &tried, draw(request.id.as_bytes()));
     while let Some((endpoint, _, address)) = next {
-        tried.push(endpoint);
-        if tried.len() == 1 {
+        if tried.is_empty() {
             node.first_attempt(&request.account, endpoint);
         }
         let left = request.deadline - node.clock.now();
-        let last = tried.len() == MAX_ATTEMPTS;
+        let last = tried.len() + 1 >= MAX_ATTEMPTS;
         let limit = if last { left } else { Millis(left.0 / 2) };
-        let error = match attempt(node, &request, endpoint, address, limit).await {
+        let result = hedged(node, &request, (endpoint, address), limit, &mut tried).await;
+        let error = match result {
             Ok(reply) => {
                 permit.succeeded(0);
                 return Ok(reply.response());
             }
             Err(error) => error,
         };
-        let earlier = failure.map_or(error.verdict(), |failure| failure.verdict());
-        let verdict = error.verdict().combine(earlier);
-        failure = Some(error.with_verdict(verdict));
+        failure = Some(combine(error, failure.as_ref()));
+        let verdict = failure.as_ref().map_or(Verdict::NotRun, Error::verdict);
+        let last = tried.len() >= MAX_ATTEMPTS;
         next = node.choose_other(service, &tried, RETRY).filter(|_| !last);
         let Some((target, ..)) = &next else {
             break;
@@ -154,6 +157,146 @@
         .unwrap_or_else(|| Error::not_run(ErrorKind::Unavailable, "no endpoint is available")))
 }
 
+/// Raises the verdict of an error to that of an earlier one of the same call.
+fn combine(error: Error, earlier: Option<&Error>) -> Error {
+    let verdict = earlier.map_or(error.verdict(), Error::verdict);
+    let verdict = error.verdict().combine(verdict);
+    error.with_verdict(verdict)
+}
+
+/// Sends an idempotent call to an endpoint, and to a second one when the first is slow.
+///
+/// The first success wins and the other attempt is cancelled. When both fail, the verdict is the
+/// greatest of both.
+async fn hedged(
+    node: &Arc<Node>,
+    request: &Request,
+    (endpoint, address): (endpoint::Key, SocketAddr),
+    limit: Millis,
+    tried: &mut Vec<endpoint::Key>,
+) -> Result<Reply, Error> {
+    tried.push(endpoint);
+    let route = &request.route;
+    let usual = node.usual_latency(&route.service, &route.name);
+    let usual = usual.filter(|_| node.settings.hedge_calls && tried.len() == 1);
+    let mut first = pin!(attempt(node, request, endpoint, address, limit, usual));
+    let Some(usual) = usual else {
+        return first.await;
+    };
+    if let Ok(result) = tokio::time::timeout(usual.into(), &mut first).await {
+        return result;
+    }
+    let Some((endpoint, address)) = hedge(node, request, tried, usual) else {
+        return first.await;
+    };
+    tried.push(endpoint);
+    metrics::counter!("almondpath_hedges_total").increment(1);
+    let limit = request.deadline - node.clock.now();
+    let second = pin!(attempt(
+        node,
+        request,
+        endpoint,
+        address,
+        limit,
+        Some(usual)
+    ));
+    match futures::future::select(first, second).await {
+        Either::Left((result, second)) => decide(result, second).await,
+        Either::Right((result, first)) => {
+            if succeeded(&result) {
+                metrics::counter!("almondpath_hedges_won_total").increment(1);
+            }
+            decide(result, first).await
+        }
+    }
+}
+
+/// Returns the result of the attempt that ended first if it succeeded, else that of both.
+async fn decide<F>(result: Result<Reply, Error>, other: F) -> Result<Reply, Error>
+where
+    F: Future<Output = Result<Reply, Error>>,
+{
+    if succeeded(&result) {
+        return result;
+    }
+    match (result, other.await) {
+        (Err(first), Err(second)) => Err(combine(second, Some(&first))),
+        // An answer with an error is passed on with "may have run", whatever the other one says.
+        (Ok(reply), Err(_)) | (_, Ok(reply)) => Ok(reply),
+    }
+}
+
+fn succeeded(result: &Result<Reply, Error>) -> bool {
+    result.as_ref().is_ok_and(|reply| reply.status < 500)
+}
+
+/// Chooses the endpoint of a second attempt, if there is to be one.
+fn hedge(
+    node: &Node,
+    request: &Request,
+    tried: &[endpoint::Key],
+    usual: Millis,
+) -> Option<(endpoint::Key, SocketAddr)> {
+    let service = &request.route.service;
+    let (endpoint, _, address) = node.choose_other(service, tried, RETRY)?;
+    let slow = Attempt {
+        account: &request.account,
+        endpoint,
+        attempts: 1,
+        idempotent: request.route.idempotent,
+        verdict: Verdict::MayHaveRun,
+        expected: usual,
+        deadline: request.deadline,
+    };
+    // The attempt was awaited for exactly this long.
+    let allowed = node.hedge(service, &slow, usual, usual);
+    allowed.then_some((endpoint, address))
+}
+
+/// An attempt that is counted at its endpoint until it ends or is cancelled.
+struct Running<'a> {
+    node: &'a Node,
+    request: &'a Request,
+    endpoint: endpoint::Key,
+    timing: Timing,
+    started: Millis,
+    /// Time after which the attempt counts as slow, if it is known.
+    usual: Option<Millis>,
+    ended: bool,
+}
+
+impl Running<'_> {
+    /// Records what became of the attempt.
+    fn end(&mut self, result: &Result<Reply, Error>) {
+        self.ended = true;
+        self.timing.token(self.node.clock.now());
+        let evidence = Reply::evidence(result, &self.timing);
+        self.observe(evidence, result.is_ok());
+    }
+
+    fn observe(&self, evidence: rollout::Outcome, sampled: bool) {
+        let route = &self.request.route;
+        self.node.observe(self.endpoint, &route.name, evidence);
+        if sampled {
+            let took = self.node.clock.now() - self.started;
+            self.node.sample_latency(&route.service, &route.name, took);
+        }
+    }
+}
+
+impl Drop for Running<'_> {
+    /// A cancelled attempt that was slow counts with the time it ran, so that hedges hide neither
+    /// a slow version from its rollout nor slow answers from the delay of the next hedge.
+    fn drop(&mut self) {
+        self.node.count(self.endpoint, false);
+        let ran = self.node.clock.now() - self.started;
+        if !self.ended && self.usual.is_some_and(|usual| ran >= usual) {
+            self.timing.token(self.node.clock.now());
+            self.observe(self.timing.outcome(None), true);
+        }
+    }
+}
+
 /// Sends an idempotent call to one endpoint and records what became of it.
 async fn attempt(
     node: &Node,
@@ -161,14 +304,21 @@
     endpoint: endpoint::Key,
     address: SocketAddr,
     limit: Millis,
+    usual: Option<Millis>,
 ) -> Result<Reply, Error> {
     node.count(endpoint, true);
-    let mut timing = Timing::start(node.clock.now());
+    let started = node.clock.now();
+    let mut running = Running {
+        node,
+        request,
+        endpoint,
+        timing: Timing::start(started),
+        started,
+        usual,
+        ended: false,
+    };
     let result = send(node, request, address, limit).await;
-    timing.token(node.clock.now());
-    node.count(endpoint, false);
-    let evidence = Reply::evidence(&result, &timing);
-    node.observe(endpoint, &request.route.name, evidence);
+    running.end(&result);
     result
 }
 
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -5,8 +5,12 @@
 
 mod backoff;
 mod budget;
+mod latencies;
 mod retry;
+mod room;
 
 pub use self::backoff::Backoff;
 pub use self::budget::Budget;
+pub use self::latencies::Latencies;
 pub use self::retry::{Attempt, Decision, Retry};
+pub use self::room::Room;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -56,6 +56,8 @@
     pub drain_ms: Millis,
     /// File to record a trace of model requests to, for `replay`; none records nothing.
     pub trace_file: Option<PathBuf>,
+    /// Whether a slow idempotent call to a plain service gets a second attempt at another endpoint.
+    pub hedge_calls: bool,
     /// Number of streams that non-idempotent calls are spread over; must be the same on all nodes.
     ///
     /// The first node writes it to the log; a node with another number refuses these calls.
@@ -125,6 +127,7 @@
             trace_file: section
                 .optional_text("trace_file")
                 .map(|path| PathBuf::from(&*path)),
+            hedge_calls: section.flag_or("hedge_calls", true),
             call_shards: section.integer_or("call_shards", CALL_SHARDS, 1..=64) as u32,
             retry_window_ms: section.millis_or("retry_window_ms", RETRY_WINDOW, 1_000..=DAY_MS),
             dispatch_bound_ms: section.millis_or("dispatch_bound_ms", DISPATCH_BOUND, 100..=60_000),
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -18,6 +19,10 @@
 pub struct PlainFaults {
     /// Time that a call takes.
     pub delay_ms: Millis,
+    /// Every how many calls one takes `slow_ms` instead; 0 for none.
+    pub slow_every: u32,
+    /// Time that such a call takes.
+    pub slow_ms: Millis,
     /// Number of calls that are executed but never answered.
     pub lose_responses: u32,
     /// Answers calls with an error without executing them.
@@ -36,6 +41,7 @@
 struct Inner {
     version: Arc<str>,
     incarnation: u64,
+    calls: AtomicU32,
     executions: Mutex<BTreeMap<String, u32>>,
     faults: Mutex<PlainFaults>,
 }
@@ -48,6 +54,7 @@
             inner: Arc::new(Inner {
                 version,
                 incarnation: rand::random(),
+                calls: AtomicU32::new(0),
                 executions: Mutex::default(),
                 faults: Mutex::default(),
             }),
@@ -128,7 +135,14 @@
                 .lose_responses -= 1;
             std::future::pending::<()>().await;
         }
-        tokio::time::sleep(faults.delay_ms.into()).await;
+        let calls = self.inner.calls.fetch_add(1, Ordering::Relaxed) + 1;
+        let slow = faults.slow_every > 0 && calls.is_multiple_of(faults.slow_every);
+        let delay = if slow {
+            faults.slow_ms
+        } else {
+            faults.delay_ms
+        };
+        tokio::time::sleep(delay.into()).await;
         let answer = serde_json::json!({
             "route": route,
             "version": self.inner.version,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -10,6 +10,7 @@
 mod end_to_end;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
+mod hedging;
 mod leaving;
 mod ledger;
 mod log_outage;
