Ask a status route for the outcome of a lost call

A route could name a status_route, which was checked and never called: a call whose owner was lost, or whose answer was lost, stayed "may have run". A node now asks the service once per lookup, within 1 s and the caller's deadline, at most 32 at a time. The sender of a lost answer asks before it writes its finish record, so that the record holds the outcome. Any other node answers without a record, since only the writer of the dispatch may finish. Only the statement that the call ran counts; "not run" is never concluded from it. The key travels in a header of its own, because a service could take idempotency-key for the call itself.

Ruled out: lookups for keys beyond the retry window, whose account can't be checked any more; a rule that only non-idempotent routes name a status route, which would need a new configuration format.

Test: the owner is killed after the endpoint executed. A service that states nothing, as all did before, leaves "may have run"; one that states the outcome gives it to the next caller of the key, and the key executes once.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -21,6 +21,7 @@
 use super::plain::Reply;
 use super::rollouts::{RETRY, Timing, draw};
 use super::shard::{Failure, Shard, Waiter};
+use super::status_call::{Lookup, STATUS_BOUND};
 
 /// Endpoints that are tried when connections are refused.
 const MAX_ENDPOINTS: usize = 3;
@@ -42,6 +43,8 @@
     pub(super) account: Arc<str>,
     pub(super) route: Arc<str>,
     pub(super) service: Arc<str>,
+    /// Route of the service that states the outcome of a call.
+    pub(super) status_route: Option<Arc<str>>,
     /// On the monotonic clock.
     pub(super) deadline: Millis,
     pub(super) body: Bytes,
@@ -75,9 +78,14 @@
             let accept = match plan {
                 Plan::Accept => true,
                 Plan::Dispatch => false,
-                Plan::Await(_) => {
-                    self.settled(node, shard).await?;
-                    continue;
+                Plan::Await(_) => match self.settled(node, shard).await {
+                    Ok(()) => continue,
+                    Err(error) => return self.looked_up(node).await.ok_or(error),
+                },
+                // No record can follow: the log answers as before, the service may know more.
+                Plan::Finished(Outcome::Unknown) => {
+                    let known = self.looked_up(node).await;
+                    return known.map_or_else(|| self.ended(plan), Ok);
                 }
                 ended => return self.ended(ended),
             };
@@ -125,6 +133,11 @@
     /// Waits a bounded time for the end of another attempt.
     async fn settled(&self, node: &Node, shard: &Shard) -> Result<(), Error> {
         let left = self.deadline - node.clock.now();
+        // Half of a short time is left for the lookup that may follow.
+        let left = match &self.status_route {
+            Some(_) if left < node.settings.dispatch_bound_ms + STATUS_BOUND => Millis(left.0 / 2),
+            _ => left,
+        };
         let bound = left.min(node.settings.dispatch_bound_ms);
         shard.settled(self.key, self.digest, bound).await;
         match shard.plan(self.key, self.digest) {
@@ -133,6 +146,25 @@
         }
     }
 
+    /// Asks the service, if it has a status route, for the response of a call that was sent.
+    ///
+    /// Only the reader of an entry with the same digest asks, so that no account sees the response
+    /// of another one's call.
+    async fn looked_up(&self, node: &Node) -> Option<Reply> {
+        self.lookup(self.deadline)?.ask(node).await
+    }
+
+    fn lookup(&self, deadline: Millis) -> Option<Lookup<'_>> {
+        Some(Lookup {
+            key: self.key,
+            account: &self.account,
+            route: &self.route,
+            service: &self.service,
+            status_route: self.status_route.as_ref()?,
+            deadline,
+        })
+    }
+
     fn undecided(&self) -> Error {
         Error::may_have_run(
             ErrorKind::Conflict,
@@ -274,6 +306,12 @@
         node.count(target.endpoint, false);
         let evidence = Reply::evidence(&result, &timing);
         node.observe(target.endpoint, &self.route, evidence);
+        // The answer is lost, but this node may still write what the service states.
+        let known = match (&result, self.lookup(node.clock.now() + STATUS_BOUND)) {
+            (Err(_), Some(lookup)) => lookup.ask(node).await,
+            _ => None,
+        };
+        let result = known.map_or(result, Ok);
         let outcome = match &result {
             Ok(reply) => reply.outcome(RESPONSE_LIMIT),
             Err(_) => Outcome::Unknown,
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use warp::reply::Response;
 
@@ -21,6 +22,7 @@
 use super::request::{Request, header};
 use super::shard::{Shard, Summary};
 use super::shard_reader::ShardReader;
+use super::status_call::MAX_LOOKUPS;
 use super::takeover;
 
 /// Time within which the log service answers an append or a read that does not wait.
@@ -47,6 +49,8 @@
     shards: Vec<Arc<Shard>>,
     log: log::Client,
     open: AtomicUsize,
+    /// Limits the lookups at status routes.
+    pub(super) lookups: Semaphore,
 }
 
 impl Calls {
@@ -59,6 +63,7 @@
                 .collect(),
             log: log::Client::new(settings.log_service).with_timeout(LOG_TIMEOUT),
             open: AtomicUsize::new(0),
+            lookups: Semaphore::new(MAX_LOOKUPS),
         }
     }
 
@@ -162,6 +167,7 @@
         account: request.account,
         route: Arc::clone(&request.route.name),
         service: Arc::clone(&request.route.service),
+        status_route: request.route.status_route.clone(),
         deadline: request.deadline,
         body: request.body,
     };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -29,6 +29,7 @@
 mod shard;
 mod shard_reader;
 mod status;
+mod status_call;
 mod stop;
 mod sync;
 mod takeover;
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -260,6 +260,7 @@
     endpoint: endpoint::Key,
     timing: Timing,
     started: Millis,
+    _counted: Counted<'a>,
     /// Time after which the attempt counts as slow, if it is known.
     usual: Option<Millis>,
     ended: bool,
@@ -288,7 +289,6 @@
     /// A cancelled attempt that was slow counts with the time it ran, so that hedges hide neither
     /// a slow version from its rollout nor slow answers from the delay of the next hedge.
     fn drop(&mut self) {
-        self.node.count(self.endpoint, false);
         let ran = self.node.clock.now() - self.started;
         if !self.ended && self.usual.is_some_and(|usual| ran >= usual) {
             self.timing.token(self.node.clock.now());
@@ -306,7 +306,6 @@
     limit: Millis,
     usual: Option<Millis>,
 ) -> Result<Reply, Error> {
-    node.count(endpoint, true);
     let started = node.clock.now();
     let mut running = Running {
         node,
@@ -314,6 +313,7 @@
         endpoint,
         timing: Timing::start(started),
         started,
+        _counted: node.counted(endpoint),
         usual,
         ended: false,
     };
@@ -348,7 +348,28 @@
     Ok(Reply::new(status, kind, body))
 }
 
+/// Counts an attempt at an endpoint for as long as it lives.
+pub(super) struct Counted<'a> {
+    node: &'a Node,
+    endpoint: endpoint::Key,
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.node.count(self.endpoint, false);
+    }
+}
+
 impl Node {
+    /// Counts an attempt at an endpoint until the result is dropped.
+    pub(super) fn counted(&self, endpoint: endpoint::Key) -> Counted<'_> {
+        self.count(endpoint, true);
+        Counted {
+            node: self,
+            endpoint,
+        }
+    }
+
     /// Chooses an endpoint of a plain service among those not tried yet; `draw` chooses the version.
     pub(super) fn choose_other(
         &self,
--- /dev/null
+++ b/src/node/status_call.rs
@@ -0,0 +1,92 @@
+//! Asks a service what became of a call whose outcome the log does not hold.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Method;
+use hyper::header::HeaderValue;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+use crate::ledger::Key;
+
+use super::Node;
+use super::plain::Reply;
+use super::rollouts::RETRY;
+
+/// Longest time for one lookup.
+pub(super) const STATUS_BOUND: Millis = Millis(1_000);
+
+/// Lookups of a node at the same time; a service that lost many answers is not asked for all of
+/// them at once.
+pub(super) const MAX_LOOKUPS: usize = 32;
+
+/// Request header with the idempotency key in question.
+///
+/// It is not `idempotency-key`, under which the service could take the lookup for the call itself.
+const STATUS_OF: &str = "x-almondpath-status-of";
+
+/// Response header of a service that states the outcome.
+const OUTCOME: &str = "x-almondpath-outcome";
+
+/// Value of the response header when the call ran.
+const RAN: &str = "ran";
+
+/// A call whose outcome is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lookup<'a> {
+    pub(super) key: Key,
+    pub(super) account: &'a Arc<str>,
+    pub(super) route: &'a Arc<str>,
+    pub(super) service: &'a Arc<str>,
+    pub(super) status_route: &'a Arc<str>,
+    /// On the monotonic clock.
+    pub(super) deadline: Millis,
+}
+
+impl Lookup<'_> {
+    /// Returns the response of the call if the service states that it ran.
+    ///
+    /// One request to one endpoint, within the bound. Anything else than the statement leaves the
+    /// outcome unknown: a service that knows nothing of the call may still execute it.
+    pub(super) async fn ask(&self, node: &Node) -> Option<Reply> {
+        let limit = STATUS_BOUND.min(self.deadline - node.clock.now());
+        if limit == Millis::ZERO {
+            return None;
+        }
+        let _permit = node.calls.lookups.try_acquire().ok()?;
+        metrics::counter!("almondpath_status_calls_total").increment(1);
+        let asked = tokio::time::timeout(limit.into(), self.send(node)).await;
+        let reply = asked.ok()?.ok().flatten();
+        if reply.is_some() {
+            metrics::counter!("almondpath_status_calls_resolved_total").increment(1);
+        }
+        reply
+    }
+
+    async fn send(&self, node: &Node) -> Result<Option<Reply>, Error> {
+        let Some((endpoint, _, address)) = node.choose_other(self.service, &[], RETRY) else {
+            return Ok(None);
+        };
+        let path = format!("/call/{}", self.status_route);
+        let body = serde_json::json!({
+            "idempotency_key": self.key.to_string(),
+            "account": self.account,
+            "route": self.route,
+        });
+        let body = Bytes::from(body.to_string());
+        let mut request = node.http.request(Method::POST, address, &path, body)?;
+        let key = HeaderValue::try_from(self.key.to_string())
+            .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))?;
+        request.headers_mut().insert(STATUS_OF, key);
+        let _counted = node.counted(endpoint);
+        let response = node.http.send(request).await?;
+        let ran = response.headers().get(OUTCOME).is_some_and(|v| v == RAN);
+        if !ran {
+            return Ok(None);
+        }
+        let (status, kind) = Reply::head(&response);
+        let body = node.http.body(response).await?;
+        Ok(Some(Reply::stored(status, kind, body)))
+    }
+}
--- a/src/node/takeover.rs
+++ b/src/node/takeover.rs
@@ -77,6 +77,7 @@
         account: order.account,
         route: order.route,
         service: Arc::clone(&route.service),
+        status_route: route.status_route.clone(),
         deadline: node.clock.now() + (order.deadline - wall),
         body: body.0,
     };
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use warp::http::StatusCode;
 use warp::{Filter, Reply};
 
@@ -25,6 +26,8 @@
     pub slow_ms: Millis,
     /// Number of calls that are executed but never answered.
     pub lose_responses: u32,
+    /// Answers lookups with the response of the call in question, if it was executed.
+    pub states_outcomes: bool,
     /// Answers calls with an error without executing them.
     pub fail: bool,
     /// Reports that the endpoint is leaving.
@@ -43,6 +46,8 @@
     incarnation: u64,
     calls: AtomicU32,
     executions: Mutex<BTreeMap<String, u32>>,
+    /// Answers of the executed keys.
+    outcomes: Mutex<BTreeMap<String, Value>>,
     faults: Mutex<PlainFaults>,
 }
 
@@ -56,6 +61,7 @@
                 incarnation: rand::random(),
                 calls: AtomicU32::new(0),
                 executions: Mutex::default(),
+                outcomes: Mutex::default(),
                 faults: Mutex::default(),
             }),
         }
@@ -75,9 +81,17 @@
         let call = warp::path!("call" / String)
             .and(warp::post())
             .and(warp::header::optional("idempotency-key"))
+            .and(warp::header::optional("x-almondpath-status-of"))
             .and(warp::body::bytes())
             .and(with.clone())
-            .then(|route, key, body, this: Self| async move { this.call(route, key, body).await })
+            .then(
+                |route, key, asked: Option<String>, body, this: Self| async move {
+                    match asked {
+                        Some(asked) => this.state_outcome(&asked).into_response(),
+                        None => this.call(route, key, body).await.into_response(),
+                    }
+                },
+            )
             .boxed();
         let load = warp::path!("load")
             .and(warp::get())
@@ -101,14 +115,14 @@
                 reply(StatusCode::OK, &serde_json::json!({}))
             })
             .boxed();
-        call.or(load)
-            .unify()
+        let others = load
             .or(executions)
             .unify()
             .or(faults)
             .unify()
             .recover(super::recover)
-            .unify()
+            .unify();
+        call.or(others.map(Reply::into_response)).unify()
     }
 
     async fn call(
@@ -121,12 +135,23 @@
         if faults.fail {
             return super::unavailable();
         }
+        let key = key.unwrap_or_default();
         let count = {
             let mut executions = self.inner.executions.lock().expect("executions lock");
-            let count = executions.entry(key.unwrap_or_default()).or_default();
+            let count = executions.entry(key.clone()).or_default();
             *count += 1;
             *count
         };
+        let answer = serde_json::json!({
+            "route": route,
+            "version": self.inner.version,
+            "execution": count,
+            "bytes": body.len(),
+        });
+        {
+            let mut outcomes = self.inner.outcomes.lock().expect("outcomes lock");
+            outcomes.insert(key, answer.clone());
+        }
         if faults.lose_responses > 0 {
             self.inner
                 .faults
@@ -143,15 +168,25 @@
             faults.delay_ms
         };
         tokio::time::sleep(delay.into()).await;
-        let answer = serde_json::json!({
-            "route": route,
-            "version": self.inner.version,
-            "execution": count,
-            "bytes": body.len(),
-        });
         reply(StatusCode::OK, &answer)
     }
 
+    /// Answers a lookup with the stored answer of a key.
+    fn state_outcome(&self, key: &str) -> warp::reply::Response {
+        let states = self
+            .inner
+            .faults
+            .lock()
+            .expect("faults lock")
+            .states_outcomes;
+        let outcomes = self.inner.outcomes.lock().expect("outcomes lock");
+        let Some(answer) = outcomes.get(key).filter(|_| states) else {
+            return super::missing().into_response();
+        };
+        let answer = warp::reply::json(answer);
+        warp::reply::with_header(answer, "x-almondpath-outcome", "ran").into_response()
+    }
+
     fn load(&self) -> Load {
         Load {
             slots: 64,
--- a/tests/integration/at_most_once.rs
+++ b/tests/integration/at_most_once.rs
@@ -202,6 +202,80 @@
     }
 }
 
+/// Guards against a caller that is left with "may have run" although the service knows the
+/// outcome, and against a lookup that claims one that the service does not state.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_route_resolves_an_unknown_outcome() {
+    struct Case {
+        name: &'static str,
+        states: bool,
+        /// Whether the owner is killed; otherwise it looks the outcome up itself.
+        kill: bool,
+        deadline: u64,
+        resolved: bool,
+    }
+    let cases = [
+        Case {
+            name: "the owner is killed after the execution",
+            states: true,
+            kill: true,
+            deadline: 10_000,
+            resolved: true,
+        },
+        Case {
+            name: "the owner is killed and the service states nothing",
+            states: false,
+            kill: true,
+            deadline: 10_000,
+            resolved: false,
+        },
+        Case {
+            name: "the answer is late and the deadline passes",
+            states: true,
+            kill: false,
+            deadline: 700,
+            resolved: true,
+        },
+    ];
+    let mut cluster = Cluster::start_with(2, 0, 1, "dispatch_bound_ms: 700\n").await;
+    let text = include_str!("../../examples/dev/config.yaml");
+    let text = text.replace(
+        "deadline_ms: 10000",
+        "deadline_ms: 10000, status_route: balance",
+    );
+    let file = cluster.directory.path().join("config.yaml");
+    std::fs::write(&file, text).expect("the configuration can be written");
+    cluster.publish(file.to_str().expect("a UTF-8 path")).await;
+    // Every node has a configuration within 8 s; each restarts or reads it well before.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let plain = cluster.plains[0].address;
+    for case in cases {
+        cluster.await_calls().await;
+        let faults = json!({ "lose_responses": 1, "states_outcomes": case.states });
+        cluster.set_faults(plain, faults).await;
+        let call = fresh().deadline(case.deadline);
+        let sending = call.send(&cluster, 0);
+        let first = tokio::time::timeout(Duration::from_millis(1_500), sending).await;
+        if case.kill {
+            assert!(first.is_err(), "{}: {first:?}", case.name);
+            cluster.nodes[0].process.kill();
+        }
+        cluster.await_execution(&call).await;
+        for node in [1, 1] {
+            let answer = call.send(&cluster, node).await;
+            assert_eq!(answer.ran(), case.resolved, "{}: {answer:?}", case.name);
+            if !case.resolved {
+                assert_eq!(answer.verdict.as_deref(), Some("may_have_run"));
+            }
+        }
+        assert_eq!(cluster.executions(&call.key).await, 1, "{}", case.name);
+        cluster.set_faults(plain, json!({})).await;
+        if case.kill {
+            cluster.restart(0);
+        }
+    }
+}
+
 /// Guards against the HTTP client's own repetition of a request on a connection that the endpoint
 /// closes, and against the use of a pooled connection.
 #[tokio::test(flavor = "multi_thread")]
