Let the weight of rollouts set their stages and evidence

weights.rollout was generated and checked and had no effect. Its share of the weights now scales the first three stages by a factor from 2 (share 0) to 1/2 (share 1), and above a half the evidence before each stage by 1 to 2. Half gives the plan of before, which a test compares. A lower share keeps the evidence, so that the stated error rates hold for each weight.

--- a/src/cli/rollouts.rs
+++ b/src/cli/rollouts.rs
@@ -26,6 +26,14 @@
                 .default_value(MEMBERS)
                 .help("Number of rollouts"),
         )
+        .arg(
+            Arg::new("weight")
+                .long("weight")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(f64))
+                .default_value("0.5")
+                .help("Share of rollouts in the weights of the measures, 0 to 1"),
+        )
         .arg(
             Arg::new("format")
                 .long("format")
@@ -39,7 +47,8 @@
 pub(super) fn run(args: &ArgMatches) -> eyre::Result<ExitCode> {
     let seed = *args.get_one::<u64>("seed").expect("has a default");
     let count = *args.get_one::<usize>("count").expect("has a default");
-    let table = family::run(seed, count);
+    let weight = *args.get_one::<f64>("weight").expect("has a default");
+    let table = family::run_weighted(seed, count, weight);
     if args
         .get_one::<String>("format")
         .is_some_and(|f| f == "json")
--- a/src/config/config.rs
+++ b/src/config/config.rs
@@ -109,6 +109,13 @@
         rollout: 0.5,
     };
 
+    /// Returns the share of rollouts in the weights, 0 to 1; a half when there are none.
+    #[must_use]
+    pub fn rollout_share(&self) -> f64 {
+        let sum = self.cost + self.rollout;
+        if sum > 0.0 { self.rollout / sum } else { 0.5 }
+    }
+
     fn bind(section: &Section<'_>) -> Self {
         Self {
             cost: section.number("cost", 0.0..=1.0),
--- a/src/control/statement.rs
+++ b/src/control/statement.rs
@@ -51,8 +51,7 @@
 impl Statement {
     /// Describes a rollout as a node sees it now.
     #[must_use]
-    pub fn new(rollout: &Rollout, now: Millis, trip: Option<&Trip>) -> Self {
-        let plan = Plan::default();
+    pub fn new(rollout: &Rollout, plan: &Plan, now: Millis, trip: Option<&Trip>) -> Self {
         let share = plan.stage(rollout.stage).map_or(0.0, |stage| stage.share);
         let (state, share, reason) = match rollout.standing(now, trip) {
             Standing::InProgress => (State::InProgress, share, None),
--- a/src/node/rollouts/controller.rs
+++ b/src/node/rollouts/controller.rs
@@ -168,10 +168,11 @@
     /// Returns the records that are due, each with its rollout.
     fn changes(&self, fold: &control::Rollouts) -> Vec<(Offset, Change)> {
         let at = self.node.clock.wall();
+        let plan = self.node.rollouts.plan();
         let mut changes = Vec::new();
         for progress in self.node.rollouts.progress(at) {
             let id = progress.rollout.id;
-            changes.extend(step(&progress, at).map(|change| (id, change)));
+            changes.extend(step(&plan, &progress, at).map(|change| (id, change)));
         }
         let Some(config) = self.node.rollouts.config() else {
             return changes;
@@ -242,7 +243,7 @@
 }
 
 /// Returns the record that a rollout needs next.
-fn step(progress: &Progress, at: Millis) -> Option<Change> {
+fn step(plan: &Plan, progress: &Progress, at: Millis) -> Option<Change> {
     let rollout = &progress.rollout;
     let (id, of) = (Uuid::new_v4(), rollout.id);
     match (&progress.standing, &rollout.phase) {
@@ -265,7 +266,7 @@
                 routes: &progress.routes,
                 suspicion: progress.suspicion,
             };
-            match Plan::default().next(&view) {
+            match plan.next(&view) {
                 Step::Stay => None,
                 Step::Advance(stage) => Some(Change::RolloutStage {
                     id,
--- a/src/node/rollouts/watch.rs
+++ b/src/node/rollouts/watch.rs
@@ -76,9 +76,10 @@
     /// Returns the statements for operators.
     pub(in crate::node) fn statements(&self, wall: Millis) -> Vec<Statement> {
         let state = self.state.lock().expect("rollouts lock");
+        let plan = state.plan();
         let rollouts = state.fold.iter();
         rollouts
-            .map(|r| Statement::new(r, wall, state.trips.get(&r.id)))
+            .map(|r| Statement::new(r, &plan, wall, state.trips.get(&r.id)))
             .collect()
     }
 
@@ -195,6 +196,11 @@
             .collect()
     }
 
+    /// Returns the stages of rollouts under the active configuration.
+    pub(super) fn plan(&self) -> Plan {
+        self.state.lock().expect("rollouts lock").plan()
+    }
+
     /// Returns all rollouts as the controller needs them.
     pub(super) fn progress(&self, wall: Millis) -> Vec<Progress> {
         let state = self.state.lock().expect("rollouts lock");
@@ -289,10 +295,17 @@
         })
     }
 
+    fn plan(&self) -> Plan {
+        let config = self.config.as_ref();
+        config.map_or_else(Plan::default, |config| {
+            Plan::weighted(config.weights.rollout_share())
+        })
+    }
+
     fn choice(&self, rollout: &Rollout) -> Choice {
         let monitor = self.monitors.get(&rollout.id);
         Choice {
-            stage: Plan::default().stage(rollout.stage),
+            stage: self.plan().stage(rollout.stage),
             sent: 0,
             suspicion: monitor.map_or(0.0, Monitor::suspicion),
             nodes: self.nodes.max(1),
--- a/src/rollout/acceptance.rs
+++ b/src/rollout/acceptance.rs
@@ -9,7 +9,14 @@
 /// [`Metric::harmful`], for each metric.
 #[must_use]
 pub fn accepts(pair: Pair) -> bool {
-    let needed = (1.0 / FALSE_ACCEPT).ln();
+    accepts_with(pair, 1.0)
+}
+
+/// Returns whether the counters rule it out with `evidence` times the log likelihood ratio; the
+/// probability of a wrong acceptance is then at most [`FALSE_ACCEPT`] to the power of `evidence`.
+#[must_use]
+pub fn accepts_with(pair: Pair, evidence: f64) -> bool {
+    let needed = (1.0 / FALSE_ACCEPT).ln() * evidence;
     Metric::ALL
         .into_iter()
         .all(|metric| log_likelihood_good(pair, metric) >= needed)
--- a/src/rollout/family/mod.rs
+++ b/src/rollout/family/mod.rs
@@ -16,16 +16,31 @@
 pub use self::score::Score;
 pub use self::table::{Row, Table};
 
+use crate::config::Weights;
+
+use super::Plan;
+
 /// Runs both policies on `count` members and returns their scores.
 #[must_use]
 pub fn run(seed: u64, count: usize) -> Table {
+    run_weighted(seed, count, Weights::EVEN.rollout_share())
+}
+
+/// Runs both policies, with rollouts having this share of the weights, see [`Plan::weighted`].
+#[must_use]
+pub fn run_weighted(seed: u64, count: usize, share: f64) -> Table {
     let members = members(seed, count);
-    let scores = |policy: fn(&Member) -> Score| parallel(&members, policy);
-    Table::new(scores(simulation::run), scores(baseline::run))
+    let plan = Plan::weighted(share);
+    let policy = parallel(&members, |member| simulation::run(member, &plan));
+    Table::new(policy, parallel(&members, baseline::run))
 }
 
 /// Applies `policy` to all members on all cores; the result doesn't depend on their number.
-fn parallel(members: &[Member], policy: fn(&Member) -> Score) -> Vec<Score> {
+fn parallel<F>(members: &[Member], policy: F) -> Vec<Score>
+where
+    F: Fn(&Member) -> Score + Sync,
+{
+    let policy = &policy;
     let threads = std::thread::available_parallelism().map_or(1, std::num::NonZero::get);
     let share = members.len().div_ceil(threads).max(1);
     std::thread::scope(|scope| {
--- a/src/rollout/family/simulation.rs
+++ b/src/rollout/family/simulation.rs
@@ -50,8 +50,8 @@
 }
 
 /// Drives the policy through one member.
-pub(super) fn run(member: &Member) -> Score {
-    let mut run = Run::new(member);
+pub(super) fn run(member: &Member, plan: &Plan) -> Score {
+    let mut run = Run::new(member, plan.clone());
     let mut now = Millis::ZERO;
     while now < member.window {
         run.tick(now);
@@ -72,7 +72,7 @@
 }
 
 impl Run {
-    fn new(member: &Member) -> Self {
+    fn new(member: &Member, plan: Plan) -> Self {
         let world = World::new(member);
         let routes: Vec<_> = (0..4)
             .map(|route| (format!("route-{route}").into(), world.limits(route)))
@@ -88,7 +88,7 @@
             nodes: (0..NODES).map(|_| node()).collect(),
             world,
             score: Score::new(member),
-            plan: Plan::default(),
+            plan,
             answers: (0..HORIZON).map(|_| Vec::new()).collect(),
             stage: 0,
             stage_since: Millis::ZERO,
--- a/src/rollout/family/table.rs
+++ b/src/rollout/family/table.rs
@@ -15,6 +15,9 @@
     pub rollouts: usize,
     /// Members done by the deadline and not rolled back.
     pub done: usize,
+    /// Mean part of the window until they were done, in percent; two versions run beside each other
+    /// for so long.
+    pub done_after_percent: f64,
     /// Members rolled back.
     pub rolled_back: usize,
     /// Requests that met the fault before the trip, in percent of the windows' requests.
@@ -95,6 +98,7 @@
         fault,
         rollouts: scores.len(),
         done: scores.iter().filter(done).count(),
+        done_after_percent: done_after(scores),
         rolled_back: scores.iter().filter(|s| s.rolled_back).count(),
         exposed_percent: total(|s| s.exposed_before),
         worst_exposed_percent: worst(|s| s.exposed_before),
@@ -104,30 +108,41 @@
     }
 }
 
+fn done_after(scores: &[&Score]) -> f64 {
+    let parts = scores.iter().filter(|s| !s.rolled_back).filter_map(|s| {
+        let at = s.done_at?;
+        Some(100.0 * at.as_f64() / s.member.window.as_f64())
+    });
+    let (count, sum) = parts.fold((0, 0.0), |(count, sum), part| (count + 1, sum + part));
+    sum / f64::from(count.max(1))
+}
+
 impl fmt::Display for Table {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<15} {:<17} {:>8} {:>5} {:>11} {:>9} {:>8} {:>9} {:>8} {:>5}",
+            "{:<15} {:<17} {:>8} {:>5} {:>7} {:>11} {:>9} {:>8} {:>9} {:>8} {:>5}",
             "policy",
             "version",
             "rollouts",
             "done",
+            "after %",
             "rolled back",
             "exposed %",
             "worst %",
-            "after %",
+            "late %",
             "worst %",
             "late"
         )?;
         for row in self.rows() {
             writeln!(
                 f,
-                "{:<15} {:<17} {:>8} {:>5} {:>11} {:>9.3} {:>8.3} {:>9.4} {:>8.4} {:>5}",
+                "{:<15} {:<17} {:>8} {:>5} {:>7.1} {:>11} {:>9.3} {:>8.3} {:>9.4} {:>8.4} {:>5}",
                 row.policy,
                 row.fault,
                 row.rollouts,
                 row.done,
+                row.done_after_percent,
                 row.rolled_back,
                 row.exposed_percent,
                 row.worst_exposed_percent,
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -25,7 +25,7 @@
 mod tally;
 mod trip;
 
-pub use self::acceptance::{FALSE_ACCEPT, accepts};
+pub use self::acceptance::{FALSE_ACCEPT, accepts, accepts_with};
 pub use self::arm::{Arm, Pair};
 pub use self::choice::{CAUTION, Choice, choose_version, endpoints_in_use};
 pub use self::detector::{Detector, FALSE_TRIP};
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -2,7 +2,11 @@
 
 use crate::clock::Millis;
 
-use super::{CAUTION, Pair, accepts};
+use super::{CAUTION, Pair, accepts_with};
+
+/// Stages whose size depends on the weight of rollouts. The later ones are large enough that their
+/// size hardly changes the time to a decision.
+const SCALED_STAGES: usize = 3;
 
 /// Shortest time in a stage: nodes learn of it within a second and their reports take another few.
 /// Windows below 500 s shorten it in proportion.
@@ -36,6 +40,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     stages: Vec<Stage>,
+    /// Factor of the evidence before a stage, at least 1.
+    evidence: f64,
 }
 
 /// What the controller of a rollout should do next.
@@ -82,11 +88,30 @@
                 stage(0.50, None),
                 stage(0.67, None),
             ],
+            evidence: 1.0,
         }
     }
 }
 
 impl Plan {
+    /// Returns the plan of a deployment in which rollouts have this share, 0 to 1, of the weights.
+    ///
+    /// A half gives the default plan. More makes the first three stages smaller and asks for more
+    /// evidence before each stage, down to half and up to twice at 1; two versions then run beside
+    /// each other for longer. Less makes these stages up to twice as large; the evidence stays, so
+    /// that the stated error rates hold for every weight.
+    #[must_use]
+    pub fn weighted(share: f64) -> Self {
+        let factor = (2.0 * share.clamp(0.0, 1.0) - 1.0).exp2();
+        let mut plan = Self::default();
+        for stage in plan.stages.iter_mut().take(SCALED_STAGES) {
+            stage.share /= factor;
+            stage.budget = stage.budget.map(|b| (f64::from(b) / factor).round() as u32);
+        }
+        plan.evidence = factor.max(1.0);
+        plan
+    }
+
     /// Returns a stage by its number.
     #[must_use]
     pub fn stage(&self, number: u32) -> Option<Stage> {
@@ -116,7 +141,7 @@
             // A spent budget yields no further evidence, so that only the next stage can clear up
             // a suspicion.
             let bounded = self.stage(view.stage).is_some_and(|s| s.budget.is_some());
-            let clear = accepts(all) && !suspected;
+            let clear = accepts_with(all, self.evidence) && !suspected;
             return if clear || (late && (bounded || !suspected)) {
                 Step::Advance(view.stage + 1)
             } else {
@@ -124,8 +149,9 @@
             };
         }
         let judged = |pair: &&Pair| pair.old.requests + pair.new.requests >= QUIET_ROUTE;
+        let enough = |pair| accepts_with(pair, self.evidence);
         let accepted =
-            !suspected && accepts(all) && view.routes.iter().filter(judged).all(|p| accepts(*p));
+            !suspected && enough(all) && view.routes.iter().filter(judged).all(|p| enough(*p));
         let margin = APPEND_MARGIN.min(Millis(view.window.0 / WINDOW_MARGINS));
         if accepted && view.now + margin < view.deadline {
             Step::Done
--- a/tests/integration/rollout_policy.rs
+++ b/tests/integration/rollout_policy.rs
@@ -1,9 +1,12 @@
 //! The rollout policy: its error rates, what counts as evidence, and the seeded family.
 
 use almondpath::clock::Millis;
+use almondpath::document::Document;
 use almondpath::log::Offset;
+use almondpath::questionnaire::{Answers, Generated};
+use almondpath::rollout::family::Row;
 use almondpath::rollout::{
-    Arm, Choice, Detector, Limits, Metric, Monitor, Outcome, Stage, Stratum, choose_version,
+    Arm, Choice, Detector, Limits, Metric, Monitor, Outcome, Plan, Stage, Stratum, choose_version,
     endpoints_in_use, family,
 };
 use rand::rngs::SmallRng;
@@ -27,20 +30,38 @@
     Monitor::new(Offset(7), "v2".into(), routes, Millis::from_secs(600))
 }
 
+/// Returns the share of rollouts in the weights that these answers lead to.
+fn share(answers: &str) -> f64 {
+    let document = Document::parse("answers.yaml", answers).expect("valid YAML");
+    let answers = Answers::from_document(&document).expect("sound answers");
+    Generated::new(&answers).config.weights.rollout_share()
+}
+
 /// Guards the targets of the rollout policy against a change of the test, the stages or the
-/// exchange between nodes.
+/// exchange between nodes, with even weights and with those of both deployments.
 #[test]
 fn the_family_meets_the_targets() {
-    let table = family::run(1, 252);
-    println!("{table}");
-    let rows = table.rows();
-    let row = |fault: &str| {
-        let found = rows
-            .iter()
-            .find(|r| r.policy == "sequential" && r.fault == fault);
-        found.expect("the row exists")
-    };
-    let (good, bad) = (row("all good"), row("all bad"));
+    let ikeja = share(include_str!("../../examples/ikeja/answers.yaml"));
+    let canelones = share(include_str!("../../examples/canelones/answers.yaml"));
+    for weight in [0.5, ikeja, canelones] {
+        let table = family::run_weighted(1, 252, weight);
+        println!("weight of rollouts {weight}\n{table}");
+        if weight == 0.5 {
+            assert_eq!(table.rows(), family::run(1, 252).rows());
+        }
+        meets_the_targets(&table.rows());
+    }
+}
+
+fn sequential<'a>(rows: &'a [Row], fault: &str) -> &'a Row {
+    let found = rows
+        .iter()
+        .find(|r| r.policy == "sequential" && r.fault == fault);
+    found.expect("the row exists")
+}
+
+fn meets_the_targets(rows: &[Row]) {
+    let (good, bad) = (sequential(rows, "all good"), sequential(rows, "all bad"));
     assert!(good.rollouts + bad.rollouts >= 200);
     assert!(good.done * 100 >= good.rollouts * 95);
     assert!(good.rolled_back * 100 < good.rollouts * 2);
@@ -50,6 +71,47 @@
     assert_eq!(bad.late, 0);
 }
 
+/// Guards against a weight of rollouts without effect, and against one that changes what even
+/// weights did before.
+#[test]
+fn the_weight_of_rollouts_sets_stages_and_evidence() {
+    struct Case {
+        share: f64,
+        /// Budgets of the first two stages and share of the third.
+        stages: (u32, u32, f64),
+    }
+    let cases = [
+        Case {
+            share: 0.0,
+            stages: (128, 400, 0.4),
+        },
+        Case {
+            share: 0.5,
+            stages: (64, 200, 0.2),
+        },
+        Case {
+            share: 1.0,
+            stages: (32, 100, 0.1),
+        },
+    ];
+    for case in cases {
+        let plan = Plan::weighted(case.share);
+        let stage = |number| plan.stage(number).expect("the stage exists");
+        let budget = |number| stage(number).budget.expect("it is bounded");
+        let stages = (budget(0), budget(1), stage(2).share);
+        assert_eq!(stages, case.stages, "{}", case.share);
+        assert_eq!(plan.last(), Plan::default().last());
+    }
+    assert_eq!(Plan::weighted(0.5), Plan::default());
+    // Weighed against the cost, a bad version meets fewer requests and a good one takes longer.
+    let rows = [0.0, 1.0].map(|share| family::run_weighted(1, 252, share).rows());
+    let [low, high] = [&rows[0], &rows[1]];
+    let exposed = |rows| sequential(rows, "all bad").exposed_percent;
+    let after = |rows| sequential(rows, "all good").done_after_percent;
+    assert!(exposed(high) < exposed(low));
+    assert!(after(high) > after(low));
+}
+
 fn draw(rng: &mut SmallRng, requests: u32, rate: f64) -> u32 {
     (0..requests)
         .map(|_| u32::from(rng.random_bool(rate)))
