Hand new endpoints to the policy when they become known

Cause: the first call after a node became ready waited in admission until the next periodic refresh of the policy, up to 100 ms later, because the router had no endpoints yet. The policy now takes over the endpoints with the configuration, before requests are accepted, and with each host list.

Ruled out: the pause of 50 ms before a retry (the time was below 50 ms, and the request waited in admission, before any attempt) and Nagle's algorithm (switched off on all connections).

--- a/benches/streams.rs
+++ b/benches/streams.rs
@@ -1,7 +1,7 @@
 //! Time that a node adds to a call, and memory of open streams, with the processes that serve.
 //!
 //! `cargo bench --bench streams` starts two nodes in different failure domains and the test
-//! doubles, and prints three tables.
+//! doubles, and prints three tables. The arguments `added`, `memory` and `replication` select parts.
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,9 @@
 
 use harness::{ACCOUNT_TOKEN, Cluster};
 
+/// Parts that can be named as arguments; all of them run when none is named.
+const PARTS: [&str; 3] = ["added", "memory", "replication"];
+
 /// Tokens of a short call.
 const TOKENS: u32 = 16;
 
@@ -78,10 +81,20 @@
         return;
     }
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let named: Vec<String> = std::env::args()
+        .filter(|arg| PARTS.contains(&arg.as_str()))
+        .collect();
+    let wanted = |part: &str| named.is_empty() || named.iter().any(|name| name == part);
     runtime.block_on(async {
-        added_time().await;
-        memory().await;
-        replication().await;
+        if wanted("added") {
+            added_time().await;
+        }
+        if wanted("memory") {
+            memory().await;
+        }
+        if wanted("replication") {
+            replication().await;
+        }
     });
 }
 
@@ -91,10 +104,14 @@
         let faults = json!({ "token_ms": 1, "prefill_ms": 0 });
         cluster.set_faults(engine.address, faults).await;
     }
-    println!("| callers | way | first token p50 us | p99 us | whole p50 us | p99 us | calls/s |");
-    println!("|---|---|---|---|---|---|---|");
+    println!(
+        "| callers | way | first token p50 us | p99 us | whole p50 us | p99 us | calls/s | queued | \
+         waited for a core, us/call |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
     for callers in CALLERS {
         let http = transport::Client::new(almondpath::clock::Millis(30_000));
+        let before = (queued(&cluster).await, waited(&cluster));
         let started = Instant::now();
         let tasks: Vec<_> = (0..callers)
             .map(|index| {
@@ -110,9 +127,23 @@
             node.add(&other);
         }
         let calls = (2 * callers * CALLS) as f64 / started.elapsed().as_secs_f64();
-        for (name, times) in [("direct", &direct), ("node", &node)] {
+        let after = (queued(&cluster).await, waited(&cluster));
+        let waits = |of: fn(Waited) -> u64| (of(after.1) - of(before.1)) / 1_000;
+        let each = (callers * CALLS) as u64;
+        // Engines serve both ways.
+        let engines = waits(|w| w.engines) / (2 * each);
+        let rows = [
+            ("direct", &direct, 0, engines),
+            (
+                "node",
+                &node,
+                after.0 - before.0,
+                waits(|w| w.nodes) / each + engines,
+            ),
+        ];
+        for (name, times, queued, waited) in rows {
             println!(
-                "| {callers} | {name} | {} | {} | {} | {} | {calls:.0} |",
+                "| {callers} | {name} | {} | {} | {} | {} | {calls:.0} | {queued} | {waited} |",
                 times.first.value_at_quantile(0.5),
                 times.first.value_at_quantile(0.99),
                 times.whole.value_at_quantile(0.5),
@@ -120,7 +151,7 @@
             );
         }
         println!(
-            "| {callers} | added | {} | {} | {} | {} | |",
+            "| {callers} | added | {} | {} | {} | {} | | | |",
             added(&direct.first, &node.first, 0.5),
             added(&direct.first, &node.first, 0.99),
             added(&direct.whole, &node.whole, 0.5),
@@ -129,6 +160,43 @@
     }
 }
 
+/// Time for which threads were ready to run and had no core, in nanoseconds.
+#[derive(Clone, Copy)]
+struct Waited {
+    nodes: u64,
+    engines: u64,
+}
+
+fn waited(cluster: &Cluster) -> Waited {
+    let nodes = cluster.nodes.iter().map(|node| node.process.id());
+    let engines = cluster.engines.iter().map(|engine| engine.process.id());
+    Waited {
+        nodes: nodes.map(run_delay).sum(),
+        engines: engines.map(run_delay).sum(),
+    }
+}
+
+/// Sums the second field of the kernel's scheduler statistics over the threads of a process.
+fn run_delay(process: u32) -> u64 {
+    let threads = std::fs::read_dir(format!("/proc/{process}/task"));
+    threads
+        .into_iter()
+        .flatten()
+        .flatten()
+        .filter_map(|thread| std::fs::read_to_string(thread.path().join("schedstat")).ok())
+        .filter_map(|text| text.split(' ').nth(1)?.parse::<u64>().ok())
+        .sum()
+}
+
+/// Returns how many requests have waited for a free slot.
+async fn queued(cluster: &Cluster) -> u64 {
+    let mut total = 0;
+    for node in &cluster.nodes {
+        total += metric(cluster, node, "almondpath_requests_queued_total", "").await;
+    }
+    total
+}
+
 fn added(direct: &Histogram<u64>, node: &Histogram<u64>, quantile: f64) -> i64 {
     let of = |times: &Histogram<u64>| i64::try_from(times.value_at_quantile(quantile)).unwrap_or(0);
     of(node) - of(direct)
@@ -272,6 +340,11 @@
 }
 
 async fn sent_to_peers(cluster: &Cluster, node: &harness::Node) -> u64 {
+    metric(cluster, node, "almondpath_peer_bytes_total", "sent").await
+}
+
+/// Returns the sum of a metric over the label sets that contain `label`.
+async fn metric(cluster: &Cluster, node: &harness::Node, name: &str, label: &str) -> u64 {
     let request = cluster
         .http
         .request(Method::GET, node.admin, "/metrics", Default::default())
@@ -280,7 +353,7 @@
     let body = cluster.http.body(response).await.expect("a body");
     let text = String::from_utf8_lossy(&body).into_owned();
     text.lines()
-        .filter(|line| line.starts_with("almondpath_peer_bytes_total") && line.contains("sent"))
+        .filter(|line| line.starts_with(name) && line.contains(label))
         .filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok())
         .sum()
 }
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -388,6 +388,9 @@
         let (sender, receiver) = oneshot::channel();
         service.waiting.insert(ticket.id, sender);
         service.pump(now);
+        if service.waiting.contains_key(&ticket.id) {
+            metrics::counter!("almondpath_requests_queued_total").increment(1);
+        }
         Ok((ticket, receiver))
     }
 
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -235,8 +235,10 @@
             return;
         }
         info!(self.log, "configuration active"; "version" => active.version.0);
-        self.active.store(Some(Arc::new(active.clone())));
         self.dispatch.configure(&active.config);
+        // Before requests are accepted, which would wait for the next periodic refresh.
+        self.refresh_policy();
+        self.active.store(Some(Arc::new(active.clone())));
         drop(control);
         self.relay();
     }
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -77,6 +77,8 @@
                     let mut endpoints = node.endpoints.lock().expect("endpoints lock");
                     endpoints.update(hosts)
                 };
+                node.refresh_policy();
+                node.pump();
                 node.pass_on(notices);
                 node.choose_passed_on();
             }
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -329,7 +329,7 @@
         assert!(response.status().is_success());
     }
 
-    async fn await_doubles(&self) {
+    pub(crate) async fn await_doubles(&self) {
         let all = [&self.log, &self.platform];
         for double in all.into_iter().chain(&self.engines).chain(&self.plains) {
             eventually("a test double listens", async || {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod ledger;
 mod log_outage;
 mod membership;
+mod new_endpoints;
 mod operators;
 mod peer;
 mod placement;
