Measure the throughput of a node on short calls

Neither the throughput nor the share of a core had been measured. The bench for calls compares 1 to 128 callers of a plain service with calls through a node, in turn in one run, and times the choice of the endpoints of a version.

No profile was taken.

--- a/benches/calls.rs
+++ b/benches/calls.rs
@@ -1,17 +1,23 @@
-//! Cost of non-idempotent calls: appends, added latency, and the fold of the calls stream.
+//! Cost of calls of plain services: appends and added latency of non-idempotent ones, the fold of
+//! the calls stream, throughput of a node, and the choice of the endpoints of a version.
 //!
-//! `cargo bench --bench calls` prints tables in Markdown. The argument `fold` or `log` runs one
-//! part only.
+//! `cargo bench --bench calls` prints tables in Markdown. The arguments `fold`, `log`, `throughput`
+//! and `versions` select parts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use almondpath::clock::Millis;
+use almondpath::endpoint::{Host, Split, State, Table};
 use almondpath::ledger::{Action, Blob, Digest, Fold, Key, Order, Outcome, Part, horizon};
 use almondpath::log::Offset;
 use almondpath::log::writer::{self, Stamp};
+use almondpath::rollout::{Choice, Stage};
 use almondpath::standin::LogStats;
+use almondpath::transport::Client;
 use hdrhistogram::Histogram;
+use hyper::Method;
 
 #[allow(dead_code, reason = "written for the tests")]
 #[path = "../tests/integration/call_harness.rs"]
@@ -36,17 +42,194 @@
 /// Size of a small stored response in bytes.
 const RESPONSE: usize = 64;
 
+/// Parts that can be named as arguments; all of them run when none is named.
+const PARTS: [&str; 4] = ["fold", "log", "throughput", "versions"];
+
+/// Callers that each have one call open while the throughput is measured.
+const CALLERS: [usize; 4] = [1, 8, 32, 128];
+
+/// Endpoints of the service whose throughput is measured.
+const PLAINS: usize = 4;
+
+/// Length of one reading of the throughput, and readings of each way, in turn.
+const READING: Duration = Duration::from_secs(2);
+const READINGS: usize = 2;
+
+const ENDPOINTS: [usize; 3] = [10, 100, 600];
+
+/// Choices that are timed for each number of endpoints.
+const CHOICES: u32 = 20_000;
+
 fn main() {
-    let skipped = |part| std::env::args().any(|arg| arg == part);
-    if !skipped("log") {
+    let named: Vec<String> = std::env::args()
+        .filter(|arg| PARTS.contains(&arg.as_str()))
+        .collect();
+    let wanted = |part: &str| named.is_empty() || named.iter().any(|name| name == part);
+    if wanted("fold") {
         fold();
     }
-    if !skipped("fold") {
-        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    if wanted("versions") {
+        versions();
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    if wanted("throughput") {
+        runtime.block_on(throughput());
+    }
+    if wanted("log") {
         runtime.block_on(log());
     }
 }
 
+/// Prints the time of the choice of the endpoints that must not get a request.
+fn versions() {
+    println!("| endpoints | no rollout, ns | rollout, ns |");
+    println!("|---|---|---|");
+    for endpoints in ENDPOINTS {
+        let mut table = Table::default();
+        let hosts = (0..endpoints).map(|index| Host {
+            host: format!("host-{index}").into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            domain: "a".into(),
+            service: "ledger".into(),
+            version: if index % 10 == 0 { "v2" } else { "v1" }.into(),
+            state: State::Live,
+            price: 1.0,
+        });
+        table.update(hosts.collect());
+        let service = "ledger".into();
+        let mut time = |new| {
+            let old = "v1".into();
+            table.split(&service, Split { old, new });
+            let started = Instant::now();
+            for index in 0..CHOICES {
+                let draw = f64::from(index) / f64::from(CHOICES);
+                std::hint::black_box(table.barred(&service, draw));
+            }
+            started.elapsed().as_nanos() / u128::from(CHOICES)
+        };
+        let choice = Choice {
+            stage: Some(Stage {
+                share: 0.5,
+                budget: None,
+            }),
+            sent: 0,
+            suspicion: 0.0,
+            nodes: 1,
+        };
+        let (calm, rollout) = (time(None), time(Some(("v2".into(), choice))));
+        println!("| {endpoints} | {calm} | {rollout} |");
+    }
+}
+
+/// Prints the throughput of one node on calls of a plain service that answers at once.
+async fn throughput() {
+    println!(
+        "| callers | way | calls/s | p50 us | p99 us | node, % of a core | node, us of a core/call |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    let cluster = Arc::new(Cluster::start(1, 0, PLAINS).await);
+    for callers in CALLERS {
+        let mut rows = [Reading::new("direct"), Reading::new("node")];
+        for _ in 0..READINGS {
+            for row in &mut rows {
+                row.take(&cluster, callers).await;
+            }
+        }
+        for row in rows {
+            row.print(callers);
+        }
+    }
+}
+
+/// Calls by several callers without a pause.
+struct Reading {
+    way: &'static str,
+    times: Histogram<u64>,
+    elapsed: Duration,
+    processor: Duration,
+}
+
+impl Reading {
+    fn new(way: &'static str) -> Self {
+        Self {
+            way,
+            times: Histogram::new_with_max(MAX_MICROS, 3).expect("valid bounds"),
+            elapsed: Duration::ZERO,
+            processor: Duration::ZERO,
+        }
+    }
+
+    async fn take(&mut self, cluster: &Arc<Cluster>, callers: usize) {
+        let node = &cluster.nodes[0];
+        let direct = self.way == "direct";
+        let before = processor_time(node.process.id());
+        let started = Instant::now();
+        let tasks: Vec<_> = (0..callers)
+            .map(|index| {
+                let (address, path) = if direct {
+                    (cluster.plains[index % PLAINS].address, "/call/balance")
+                } else {
+                    (node.listen, "/v1/routes/balance")
+                };
+                let http = cluster.http.clone();
+                tokio::spawn(async move {
+                    let mut times = Vec::new();
+                    while started.elapsed() < READING {
+                        let sent = Instant::now();
+                        short_call(&http, address, path).await;
+                        times.push(sent.elapsed().as_micros());
+                    }
+                    times
+                })
+            })
+            .collect();
+        for task in tasks {
+            for micros in task.await.expect("the task ends") {
+                self.times
+                    .saturating_record(u64::try_from(micros).unwrap_or(u64::MAX));
+            }
+        }
+        self.elapsed += started.elapsed();
+        self.processor += processor_time(node.process.id()) - before;
+    }
+
+    fn print(&self, callers: usize) {
+        let calls = self.times.len() as f64;
+        let seconds = self.elapsed.as_secs_f64();
+        let processor = self.processor.as_secs_f64();
+        println!(
+            "| {callers} | {} | {:.0} | {} | {} | {:.1} | {:.0} |",
+            self.way,
+            calls / seconds,
+            self.times.value_at_quantile(0.5),
+            self.times.value_at_quantile(0.99),
+            processor / seconds * 100.0,
+            processor / calls * 1e6,
+        );
+    }
+}
+
+async fn short_call(http: &Client, address: SocketAddr, path: &str) {
+    let mut request = http
+        .request(Method::POST, address, path, "{}".into())
+        .expect("a valid request");
+    let token = format!("Bearer {ACCOUNT_TOKEN}").parse().expect("a header");
+    request.headers_mut().insert("authorization", token);
+    let response = http.send(request).await.expect("an answer");
+    assert!(response.status().is_success(), "{}", response.status());
+    http.body(response).await.expect("a whole answer");
+}
+
+/// Returns the time that the threads of a process have run.
+fn processor_time(process: u32) -> Duration {
+    let threads = std::fs::read_dir(format!("/proc/{process}/task")).expect("procfs");
+    let nanos = threads
+        .flatten()
+        .filter_map(|thread| std::fs::read_to_string(thread.path().join("schedstat")).ok())
+        .filter_map(|text| text.split(' ').next()?.parse::<u64>().ok());
+    Duration::from_nanos(nanos.sum())
+}
+
 /// Prints cost per record and memory per entry of finished calls.
 fn fold() {
     println!(
