--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,6 +16,7 @@
 mod log_outage;
 mod membership;
 mod mixed_releases;
+mod new_endpoints;
 mod operators;
 mod peer;
 mod placement;
