Score a sample of the endpoints in large fleets

Above 64 endpoints a decision scores 32 drawn at random without replacement, up to 32 holders of the prefix and up to 16 places of a cold one. The draw goes on until it has 32 that fit or has visited all, so that a request finds an endpoint whenever a full scan finds one. Means are kept up to date with each report. Up to 64 endpoints all are scored as before.

Ruled out: rendezvous hashing with all endpoints for cold prefixes, which is linear.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,7 +7,7 @@
 use almondpath::admission::{Admission, Room, Settings, Ticket};
 use almondpath::clock::Millis;
 use almondpath::config::Class;
-use almondpath::routing::{self, Prefix, Query, Report, Router};
+use almondpath::routing::{self, Matched, Prefix, Query, Report, Router};
 use criterion::{Criterion, criterion_group, criterion_main};
 
 const SIZES: [u32; 3] = [10, 100, 600];
@@ -86,7 +86,7 @@
                 prefix.insert(slot as u16, &blocks, Millis(0));
             }
         }
-        let mut matched = vec![0.0; size as usize];
+        let mut matched = Matched::default();
         let blocks = prompt(u64::from(size) * 4);
         criterion.bench_function(&format!("prefix/{size}"), |bencher| {
             bencher.iter(|| prefix.lookup(black_box(&blocks), &mut matched));
--- a/src/routing/baseline.rs
+++ b/src/routing/baseline.rs
@@ -4,27 +4,30 @@
 
 use crate::clock::Millis;
 
-use super::choice::{id, mix};
+use super::expected::id;
+use super::ring::mix;
 use super::{Policy, Query, Router};
 
-/// Chooses by a baseline policy; returns the load as the score, and the slot.
+/// Chooses by a baseline policy; returns the load as the score, the slot and how many endpoints
+/// were compared.
 pub(super) fn choose<K>(
     router: &mut Router<K>,
     policy: Policy,
     query: &Query<'_, K>,
     now: Millis,
-) -> Option<(f64, usize)>
+) -> Option<(f64, usize, usize)>
 where
     K: Copy + Eq + Hash,
 {
-    let mean = router.mean_foreign();
+    let mean = router.totals.mean_foreign();
     let memory = router.settings.load_memory;
     let candidates: Vec<(f64, usize)> = router
         .open()
         .filter(|(_, view)| !query.exclude.contains(&view.key))
         .map(|(slot, view)| (view.outstanding(mean, memory, now), slot))
         .collect();
-    match policy {
+    let compared = candidates.len();
+    let chosen = match policy {
         Policy::RoundRobin => {
             router.turn = router.turn.wrapping_add(1);
             candidates
@@ -39,5 +42,6 @@
             let index = router.rng.random_range(0..candidates.len().max(1));
             candidates.get(index).copied()
         }
-    }
+    };
+    chosen.map(|(load, slot)| (load, slot, compared))
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,14 +6,25 @@
 
 mod baseline;
 mod blocks;
+mod candidates;
 mod choice;
+mod expected;
+mod matched;
 mod policy;
 mod prefix;
+mod query;
+mod ring;
 mod router;
+mod settings;
+mod totals;
 mod view;
 
 pub use self::blocks::{BLOCK_TOKENS, blocks, tokens};
+pub use self::choice::Choice;
+pub use self::matched::Matched;
 pub use self::policy::Policy;
 pub use self::prefix::Prefix;
-pub use self::router::{Choice, Query, Router, Settings};
+pub use self::query::Query;
+pub use self::router::Router;
+pub use self::settings::Settings;
 pub use self::view::{Report, View};
--- a/src/routing/prefix.rs
+++ b/src/routing/prefix.rs
@@ -3,6 +3,8 @@
 
 use crate::clock::Millis;
 
+use super::Matched;
+
 /// Holders remembered per block; a block held more widely is found on enough of them.
 const MAX_HOLDERS: usize = 32;
 
@@ -166,25 +168,21 @@
 
 /// Lookups.
 impl Prefix {
-    /// Writes for each endpoint the number of leading blocks it probably holds into `matched`,
-    /// and returns the depth up to which any endpoint holds the prompt.
+    /// Finds for each endpoint the number of leading blocks it probably holds, and returns the depth up to which any endpoint holds the prompt.
     ///
     /// Visits a bounded number of depths: blocks are chained, so that the deepest known one is
     /// found by bisection. A match is exact for prompts of up to 32 blocks and short by at most
     /// a thirty-second for longer ones.
-    pub fn lookup(&self, blocks: &[u64], matched: &mut [f32]) -> usize {
-        matched.fill(0.0);
+    pub fn lookup(&self, blocks: &[u64], matched: &mut Matched) -> usize {
+        matched.clear();
         let deepest = blocks.partition_point(|block| self.holders.contains_key(block));
         let stride = deepest.div_ceil(MAX_PROBES).max(1);
         let mut depth = deepest;
         while depth > 0 {
             for holder in self.holders.get(&blocks[depth - 1]).into_iter().flatten() {
-                let slot = usize::from(holder.slot);
-                if slot < matched.len() && matched[slot] == 0.0 {
-                    let unsure = holder.at < self.unsure_before[slot];
-                    let factor = if unsure { UNSURE_MATCH } else { 1.0 };
-                    matched[slot] = depth as f32 * factor;
-                }
+                let unsure = holder.at < self.unsure_before[usize::from(holder.slot)];
+                let factor = if unsure { UNSURE_MATCH } else { 1.0 };
+                matched.record(holder.slot, depth as f32 * factor);
             }
             depth = depth.saturating_sub(stride);
         }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -3,89 +3,33 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde::Serialize;
 
 use crate::clock::Millis;
 use crate::config::Class;
 
-use super::{BLOCK_TOKENS, Policy, Prefix, Report, View, baseline, choice};
+use super::candidates::Candidates;
+use super::ring::Ring;
+use super::totals::Totals;
+use super::{
+    BLOCK_TOKENS, Choice, Matched, Policy, Prefix, Query, Report, Settings, View, baseline,
+    expected,
+};
 
 /// Decisions kept for the dump.
 const RECENT: usize = 16;
 
-/// Constants of a [`Router`].
-#[derive(Clone, Debug, Serialize)]
-pub struct Settings {
-    /// How endpoints are chosen.
-    pub policy: Policy,
-    /// Seed of the generator.
-    pub seed: u64,
-    /// Prefix blocks remembered per endpoint; 1,024 are 65,536 tokens.
-    pub prefix_blocks: usize,
-    /// Time after which a load report counts half.
-    pub load_memory: Millis,
-    /// Prefill time of a token in milliseconds, until engines are measured.
-    pub prefill_ms: f64,
-    /// Time of a request in milliseconds, until requests are measured.
-    pub service_ms: f64,
-    /// Slots of an endpoint that has not reported yet.
-    pub default_slots: u32,
-    /// Share of an endpoint's slots open to long work.
-    pub long_share: f64,
-    /// Milliseconds that an endpoint of twice the mean price counts as slower.
-    pub price_ms: f64,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            policy: Policy::Expected,
-            seed: 0,
-            prefix_blocks: 1_024,
-            load_memory: Millis(2_000),
-            prefill_ms: 0.05,
-            service_ms: 1_000.0,
-            default_slots: 16,
-            long_share: 0.5,
-            price_ms: 20.0,
-        }
-    }
-}
-
-/// What a router has to know of a request.
-#[derive(Clone, Copy, Debug)]
-pub struct Query<'a, K> {
-    /// Hashes of the prompt's blocks, see [`blocks`](super::blocks); empty for plain services.
-    pub blocks: &'a [u64],
-    /// Estimated tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Scheduling class.
-    pub class: Class,
-    /// Endpoints that earlier attempts failed at.
-    pub exclude: &'a [K],
-}
-
-/// The outcome of a routing decision.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Choice<K> {
-    /// The endpoint.
-    pub key: K,
-    /// Expected time to first token in milliseconds, with the price term.
-    pub expected_ms: f64,
-    /// Prompt tokens probably cached there.
-    pub matched_tokens: u32,
-    /// When it was decided.
-    pub at: Millis,
-}
-
 /// Routes the requests of one node to the endpoints of one service.
 #[derive(Debug)]
 pub struct Router<K> {
     pub(super) settings: Settings,
     pub(super) views: Vec<Option<View<K>>>,
     pub(super) prefix: Prefix,
-    pub(super) matched: Vec<f32>,
-    pub(super) scores: Vec<(f64, usize)>,
+    pub(super) matched: Matched,
+    pub(super) candidates: Candidates,
+    pub(super) totals: Totals,
+    pub(super) ring: Ring,
+    /// All slots in a random order.
+    pub(super) walk: Vec<u32>,
     pub(super) rng: SmallRng,
     pub(super) turn: usize,
     slots: HashMap<K, usize>,
@@ -103,8 +47,11 @@
         Self {
             views: Vec::new(),
             prefix: Prefix::new(settings.prefix_blocks),
-            matched: Vec::new(),
-            scores: Vec::new(),
+            matched: Matched::default(),
+            candidates: Candidates::default(),
+            totals: Totals::default(),
+            ring: Ring::default(),
+            walk: Vec::new(),
             rng: SmallRng::seed_from_u64(settings.seed),
             turn: 0,
             slots: HashMap::new(),
@@ -118,10 +65,11 @@
     /// `id` must be the same at all nodes and on all restarts, because cold prefixes are placed
     /// by it.
     pub fn upsert(&mut self, key: K, id: u64, price: f64, open: bool) {
-        if let Some(view) = self.view_mut(key) {
-            view.price = price;
-            view.open = open;
-            return;
+        if self.slots.contains_key(&key) {
+            return self.update(key, |view| {
+                view.price = price;
+                view.open = open;
+            });
         }
         let mut view = View::new(key, id, price, self.settings.service_ms);
         view.open = open;
@@ -130,23 +78,26 @@
         let slot = free.unwrap_or(self.views.len());
         if slot == self.views.len() {
             self.views.push(None);
-            self.matched.push(0.0);
+            self.walk.push(slot as u32);
         }
+        self.totals.add(&view);
+        self.ring.insert(id, slot as u32);
         self.views[slot] = Some(view);
         self.slots.insert(key, slot);
     }
 
     /// Gives an endpoint no new work.
     pub fn close(&mut self, key: K) {
-        if let Some(view) = self.view_mut(key) {
-            view.open = false;
-        }
+        self.update(key, |view| view.open = false);
     }
 
     /// Drops an endpoint with its prefix entries.
     pub fn remove(&mut self, key: K) {
         if let Some(slot) = self.slots.remove(&key) {
-            self.views[slot] = None;
+            if let Some(view) = self.views[slot].take() {
+                self.totals.subtract(&view);
+            }
+            self.ring.remove(slot as u32);
             self.prefix.clear(narrow(slot));
         }
     }
@@ -171,12 +122,12 @@
     /// Takes over a load report.
     pub fn report(&mut self, key: K, report: Report, now: Millis) {
         let slots = self.settings.default_slots;
-        if let Some(view) = self.view_mut(key) {
+        self.update(key, |view| {
             view.set_report(report, now);
             if report.slots == 0 {
                 view.report.slots = slots;
             }
-        }
+        });
     }
 
     /// As [`Router::report`], unless the report is the known one or an older one.
@@ -267,14 +218,15 @@
     /// Chooses the endpoint of a request; none when no endpoint is open.
     pub fn choose(&mut self, query: &Query<'_, K>, now: Millis) -> Option<Choice<K>> {
         let depth = self.prefix.lookup(query.blocks, &mut self.matched);
-        let (expected_ms, slot) = match self.settings.policy {
-            Policy::Expected => choice::expected(self, query, depth, now),
+        let (expected_ms, slot, scored) = match self.settings.policy {
+            Policy::Expected => expected::choose(self, query, depth, now),
             policy => baseline::choose(self, policy, query, now),
         }?;
         let choice = Choice {
             key: self.views[slot].as_ref()?.key,
             expected_ms,
-            matched_tokens: (self.matched[slot] * BLOCK_TOKENS as f32) as u32,
+            matched_tokens: self.matched_at(slot),
+            scored,
             at: now,
         };
         if self.recent.len() == RECENT {
@@ -287,7 +239,7 @@
     /// Returns how many more requests of a class the endpoints can serve without a queue.
     #[must_use]
     pub fn room(&self, class: Class, now: Millis) -> u32 {
-        let mean = self.mean_foreign();
+        let mean = self.totals.mean_foreign();
         let rooms = self.open().map(|(_, view)| {
             let out = view.outstanding(mean, self.settings.load_memory, now);
             let free = (f64::from(view.report.slots) - out).max(0.0);
@@ -309,7 +261,7 @@
     pub fn matched_tokens(&mut self, key: K, blocks: &[u64]) -> u32 {
         self.prefix.lookup(blocks, &mut self.matched);
         let slot = self.slots.get(&key);
-        slot.map_or(0, |slot| (self.matched[*slot] * BLOCK_TOKENS as f32) as u32)
+        slot.map_or(0, |slot| self.matched_at(*slot))
     }
 
     /// Returns the last decisions, oldest first.
@@ -331,13 +283,13 @@
     /// Returns the requests that the open endpoints can serve at the same time.
     #[must_use]
     pub fn slots(&self) -> u32 {
-        self.open().map(|(_, view)| view.report.slots).sum()
+        self.totals.slots()
     }
 
     /// Returns the requests of other nodes at all open endpoints, by the last reports.
     #[must_use]
     pub fn foreign(&self) -> f64 {
-        self.open().map(|(_, view)| view.foreign).sum()
+        self.totals.foreign()
     }
 
     /// Returns this node's requests at all endpoints, interactive and long.
@@ -362,20 +314,29 @@
         views.filter_map(|(slot, view)| Some((slot, view.as_ref().filter(|v| v.open)?)))
     }
 
-    /// Returns the mean of the requests of other nodes over the open endpoints.
-    pub(super) fn mean_foreign(&self) -> f64 {
-        let (sum, count) = self
-            .open()
-            .fold((0.0, 0.0), |(s, n), (_, v)| (s + v.foreign, n + 1.0));
-        if count > 0.0 { sum / count } else { 0.0 }
-    }
-
     /// Returns how many more long requests of this node an endpoint takes.
     pub(super) fn long_room(&self, view: &View<K>) -> u32 {
         let limit = (f64::from(view.report.slots) * self.settings.long_share).ceil() as u32;
         limit.saturating_sub(view.long_in_flight)
     }
 
+    fn matched_at(&self, slot: usize) -> u32 {
+        (self.matched.blocks(slot) * BLOCK_TOKENS as f32) as u32
+    }
+
+    /// Changes what the totals depend on.
+    fn update<F>(&mut self, key: K, change: F)
+    where
+        F: FnOnce(&mut View<K>),
+    {
+        let slot = self.slots.get(&key);
+        if let Some(view) = slot.and_then(|slot| self.views[*slot].as_mut()) {
+            self.totals.subtract(view);
+            change(view);
+            self.totals.add(view);
+        }
+    }
+
     fn view_mut(&mut self, key: K) -> Option<&mut View<K>> {
         let slot = *self.slots.get(&key)?;
         self.views[slot].as_mut()
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,6 +26,7 @@
 mod rollout_policy;
 mod rollouts;
 mod routing;
+mod sampled_routing;
 mod stalled_connections;
 mod streaming;
 mod untrusted_input;
