Test a payout in flight at the stop of its node

With a node that does not wait for its open calls, the test saw the key left without an outcome ("conflict", "may have run" at the other node).

--- a/tests/integration/planned_stop.rs
+++ b/tests/integration/planned_stop.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use uuid::Uuid;
 
+use crate::call_harness::fresh;
 use crate::harness::{Cluster, Process};
 use crate::streaming::Streaming;
 
@@ -157,3 +158,64 @@
     }
     load.finish(200).await;
 }
+
+/// Guards against a call that its node leaves behind when it stops: without an answer, without a
+/// recorded outcome, or to be executed again when the caller repeats it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payout_in_flight_ends_once() {
+    /// Longer than callers may come with an old address, so that only the call keeps the node.
+    const EXECUTION_MS: u64 = 3_500;
+    struct Case {
+        name: &'static str,
+        /// Time that the log takes for the call's record.
+        log_ms: u64,
+        /// Whether the signal comes when the endpoint executes the call, or while it is recorded.
+        sent: bool,
+        second_signal: bool,
+    }
+    let case = |name, log_ms, sent, second_signal| Case {
+        name,
+        log_ms,
+        sent,
+        second_signal,
+    };
+    let cases = [
+        case("sent", 0, true, false),
+        case("sent, second signal", 0, true, true),
+        case("being recorded", 400, false, false),
+        case("being recorded, second signal", 400, false, true),
+    ];
+    let mut cluster = Cluster::start(2, 0, 1).await;
+    let (log, plain) = (cluster.log.address, cluster.plains[0].address);
+    for case in cases {
+        cluster.await_calls().await;
+        let slow = json!({ "delay_ms": EXECUTION_MS });
+        cluster.set_faults(plain, slow).await;
+        let slow = json!({ "delay_ms": case.log_ms });
+        cluster.set_faults(log, slow).await;
+        let call = fresh();
+        let stop = async {
+            if case.sent {
+                cluster.await_execution(&call).await;
+            } else {
+                tokio::time::sleep(Duration::from_millis(150)).await;
+            }
+            let process = &cluster.nodes[0].process;
+            process.signal(libc::SIGTERM);
+            if case.second_signal {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                process.signal(libc::SIGTERM);
+            }
+        };
+        let (answer, ()) = tokio::join!(call.send(&cluster, 0), stop);
+        assert!(answer.ran(), "{}: {answer:?}", case.name);
+        let ended = cluster.nodes[0].process.ended().await;
+        assert!(ended, "{}: the node ends without an error", case.name);
+        cluster.set_faults(plain, json!({})).await;
+        cluster.set_faults(log, json!({})).await;
+        let again = call.send(&cluster, 1).await;
+        assert_eq!(again, answer, "{}: another response", case.name);
+        assert_eq!(cluster.executions(&call.key).await, 1, "{}", case.name);
+        cluster.restart(0);
+    }
+}
