--- a/tests/integration/stalled_connections.rs
+++ b/tests/integration/stalled_connections.rs
@@ -5,13 +5,17 @@
 use std::time::{Duration, Instant};
 
 use almondpath::client::Client;
+use almondpath::clock::Millis;
+use almondpath::log::{self, Offset, Service as _};
 use almondpath::transport;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use warp::Filter;
 
-use crate::harness::{ACCOUNT_TOKEN, Cluster};
+use crate::at_most_once::persist;
+use crate::call_harness::fresh;
+use crate::harness::{ACCOUNT_TOKEN, Cluster, eventually};
 use crate::relay::{Mode, Relay};
 use crate::streaming::Streaming;
 
@@ -113,6 +117,113 @@
     }
 }
 
+/// Time within which a call is answered although every connection to the log has stalled, and the
+/// slack of a busy machine. Each of two nodes gives an append up after 2 s, the caller asks the
+/// other one 250 ms later, and by then the first one has new connections.
+const LOG_BOUND: Duration = Duration::from_millis(2 * (2_000 + 250) + 2_500);
+
+/// Time within which a configuration is active everywhere.
+const CONFIG_BOUND: Duration = Duration::from_secs(8);
+
+/// Guards against nodes that wait on dead connections to the log, and against a call that is
+/// recorded and sent again because its first append got no response.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_leave_stalled_connections_to_the_log() {
+    struct Case {
+        name: &'static str,
+        /// Time that the log takes for each request.
+        log_ms: u64,
+        /// Time from the start of the call until the connections stall; none means before.
+        after_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "before the call",
+            log_ms: 0,
+            after_ms: None,
+        },
+        Case {
+            name: "append on its way to the log",
+            log_ms: 400,
+            after_ms: Some(100),
+        },
+        Case {
+            name: "again, before the call",
+            log_ms: 0,
+            after_ms: None,
+        },
+    ];
+    let mut cluster = Cluster::start(0, 0, 1).await;
+    let mut relays = Vec::new();
+    for _ in 0..2 {
+        let relay = Relay::start(cluster.log.address).await;
+        cluster.add_node(relay.address);
+        relays.push(relay);
+    }
+    for node in &cluster.nodes {
+        cluster.await_ready(node).await;
+    }
+    let log = log::Client::new(cluster.log.address);
+    for case in cases {
+        cluster.await_calls().await;
+        let faults = json!({ "delay_ms": case.log_ms });
+        cluster.set_faults(cluster.log.address, faults).await;
+        let before: Vec<_> = relays.iter().map(Relay::accepted).collect();
+        let stall = async {
+            tokio::time::sleep(Duration::from_millis(case.after_ms.unwrap_or(0))).await;
+            relays.iter().for_each(|relay| relay.set(Mode::FreezeOld));
+            cluster.set_faults(cluster.log.address, json!({})).await;
+            Instant::now()
+        };
+        let call = fresh();
+        let call_after = async {
+            if case.after_ms.is_none() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            persist(&cluster, &call, &[0, 1]).await
+        };
+        let (stalled_at, answer) = tokio::join!(stall, call_after);
+        let took = stalled_at.elapsed();
+        assert!(answer.ran(), "{}: {answer:?}", case.name);
+        assert!(took < LOG_BOUND, "{}: the call took {took:?}", case.name);
+        assert_eq!(cluster.executions(&call.key).await, 1, "{}", case.name);
+
+        // Also on connections that have stalled just now.
+        relays.iter().for_each(|relay| relay.set(Mode::FreezeOld));
+        let published_at = Instant::now();
+        cluster.publish("examples/dev/config.yaml").await;
+        let end = log.read("control", Offset(0), 10_000, Millis::ZERO).await;
+        let published = end.expect("the log answers").records;
+        let published = published
+            .iter()
+            .rev()
+            .find(|entry| entry.data.contains("publish"))
+            .expect("the publication is in the log")
+            .offset;
+        for node in &cluster.nodes {
+            loop {
+                let dump = cluster.dump(node).await.unwrap_or_default();
+                let took = published_at.elapsed();
+                if dump["active"]["version"].as_u64() == Some(published.0) {
+                    println!("{}: active after {took:?}", case.name);
+                    break;
+                }
+                assert!(took < CONFIG_BOUND, "{}: {}", case.name, dump["active"]);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        println!("{}: the call took {took:?}", case.name);
+        for (relay, before) in relays.iter().zip(before) {
+            // A node may have learned the configuration from the other one before its own read
+            // is given up.
+            eventually("the node reads over a new connection", async || {
+                relay.accepted() > before
+            })
+            .await;
+        }
+    }
+}
+
 /// Serves address responses that name one address.
 async fn directory(address: SocketAddr) -> SocketAddr {
     let body = json!({
