Test callers with one text, offsets ahead, and two live owners

With request ids made from the body, two callers got a mix of two samplings; with offsets ahead of the holder taken as they are, no restart was named.

--- a/tests/integration/whole_response.rs
+++ b/tests/integration/whole_response.rs
@@ -1,10 +1,14 @@
 //! Each caller gets the complete response to its own request, from one sampling.
 
+use almondpath::clock::Millis;
 use almondpath::standin::token_text;
 use almondpath::stream::{Chunk, Cursor, Phase, Progress, Transcript};
+use hyper::Method;
 use proptest::prelude::*;
+use serde_json::{Value, json};
 
-use crate::harness::seeded;
+use crate::harness::{ACCOUNT_TOKEN, Cluster, seeded};
+use crate::streaming::Streaming;
 
 /// One step of a response's life at a chain of holders, in arbitrary order.
 #[derive(Clone, Debug)]
@@ -188,3 +192,223 @@
         prop_assert_eq!(model.caller.len(), length);
     }
 }
+
+/// The events of a response as they arrive, without the client that the program has.
+struct Events(Vec<(String, Value)>);
+
+impl Events {
+    /// Sends a request to a node and reads its events to the end, also at a node that it names.
+    async fn read(
+        cluster: &Cluster,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> Self {
+        let http = cluster.http.clone().with_timeout(Millis(15_000));
+        let mut address = cluster.nodes[node].listen;
+        for _ in 0..3 {
+            let request = http.request(method.clone(), address, path, body.clone().into());
+            let mut request = request.expect("a valid request");
+            let token = format!("Bearer {ACCOUNT_TOKEN}").parse();
+            let headers = request.headers_mut();
+            headers.insert("authorization", token.expect("a valid header"));
+            let response = http.send_once(address, request).await;
+            let response = response.expect("the node answers");
+            let body = http.body(response).await.expect("a whole response");
+            let events = Self::parse(&String::from_utf8_lossy(&body));
+            match events.0.last() {
+                Some((name, data)) if name == "moved" => {
+                    let next = data["addresses"][0].as_str().expect("an address");
+                    address = next.parse().expect("an address");
+                }
+                _ => return events,
+            }
+        }
+        panic!("no node serves {path}");
+    }
+
+    fn parse(text: &str) -> Self {
+        let mut events = Vec::new();
+        let mut name = String::new();
+        for line in text.lines() {
+            if let Some(event) = line.strip_prefix("event:") {
+                event.trim().clone_into(&mut name);
+            } else if let Some(data) = line.strip_prefix("data:") {
+                let data = serde_json::from_str(data.trim()).unwrap_or_default();
+                events.push((name.clone(), data));
+            }
+        }
+        Self(events)
+    }
+
+    fn first(&self, name: &str) -> Option<&Value> {
+        let mut events = self.0.iter();
+        events.find(|event| event.0 == name).map(|event| &event.1)
+    }
+
+    /// Returns the text for a caller that has `kept`, and asserts that nothing is missing.
+    fn joined(&self, mut kept: Vec<String>) -> Vec<String> {
+        for (name, data) in &self.0 {
+            let offset = data["offset"].as_u64().map(|offset| offset as usize);
+            match name.as_str() {
+                "restart" => kept.truncate(offset.expect("an offset")),
+                "chunk" => {
+                    assert_eq!(offset, Some(kept.len()), "a chunk is missing or repeated");
+                    kept.push(data["text"].as_str().expect("a text").to_owned());
+                }
+                "error" => panic!("the response failed: {data}"),
+                _ => {}
+            }
+        }
+        let done = self.first("done").expect("the response is complete");
+        assert_eq!(done["tokens"], kept.len());
+        assert_one_sampling(&kept);
+        kept
+    }
+}
+
+/// Guards against a response that reaches the wrong caller, or two, because their requests look the
+/// same.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_with_the_same_text_get_a_response_each() {
+    const TOKENS: usize = 60;
+    let cluster = Cluster::start(3, 2, 0).await;
+    let body = json!({ "prompt": "the same text", "max_tokens": TOKENS }).to_string();
+    let path = "/v1/routes/summary";
+    // Two callers at each node.
+    let callers = (0..6).map(|caller| {
+        let body = body.clone();
+        Events::read(&cluster, caller % 3, Method::POST, path, body)
+    });
+    let responses = futures::future::join_all(callers).await;
+    let mut ids = std::collections::BTreeSet::new();
+    let mut texts = std::collections::BTreeSet::new();
+    for response in responses {
+        let accepted = response.first("accepted").expect("the request is accepted");
+        ids.insert(accepted["request_id"].to_string());
+        let text = response.joined(Vec::new());
+        assert_eq!(text.len(), TOKENS);
+        texts.insert(text);
+    }
+    assert_eq!(ids.len(), 6, "two requests have one id");
+    assert_eq!(
+        texts.len(),
+        6,
+        "two callers got the response of one sampling"
+    );
+}
+
+/// Guards against a holder that goes on at an offset that it does not have, so that the caller
+/// joins its own text with that of another sampling.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_offset_ahead_of_the_holder_names_the_restart() {
+    const TOKENS: usize = 300;
+    struct Case {
+        name: &'static str,
+        kill_owner: bool,
+        kill_engine: bool,
+    }
+    let case = |name, kill_owner, kill_engine| Case {
+        name,
+        kill_owner,
+        kill_engine,
+    };
+    let cases = [
+        case("the owner lives", false, false),
+        case("a copy took over", true, false),
+        case("a copy took over with another engine", true, true),
+    ];
+    for case in cases {
+        let mut cluster = Cluster::start(3, 2, 0).await;
+        let streaming = Streaming::start(cluster.caller(&[0, 1, 2]), case.name, TOKENS);
+        streaming.pieces(40).await;
+        let owner = cluster.holder("owner", &[]).await;
+        let dump = cluster.dump(&cluster.nodes[owner]).await.expect("a dump");
+        let id = dump["responses"][0]["id"].as_str().expect("an id");
+        if case.kill_engine {
+            let engine = cluster.busy_engine().await;
+            cluster.engines[engine].process.kill();
+        }
+        if case.kill_owner {
+            cluster.nodes[owner].process.kill();
+        }
+        // Text that no holder knows, as of a sampling that was lost with its node.
+        let lost = vec!["lost ".to_owned(); 2 * TOKENS];
+        let path = format!("/v1/requests/{id}?offset={}", lost.len());
+        let nodes = (0..3).filter(|node| !case.kill_owner || *node != owner);
+        let reads =
+            nodes.map(|node| Events::read(&cluster, node, Method::GET, &path, String::new()));
+        for events in futures::future::join_all(reads).await {
+            let restart = events.first("restart");
+            let offset = restart.and_then(|restart| restart["offset"].as_u64());
+            let offset = offset.unwrap_or_else(|| panic!("{}: no restart", case.name)) as usize;
+            assert!(offset < TOKENS, "{}: restart at {offset}", case.name);
+            // A caller that has the response up to there from the holder gets the rest of it.
+            let known = Events::read(
+                &cluster,
+                (owner + 1) % 3,
+                Method::GET,
+                &format!("/v1/requests/{id}?offset=0"),
+                String::new(),
+            )
+            .await
+            .joined(Vec::new());
+            assert_eq!(known.len(), TOKENS, "{}", case.name);
+            let mut kept = known.clone();
+            kept.extend(lost.clone());
+            assert_eq!(events.joined(kept), known, "{}", case.name);
+        }
+        streaming.complete(case.name).await;
+    }
+}
+
+/// Guards against two nodes that both serve a response, because its owner was silent and is back,
+/// and lead a caller from one sampling into the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_comes_back_beside_its_successor_joins_nothing() {
+    const TOKENS: usize = 600;
+    struct Case {
+        name: &'static str,
+        /// Without its engine, both owners continue the response in a sampling of their own.
+        kill_engine: bool,
+    }
+    let cases = [
+        Case {
+            name: "one engine stream",
+            kill_engine: false,
+        },
+        Case {
+            name: "two samplings",
+            kill_engine: true,
+        },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::start(3, 2, 0).await;
+        let streaming = Streaming::start(cluster.caller(&[0, 1, 2]), case.name, TOKENS);
+        streaming.pieces(40).await;
+        let owner = cluster.holder("owner", &[]).await;
+        let dump = cluster.dump(&cluster.nodes[owner]).await.expect("a dump");
+        let id = dump["responses"][0]["id"].as_str().expect("an id");
+        let path = format!("/v1/requests/{id}?offset=0");
+        cluster.nodes[owner].process.signal(libc::SIGSTOP);
+        let successor = cluster.holder("owner", &[owner]).await;
+        if case.kill_engine {
+            let engine = cluster.busy_engine().await;
+            cluster.engines[engine].process.kill();
+        }
+        cluster.nodes[owner].process.signal(libc::SIGCONT);
+        let reads = (0..3).map(|node| {
+            let body = String::new();
+            Events::read(&cluster, node, Method::GET, &path, body)
+        });
+        let reads = futures::future::join_all(reads).await;
+        let (texts, ()) = (
+            reads.iter().map(|events| events.joined(Vec::new())),
+            streaming.complete(case.name).await,
+        );
+        for text in texts {
+            assert_eq!(text.len(), TOKENS, "{}: node {successor}", case.name);
+        }
+    }
+}
