--- a/tests/integration/rollouts.rs
+++ b/tests/integration/rollouts.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use crate::call_harness;
 use crate::harness::{
     ACCOUNT_TOKEN, Cluster, Double, OPERATOR_TOKEN, Process, eventually, free_address,
 };
@@ -99,16 +100,22 @@
     }
 
     fn traffic(&self, nodes: &[usize]) -> Traffic {
+        self.traffic_on(nodes, &["balance"; 4])
+    }
+
+    /// Starts one caller for each of these routes at each node.
+    fn traffic_on(&self, nodes: &[usize], routes: &[&'static str]) -> Traffic {
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
         let loops = nodes
             .iter()
-            .flat_map(|node| [self.cluster.nodes[*node].listen; 4]);
-        let tasks = loops.map(|address| {
+            .map(|node| self.cluster.nodes[*node].listen)
+            .flat_map(|address| routes.iter().map(move |route| (address, *route)));
+        let tasks = loops.map(|(address, route)| {
             let seen = Arc::clone(&seen);
             tokio::spawn(async move {
                 let http = transport::Client::new(Millis(2_000));
                 loop {
-                    if let Some(answer) = ask(&http, address).await {
+                    if let Some(answer) = ask(&http, address, route).await {
                         seen.lock().expect("seen lock").push(answer);
                     }
                     sleep(Duration::from_millis(10)).await;
@@ -189,13 +196,15 @@
 }
 
 /// Sends one request over a pooled connection.
-async fn ask(http: &transport::Client, address: SocketAddr) -> Option<Seen> {
+async fn ask(http: &transport::Client, address: SocketAddr, route: &str) -> Option<Seen> {
     let body = Bytes::from_static(b"{}");
     let mut request = http
-        .request(Method::POST, address, "/v1/routes/balance", body)
+        .request(Method::POST, address, &format!("/v1/routes/{route}"), body)
         .ok()?;
     let token = format!("Bearer {ACCOUNT_TOKEN}").parse().ok()?;
     request.headers_mut().insert("authorization", token);
+    let key = call_harness::fresh().key.parse().ok()?;
+    request.headers_mut().insert("idempotency-key", key);
     let response = http.send(request).await.ok()?;
     let status = response.status().as_u16();
     let body: Value = serde_json::from_slice(&http.body(response).await.ok()?).unwrap_or_default();
@@ -332,6 +341,63 @@
     );
 }
 
+/// Guards against a bad version that answers well in some respect: slow but without failures, or
+/// bad on one route among several.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_is_slow_or_bad_on_one_route_is_rolled_back() {
+    struct Case {
+        name: &'static str,
+        faults: Value,
+        reason: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "slow",
+            faults: json!({ "delay_ms": 150 }),
+            reason: "worse in time to first token on route",
+        },
+        Case {
+            name: "fails on one route",
+            faults: json!({ "fail": true, "route": "contribution" }),
+            reason: "worse in failures on route contribution",
+        },
+        Case {
+            name: "slow on one route",
+            faults: json!({ "delay_ms": 150, "route": "contribution" }),
+            reason: "worse in time to first token on route contribution",
+        },
+    ];
+    for case in cases {
+        let fixture = Fixture::start(2, "plain").await;
+        fixture.cluster.await_calls().await;
+        for double in &fixture.new {
+            let faults = case.faults.clone();
+            fixture.cluster.set_faults(double.address, faults).await;
+        }
+        let routes = ["balance", "balance", "contribution", "contribution"];
+        let traffic = fixture.traffic_on(&[0, 1], &routes);
+        fixture.roll_out(60_000).await;
+        fixture
+            .await_state(&[0, 1], "ledger", State::RolledBack)
+            .await;
+        for node in [0, 1] {
+            let statement = fixture.statement(node, "ledger").await;
+            let reason = statement.expect("a rollout").reason.expect("a reason");
+            assert!(reason.contains(case.reason), "{}: {reason}", case.name);
+        }
+        // Calls that were sent before are answered by then.
+        sleep(Duration::from_millis(500)).await;
+        let from = Instant::now();
+        sleep(Duration::from_millis(1_500)).await;
+        let seen = traffic.seen.lock().expect("seen lock").clone();
+        let new = seen.iter().filter(|s| s.version == "v2").count();
+        println!("{}: {new} of {} answers by v2", case.name, seen.len());
+        let late = seen.iter().filter(|s| s.at > from);
+        assert!(late.clone().count() > 50, "{}: too few calls", case.name);
+        assert!(late.clone().all(|s| s.version == "v1"), "{}", case.name);
+    }
+}
+
 /// Guards against a rollout that ends with its controller, and against stages that are skipped or
 /// repeated by the next one.
 #[tokio::test(flavor = "multi_thread")]
