Test regions that part and heal in virtual time

After an hour it takes 18.0 s, because both sides have forgotten each other; after 10 s the statements that nodes are gone have to be taken back one by one. The bound is 2.5 s per node.

--- a/tests/integration/admission.rs
+++ b/tests/integration/admission.rs
@@ -326,3 +326,63 @@
     share.forget(Some("peer"), Millis(HOLD));
     assert!((share.current(Millis(HOLD)) - 1.0).abs() < 1e-9);
 }
+
+/// Guards against shares of a limit that stay too large, or too small, after regions were parted
+/// for an hour.
+#[test]
+fn shares_return_after_an_hour_apart() {
+    const HOUR: u64 = 3_600_000;
+    const NODES: usize = 4;
+    struct Case {
+        name: &'static str,
+        demand: [f64; NODES],
+        apart: [f64; NODES],
+        whole: [f64; NODES],
+    }
+    // The first two nodes are one region, the others the other one.
+    let cases = [
+        Case {
+            name: "even demand",
+            demand: [100.0; NODES],
+            apart: [0.5; NODES],
+            whole: [0.25; NODES],
+        },
+        Case {
+            name: "uneven demand",
+            demand: [300.0, 100.0, 400.0, 0.0],
+            apart: [0.75, 0.25, 1.0, 0.02],
+            whole: [0.375, 0.125, 0.5, 0.02],
+        },
+    ];
+    for case in cases {
+        let names: Vec<Arc<str>> = (0..NODES).map(|n| format!("node-{n}").into()).collect();
+        let share = || Share::new(Millis(WINDOW), Millis(HOLD), Millis(0));
+        let mut shares: Vec<Share> = (0..NODES).map(|_| share()).collect();
+        let mut now = 0;
+        let mut run = |time: u64, parted: bool, shares: &mut Vec<Share>| {
+            let end = now + time;
+            while now < end {
+                now += STEP;
+                for from in 0..NODES {
+                    shares[from].announce(case.demand[from], Millis(now));
+                    for to in (0..NODES).filter(|to| *to != from) {
+                        if !parted || from / 2 == to / 2 {
+                            shares[to].heard(&names[from], case.demand[from], Millis(now));
+                        }
+                    }
+                }
+                shares.iter_mut().for_each(|s| s.forget(None, Millis(now)));
+            }
+            shares.iter().map(|s| s.current(Millis(now))).collect()
+        };
+        let close = |found: Vec<f64>, expected: [f64; NODES], when: &str| {
+            for (found, expected) in found.iter().zip(expected) {
+                let near = (found - expected).abs() < 1e-9;
+                assert!(near, "{}, {when}: {found}, expected {expected}", case.name);
+            }
+        };
+        close(run(10 * HOLD, false, &mut shares), case.whole, "before");
+        close(run(HOUR, true, &mut shares), case.apart, "apart");
+        close(run(STEP, false, &mut shares), case.whole, "healed");
+    }
+}
--- a/tests/integration/membership.rs
+++ b/tests/integration/membership.rs
@@ -224,3 +224,164 @@
         }
     }
 }
+
+/// Nodes of two regions that reach each other only while they are not parted.
+struct Regions {
+    views: Vec<View>,
+    now: Millis,
+    parted: bool,
+    /// Bytes of statements that each node has sent.
+    sent: Vec<usize>,
+}
+
+impl Regions {
+    /// Creates regions of `size` nodes each that know the address of the first one.
+    fn new(size: usize, seed: u64) -> Self {
+        let own = |index: usize| {
+            let port = 7_000 + u16::try_from(index).expect("a small number");
+            Member {
+                name: format!("n{index}").into(),
+                domain: ["a", "b", "c", "d"][index % 4].into(),
+                peer: address(port),
+                listen: address(port + 1_000),
+                incarnation: 10 + index as u64,
+                version: 1,
+                state: State::Alive,
+            }
+        };
+        let views = (0..2 * size)
+            .map(|index| View::new(own(index), vec![address(7_000)], seed + index as u64));
+        Self {
+            views: views.collect(),
+            now: Millis::ZERO,
+            parted: false,
+            sent: vec![0; 2 * size],
+        }
+    }
+
+    /// Lets every node probe once.
+    fn tick(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        for from in 0..self.views.len() {
+            let Some(target) = self.views[from].tick(now) else {
+                continue;
+            };
+            let to = usize::from(target.address.port() - 7_000);
+            let ask = self.views[from].message(now, target.name.as_deref(), header());
+            self.count(from, &ask);
+            if self.parted && from % 2 != to % 2 {
+                self.views[from].failed(now, &target);
+                continue;
+            }
+            let (sender, joining) = (ask.header.incarnation, ask.header.joining);
+            self.views[to].receive(now, ask);
+            let answer = self.views[to].answer(now, sender, joining, header());
+            self.count(to, &answer);
+            self.views[from].answered(now, answer);
+        }
+    }
+
+    fn count(&mut self, sender: usize, message: &Message) {
+        let members: usize = message.members.iter().map(Member::size).sum();
+        self.sent[sender] += members;
+    }
+
+    /// Returns whether every node sees all nodes that it can reach, and no others, as alive.
+    fn agree(&self) -> bool {
+        let size = self.views.len();
+        let expected = if self.parted { size / 2 } else { size };
+        self.views.iter().all(|view| {
+            let live = view.peers().filter(|p| p.member.state == State::Alive);
+            live.count() + 1 == expected && view.live() == expected
+        })
+    }
+
+    /// Lets time pass until all agree, and returns how long it took, at most `limit`.
+    fn until_agreed(&mut self, limit: Millis) -> Option<Millis> {
+        let start = self.now;
+        while !self.agree() {
+            if self.now - start > limit {
+                return None;
+            }
+            self.tick();
+        }
+        Some(self.now - start)
+    }
+
+    fn run(&mut self, time: Millis) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+}
+
+/// Guards against regions that do not find each other again, against nodes that stay declared gone
+/// because old statements survive the partition, and against a burst of statements when it ends.
+#[test]
+fn regions_that_part_and_heal_agree_again() {
+    /// Time in which a region notices that the other is gone: one round of probes and the time for
+    /// objections.
+    const NOTICED: Millis = Millis(60_000);
+    /// Time per node after which all nodes know each other again. The bytes for statements are
+    /// fixed per node, so that the time grows with the number of nodes; after 10 s apart it was
+    /// up to 7.7 s with 8 nodes and 73.6 s with 40, after an hour 5.0 s and 18.0 s.
+    const HEALED_PER_NODE: Millis = Millis(2_500);
+    /// Bytes of statements per node and second; with headers and load reports, 2 KB are allowed.
+    const BYTES_PER_SECOND: usize = 1_000;
+    /// Statements that a node may send at once after a quiet time.
+    const BURST_BYTES: usize = 16_384;
+    struct Case {
+        size: usize,
+        apart: Millis,
+    }
+    let case = |size, apart| Case { size, apart };
+    let cases = [
+        case(4, Millis::from_secs(10)),
+        case(4, Millis::from_secs(90)),
+        case(4, Millis::from_secs(3_600)),
+        case(20, Millis::from_secs(10)),
+        case(20, Millis::from_secs(90)),
+        case(20, Millis::from_secs(3_600)),
+    ];
+    for Case { size, apart } in cases {
+        for seed in 0..5 {
+            let name = format!("2 x {size} nodes, {apart} apart, seed {seed}");
+            let mut regions = Regions::new(size, seed * 1_000);
+            let formed = regions.until_agreed(Millis::from_secs(300));
+            assert!(formed.is_some(), "{name}: the nodes never knew each other");
+            regions.run(Millis::from_secs(120));
+
+            regions.parted = true;
+            let parted_at = regions.now;
+            if apart > NOTICED {
+                let noticed = regions.until_agreed(NOTICED);
+                assert!(noticed.is_some(), "{name}: the views did not part");
+            }
+            while regions.now - parted_at < apart {
+                regions.tick();
+                let agree = apart <= NOTICED || regions.agree();
+                assert!(agree, "{name}: a region lost a node of its own");
+            }
+
+            regions.parted = false;
+            regions.sent.fill(0);
+            let bound = Millis(HEALED_PER_NODE.0 * 2 * size as u64);
+            let healed = regions.until_agreed(bound);
+            let healed = healed.unwrap_or_else(|| panic!("{name}: not healed"));
+            // Longer than a node that is gone is remembered.
+            for _ in 0..400 {
+                regions.tick();
+                assert!(regions.agree(), "{name}: declared gone after healing");
+            }
+            let seconds = (healed.0 / 1_000 + 134) as usize;
+            let most = regions.sent.iter().max().expect("nodes");
+            println!("{name}: healed in {healed}, at most {most} bytes in {seconds} s");
+            assert!(
+                *most <= BURST_BYTES + seconds * BYTES_PER_SECOND,
+                "{name}: {most} bytes in {seconds} s"
+            );
+        }
+    }
+}
