--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -30,6 +30,10 @@
     pub states_outcomes: bool,
     /// Answers calls with an error without executing them.
     pub fail: bool,
+    /// Route on which `fail` and the delays show; none means all.
+    pub route: Option<String>,
+    /// Bytes of padding in each answer.
+    pub padding: usize,
     /// Reports that the endpoint is leaving.
     pub leaving: bool,
 }
@@ -132,7 +136,8 @@
         body: Bytes,
     ) -> Result<super::Answer, Infallible> {
         let faults = self.inner.faults.lock().expect("faults lock").clone();
-        if faults.fail {
+        let shows = faults.route.as_ref().is_none_or(|faulty| *faulty == route);
+        if shows && faults.fail {
             return super::unavailable();
         }
         let key = key.unwrap_or_default();
@@ -147,6 +152,7 @@
             "version": self.inner.version,
             "execution": count,
             "bytes": body.len(),
+            "padding": "x".repeat(faults.padding),
         });
         {
             let mut outcomes = self.inner.outcomes.lock().expect("outcomes lock");
@@ -160,14 +166,16 @@
                 .lose_responses -= 1;
             std::future::pending::<()>().await;
         }
-        let calls = self.inner.calls.fetch_add(1, Ordering::Relaxed) + 1;
-        let slow = faults.slow_every > 0 && calls.is_multiple_of(faults.slow_every);
-        let delay = if slow {
-            faults.slow_ms
-        } else {
-            faults.delay_ms
-        };
-        tokio::time::sleep(delay.into()).await;
+        if shows {
+            let calls = self.inner.calls.fetch_add(1, Ordering::Relaxed) + 1;
+            let slow = faults.slow_every > 0 && calls.is_multiple_of(faults.slow_every);
+            let delay = if slow {
+                faults.slow_ms
+            } else {
+                faults.delay_ms
+            };
+            tokio::time::sleep(delay.into()).await;
+        }
         reply(StatusCode::OK, &answer)
     }
 
