Keep the prefix index in one compact table

Cause: the index of 600 endpoints with 1,024 blocks each took 69.6 MB of the 128 MB of a node, as a list of holders for each block and 16 bytes for each entry of an eviction queue.

One open-addressing table holds a 48-bit fingerprint with the endpoint and the time of last use, 12 bytes a pair; the eviction queues hold 8 bytes an entry. An unknown block is taken for a known one with a probability of 2.2e-9.

Ruled out: fingerprints of 32 bits, with which one cold lookup in 700 would be wrong.

--- a/src/routing/prefix.rs
+++ b/src/routing/prefix.rs
@@ -1,9 +1,10 @@
-use std::collections::{HashMap, VecDeque};
-use std::hash::{BuildHasherDefault, Hasher};
+use std::collections::VecDeque;
 
 use crate::clock::Millis;
 
 use super::Matched;
+use super::holders::{Holders, fingerprint};
+use super::queued::Queued;
 
 /// Holders remembered per block; a block held more widely is found on enough of them.
 const MAX_HOLDERS: usize = 32;
@@ -17,30 +18,8 @@
 /// Share of its length that a match counts when cache events were lost after it was seen.
 const UNSURE_MATCH: f32 = 0.5;
 
-/// Hashes block hashes, which are uniform already, to themselves.
-#[derive(Clone, Copy, Debug, Default)]
-struct Identity(u64);
-
-impl Hasher for Identity {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-
-    fn write(&mut self, _: &[u8]) {
-        unreachable!("only block hashes are keys");
-    }
-
-    fn write_u64(&mut self, value: u64) {
-        self.0 = value;
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Holder {
-    slot: u16,
-    /// Last use, in tenths of a second.
-    at: u32,
-}
+/// Free places that an eviction queue may keep; they are 8 bytes each.
+const MAX_SPARE: usize = 128;
 
 /// Which endpoints probably hold which prompt blocks, bounded per endpoint.
 ///
@@ -49,8 +28,8 @@
 #[derive(Debug, Default)]
 pub struct Prefix {
     capacity: usize,
-    holders: HashMap<u64, Vec<Holder>, BuildHasherDefault<Identity>>,
-    order: Vec<VecDeque<(u64, u32)>>,
+    holders: Holders,
+    order: Vec<VecDeque<Queued>>,
     unsure_before: Vec<u32>,
 }
 
@@ -84,33 +63,39 @@
     pub fn insert(&mut self, slot: u16, blocks: &[u64], now: Millis) {
         self.reserve(slot);
         let at = tenths(now);
+        let order = &mut self.order[usize::from(slot)];
         for &block in blocks.iter().rev() {
-            let holders = self.holders.entry(block).or_default();
-            if let Some(holder) = holders.iter_mut().find(|h| h.slot == slot) {
-                holder.at = at;
-                continue;
-            }
-            if holders.len() < MAX_HOLDERS {
-                holders.push(Holder { slot, at });
-                self.order[usize::from(slot)].push_back((block, at));
+            let block = fingerprint(block);
+            let used = self.holders.touch(block, slot, at);
+            if !used && self.holders.of(block).count() < MAX_HOLDERS {
+                self.holders.insert(block, slot, at);
+                if order.len() == order.capacity() {
+                    // Doubling would leave up to half of the queue unused.
+                    order.reserve_exact(MAX_SPARE);
+                }
+                order.push_back(Queued::new(block, at));
             }
         }
         while self.order[usize::from(slot)].len() > self.capacity {
             self.evict(slot);
         }
+        let order = &mut self.order[usize::from(slot)];
+        if order.capacity() > order.len() + MAX_SPARE * 2 {
+            order.shrink_to(order.len() + MAX_SPARE);
+        }
     }
 
     /// Records that an endpoint no longer holds these blocks.
     pub fn remove(&mut self, slot: u16, blocks: &[u64]) {
         for block in blocks {
-            self.forget(*block, slot);
+            self.holders.remove(fingerprint(*block), slot);
         }
         if let Some(order) = self.order.get_mut(usize::from(slot)) {
             let holders = &self.holders;
             // Removals of a few blocks leave stale order entries, which eviction drops; only a
             // queue that outgrew its bound is cleaned at once.
             if order.len() > self.capacity {
-                order.retain(|(block, _)| holds(holders, *block, slot).is_some());
+                order.retain(|queued| holders.time(queued.block(), slot).is_some());
             }
         }
     }
@@ -125,8 +110,8 @@
     pub fn clear(&mut self, slot: u16) {
         self.reserve(slot);
         let order = std::mem::take(&mut self.order[usize::from(slot)]);
-        for (block, _) in order {
-            self.forget(block, slot);
+        for queued in order {
+            self.holders.remove(queued.block(), slot);
         }
         self.unsure_before[usize::from(slot)] = 0;
     }
@@ -139,29 +124,20 @@
         }
     }
 
-    fn forget(&mut self, block: u64, slot: u16) {
-        if let Some(holders) = self.holders.get_mut(&block) {
-            holders.retain(|holder| holder.slot != slot);
-            if holders.is_empty() {
-                self.holders.remove(&block);
-            }
-        }
-    }
-
     fn evict(&mut self, slot: u16) {
+        let order = &mut self.order[usize::from(slot)];
         for _ in 0..=MAX_SECOND_CHANCES {
-            let Some((block, queued)) = self.order[usize::from(slot)].pop_front() else {
+            let Some(queued) = order.pop_front() else {
                 return;
             };
-            match holds(&self.holders, block, slot) {
-                Some(at) if at > queued => {
-                    self.order[usize::from(slot)].push_back((block, at));
-                }
-                _ => return self.forget(block, slot),
+            let block = queued.block();
+            match self.holders.time(block, slot) {
+                Some(at) if queued.used_since(at) => order.push_back(Queued::new(block, at)),
+                _ => return self.holders.remove(block, slot),
             }
         }
-        if let Some((block, _)) = self.order[usize::from(slot)].pop_front() {
-            self.forget(block, slot);
+        if let Some(queued) = order.pop_front() {
+            self.holders.remove(queued.block(), slot);
         }
     }
 }
@@ -175,14 +151,14 @@
     /// a thirty-second for longer ones.
     pub fn lookup(&self, blocks: &[u64], matched: &mut Matched) -> usize {
         matched.clear();
-        let deepest = blocks.partition_point(|block| self.holders.contains_key(block));
+        let deepest = blocks.partition_point(|block| self.holders.contains(fingerprint(*block)));
         let stride = deepest.div_ceil(MAX_PROBES).max(1);
         let mut depth = deepest;
         while depth > 0 {
-            for holder in self.holders.get(&blocks[depth - 1]).into_iter().flatten() {
-                let unsure = holder.at < self.unsure_before[usize::from(holder.slot)];
+            for (slot, at) in self.holders.of(fingerprint(blocks[depth - 1])) {
+                let unsure = at < self.unsure_before[usize::from(slot)];
                 let factor = if unsure { UNSURE_MATCH } else { 1.0 };
-                matched.record(holder.slot, depth as f32 * factor);
+                matched.record(slot, depth as f32 * factor);
             }
             depth = depth.saturating_sub(stride);
         }
@@ -190,15 +166,6 @@
     }
 }
 
-fn holds(
-    holders: &HashMap<u64, Vec<Holder>, BuildHasherDefault<Identity>>,
-    block: u64,
-    slot: u16,
-) -> Option<u32> {
-    let holders = holders.get(&block)?;
-    holders.iter().find(|h| h.slot == slot).map(|h| h.at)
-}
-
 fn tenths(now: Millis) -> u32 {
     u32::try_from(now.0 / 100).unwrap_or(u32::MAX - 1)
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -22,6 +22,7 @@
 mod placement;
 mod planned_stop;
 mod ports;
+mod prefix_index;
 mod refusals;
 mod relay;
 mod replay;
