--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -17,13 +17,17 @@
 //! No text and no hash of a text is recorded: a prompt is described by the blocks that it shares
 //! with an earlier request. Lines are written when a request ends and may be out of order.
 
+mod agenda;
 mod cache;
 mod driver;
 mod engine;
+mod event;
+mod flight;
 mod node;
 mod options;
 mod outcome;
 mod recorder;
+mod tally;
 mod target;
 mod trace;
 
--- a/src/replay/trace.rs
+++ b/src/replay/trace.rs
@@ -57,6 +57,13 @@
     pub price: f64,
 }
 
+impl Site {
+    /// Returns the number that all nodes know the endpoint by.
+    pub(super) fn id(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.name.as_bytes())
+    }
+}
+
 /// The part of a prompt that an earlier request had too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Shared {
@@ -251,3 +258,27 @@
     let bytes = [n.to_le_bytes(), u64::from(block).to_le_bytes()].concat();
     xxhash_rust::xxh3::xxh3_64(&bytes)
 }
+
+/// Endpoints.
+impl Trace {
+    /// Returns the endpoints of the first one's service, with copies when more are asked for.
+    pub(super) fn sites(&self, engines: Option<usize>) -> Vec<Site> {
+        let service = self.endpoints.first().map(|site| &site.service);
+        let own = self.endpoints.iter();
+        let own: Vec<&Site> = own.filter(|s| Some(&s.service) == service).collect();
+        let count = engines.unwrap_or(own.len());
+        let copy = |index: usize| {
+            let site = own[index % own.len()];
+            let copy = index / own.len();
+            Site {
+                name: if copy == 0 {
+                    Arc::clone(&site.name)
+                } else {
+                    format!("{}-{copy}", site.name).into()
+                },
+                ..site.clone()
+            }
+        };
+        (0..count).filter(|_| !own.is_empty()).map(copy).collect()
+    }
+}
