Bar endpoints without sets, and count attempts at one service

Cause: each attempt built two sets of all endpoints, also without a rollout, and the count of a plain attempt went through the routers of all services.

The endpoints of other versions are listed directly, and the order by name is only needed for the new version. The count goes to the service of the endpoint. A host that changes its service becomes a new endpoint; otherwise its count would be taken off at the other service. The test of this was not seen to fail first.

--- a/src/endpoint/split.rs
+++ b/src/endpoint/split.rs
@@ -29,6 +29,11 @@
         Arc::clone(&self.old)
     }
 
+    /// Returns whether a version is the one that is rolled out.
+    pub(super) fn is_new(&self, version: &str) -> bool {
+        self.new.as_ref().is_some_and(|(new, _)| **new == *version)
+    }
+
     /// Returns how many of a version's endpoints get requests.
     pub(super) fn in_use(&self, version: &str, endpoints: usize) -> usize {
         match &self.new {
--- a/src/endpoint/table.rs
+++ b/src/endpoint/table.rs
@@ -50,8 +50,12 @@
 
     fn upsert(&mut self, host: Host) {
         if let Some(&key) = self.by_host.get(&host.host) {
-            self.endpoints[key].host = host;
-            return;
+            if self.endpoints[key].host.service == host.service {
+                self.endpoints[key].host = host;
+                return;
+            }
+            // The policy of each service keeps endpoints by key.
+            self.endpoints.remove(key);
         }
         let name = Arc::clone(&host.host);
         let leaving = self.departures.contains(&name, 0);
@@ -131,15 +135,16 @@
         true
     }
 
-    /// Counts a request that starts (`true`) or ends at an endpoint.
-    pub fn count(&mut self, key: Key, starts: bool) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.in_flight = if starts {
-                endpoint.in_flight + 1
-            } else {
-                endpoint.in_flight.saturating_sub(1)
-            };
-        }
+    /// Counts a request that starts (`true`) or ends at an endpoint; returns the endpoint's
+    /// service if the endpoint is still listed.
+    pub fn count(&mut self, key: Key, starts: bool) -> Option<&Arc<str>> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        endpoint.in_flight = if starts {
+            endpoint.in_flight + 1
+        } else {
+            endpoint.in_flight.saturating_sub(1)
+        };
+        Some(&endpoint.host.service)
     }
 
     /// Returns an endpoint.
@@ -184,46 +189,42 @@
         self.splits.insert(Arc::clone(service), split);
     }
 
-    /// Returns the endpoints that may get a request, for the version that `draw` chooses.
+    /// Returns the endpoints of a service that must not get a request, for the version that `draw`
+    /// chooses; those that are leaving are not among them.
     ///
     /// `draw` is uniform in [0, 1) and the same for all attempts of a request. During the first
-    /// stages only some endpoints of the new version get requests, the same at all nodes.
-    pub fn candidates(
-        &mut self,
-        service: &str,
-        draw: f64,
-    ) -> impl Iterator<Item = (Key, &Endpoint)> {
-        let version = self.choose_version(service, draw);
-        let mut chosen: Vec<(Key, &Endpoint)> = self
-            .alive(service)
-            .filter(|(_, e)| version.as_ref().is_none_or(|v| v == e.version()))
-            .collect();
-        if let (Some(split), Some(version)) = (self.splits.get(service), &version) {
-            let in_use = split.in_use(version, chosen.len());
+    /// stages only some endpoints of the new version get requests, the same at all nodes. It counts
+    /// a request to the new version, so that it is called once for each attempt.
+    pub fn barred(&mut self, service: &str, draw: f64) -> Vec<Key> {
+        let Some(version) = self.choose_version(service, draw) else {
+            return Vec::new();
+        };
+        let others = self.alive(service).filter(|(_, e)| *e.version() != version);
+        let mut barred: Vec<Key> = others.map(|(key, _)| key).collect();
+        let limiting = self.splits.get(service).filter(|s| s.is_new(&version));
+        if let Some(split) = limiting {
+            let mut chosen: Vec<(Key, &Endpoint)> = self
+                .alive(service)
+                .filter(|(_, e)| *e.version() == version)
+                .collect();
+            let in_use = split.in_use(&version, chosen.len());
             // The order only decides which ones get requests while some don't.
             if in_use < chosen.len() {
                 chosen.sort_by(|(_, a), (_, b)| a.host.host.cmp(&b.host.host));
-                chosen.truncate(in_use);
+                barred.extend(chosen[in_use..].iter().map(|(key, _)| *key));
             }
         }
-        chosen.into_iter()
-    }
-
-    /// Returns the endpoints of a service that must not get a request, for the version that `draw`
-    /// chooses; those that are leaving are not among them.
-    ///
-    /// It counts a request to the new version, so that it is called once for each attempt.
-    pub fn barred(&mut self, service: &str, draw: f64) -> Vec<Key> {
-        let allowed: HashSet<Key> = self.candidates(service, draw).map(|(key, _)| key).collect();
-        let alive = self.alive(service).map(|(key, _)| key);
-        alive.filter(|key| !allowed.contains(key)).collect()
+        barred
     }
 
     fn choose_version(&mut self, service: &str, draw: f64) -> Option<Arc<str>> {
-        let mut split = self.splits.remove(service)?;
-        let has = |version: &str| self.alive(service).any(|(_, e)| &**e.version() == version);
-        let chosen = split.choose(draw, has);
-        self.splits.insert(service.into(), split);
-        Some(chosen)
+        let split = self.splits.get_mut(service)?;
+        let endpoints = &self.endpoints;
+        let has = |version: &str| {
+            endpoints
+                .values()
+                .any(|e| !e.leaving && &*e.host.service == service && &**e.version() == version)
+        };
+        Some(split.choose(draw, has))
     }
 }
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -214,9 +214,9 @@
 
 impl Dispatch {
     /// Counts an attempt at a plain service that starts or ends.
-    pub(super) fn counted(&self, key: Key, starts: bool) {
+    pub(super) fn counted(&self, service: &Arc<str>, key: Key, starts: bool) {
         let mut state = self.state.lock().expect("dispatch lock");
-        for service in state.services.values_mut() {
+        if let Some(service) = state.services.get_mut(service) {
             let router = &mut service.lane.router;
             if starts {
                 router.dispatched(key, &PLAIN, Millis::ZERO);
--- a/src/node/model.rs
+++ b/src/node/model.rs
@@ -89,10 +89,13 @@
 
     /// Counts a request that starts or ends at an endpoint.
     pub(super) fn count(&self, key: Key, starts: bool) {
-        self.endpoints
-            .lock()
-            .expect("endpoints lock")
-            .count(key, starts);
-        self.dispatch.counted(key, starts);
+        let service = {
+            let mut endpoints = self.endpoints.lock().expect("endpoints lock");
+            endpoints.count(key, starts).map(Arc::clone)
+        };
+        // The policy drops an endpoint that is no longer listed, with its counts.
+        if let Some(service) = service {
+            self.dispatch.counted(&service, key, starts);
+        }
     }
 }
--- a/tests/integration/new_endpoints.rs
+++ b/tests/integration/new_endpoints.rs
@@ -1,5 +1,8 @@
 //! Requests that arrive right after a node has learned of endpoints.
 
+use std::net::SocketAddr;
+
+use almondpath::endpoint::{Host, Key, State, Table};
 use futures::future::join_all;
 use hyper::Method;
 use serde_json::json;
@@ -71,3 +74,28 @@
     let text = String::from_utf8_lossy(&body);
     assert!(text.contains("event:done"), "{text}");
 }
+
+/// Guards against requests that are counted at an endpoint of one service and taken off at another.
+#[test]
+fn a_host_of_another_service_is_another_endpoint() {
+    let host = |service: &str| Host {
+        host: "host-0".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: "a".into(),
+        service: service.into(),
+        version: "v1".into(),
+        state: State::Live,
+        price: 1.0,
+    };
+    let mut table = Table::default();
+    table.update(vec![host("text")]);
+    let keys = |table: &Table| -> Vec<Key> { table.iter().map(|(key, _)| key).collect() };
+    let text = keys(&table);
+    table.update(vec![host("text")]);
+    assert_eq!(keys(&table), text);
+    table.update(vec![host("ledger")]);
+    let ledger = keys(&table);
+    assert_eq!(ledger.len(), 1);
+    assert_ne!(ledger, text);
+    assert_eq!(table.count(text[0], true), None);
+}
