Find nodes that count as gone sooner, and tell them

Cause: two regions of 20 nodes that had been parted for 10 s took up to 73.6 s to agree again. A node that is gone was probed only as an address, once in 15 ticks for all of them, and the probe did not say that it counts as gone; it learned this from a later one.

The probe now names the node, so that it objects in its answer, and goes out every third tick while nodes are remembered that are gone.

--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -81,6 +81,18 @@
             .any(|p| p.member.peer == address && p.member.state != State::Gone)
     }
 
+    /// Returns whether a node is remembered that is gone.
+    pub(super) fn has_gone(&self) -> bool {
+        self.live < self.peers.len()
+    }
+
+    /// Returns the name of the node that is known by this address.
+    pub(super) fn name_at(&self, address: SocketAddr) -> Option<&Arc<str>> {
+        let mut members = self.peers.values().map(|peer| &peer.member);
+        let found = members.find(|member| member.peer == address)?;
+        Some(&found.name)
+    }
+
     /// Takes a statement over if it is newer than what is known.
     pub(super) fn merge(&mut self, member: Member, now: Millis) -> Merge {
         if member.name == self.own.name {
--- a/src/membership/schedule.rs
+++ b/src/membership/schedule.rs
@@ -19,6 +19,10 @@
 /// again after a partition.
 const HINT_TICKS: u32 = 15;
 
+/// The same while nodes are remembered that are gone: with 15, two regions of 20 nodes that had been
+/// parted for 10 s took 74 s to agree again.
+const GONE_TICKS: u32 = 3;
+
 /// Probes that pass on an urgent update at once, in a burst and in the long run.
 const RELAY_BURST: f64 = 12.0;
 const RELAYS_PER_SECOND: f64 = 1.0;
@@ -81,7 +85,12 @@
         if let Some(target) = self.untried(roster) {
             return Some(target);
         }
-        if (roster.live() == 1 || self.ticks.is_multiple_of(HINT_TICKS))
+        let interval = if roster.has_gone() {
+            GONE_TICKS
+        } else {
+            HINT_TICKS
+        };
+        if (roster.live() == 1 || self.ticks.is_multiple_of(interval))
             && let Some(target) = self.unknown(roster, rng)
         {
             return Some(target);
@@ -115,10 +124,9 @@
                 .hints
                 .get(rng.random_range(0..self.hints.len().max(1)))?;
             if address != roster.own.peer && !roster.is_live_at(address) {
-                return Some(Target {
-                    address,
-                    name: None,
-                });
+                // A node that is named learns that it counts as gone, and objects in its answer.
+                let name = roster.name_at(address).cloned();
+                return Some(Target { address, name });
             }
         }
         None
