State rollouts as of the last division of the traffic

Cause: rollouts::a_rollout_without_done_is_rolled_back_while_the_log_is_down failed once in 12 runs alone, with an answer of the new version after all nodes had said that it was rolled back. The statement followed the clock at once, while the traffic was divided again up to 100 ms later.

Statements now use the time of the last division.

--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -157,7 +157,7 @@
             policy: self.dispatch.dump(self.clock.now()),
             calls: self.calls.summary(),
             responses: held(self),
-            rollouts: self.rollouts.statements(self.clock.wall()),
+            rollouts: self.rollouts.statements(),
         }
     }
 }
--- a/src/node/rollouts/watch.rs
+++ b/src/node/rollouts/watch.rs
@@ -31,6 +31,8 @@
     stages: BTreeMap<Offset, (u32, Millis)>,
     trips: BTreeMap<Offset, Trip>,
     samples: Samples,
+    /// Time (wall) up to which the division of the traffic follows the rollouts.
+    divided_at: Millis,
     /// Hosts in the list, and whether they were leaving.
     hosts: HashMap<u64, bool>,
     nodes: u32,
@@ -74,12 +76,15 @@
     }
 
     /// Returns the statements for operators.
-    pub(in crate::node) fn statements(&self, wall: Millis) -> Vec<Statement> {
+    ///
+    /// They are as of the last division of the traffic, so that a version that is said to be rolled
+    /// back gets no more requests.
+    pub(in crate::node) fn statements(&self) -> Vec<Statement> {
         let state = self.state.lock().expect("rollouts lock");
         let plan = state.plan();
         let rollouts = state.fold.iter();
         rollouts
-            .map(|r| Statement::new(r, &plan, wall, state.trips.get(&r.id)))
+            .map(|r| Statement::new(r, &plan, state.divided_at, state.trips.get(&r.id)))
             .collect()
     }
 
@@ -136,6 +141,7 @@
                 }
             }
         }
+        state.divided_at = wall;
         trips
     }
 
