End commands quietly when their reader has gone

Cause: replay FILE | head panicked, because print! panics on a closed pipe; so did generate.

Output goes through two macros that end the process with exit code 1 instead. Ruled out: the default action of SIGPIPE, which needs unsafe code and would end serve as well.

Before: both commands print "panicked" with a reader that has gone. After: the new test passes with text and JSON.

--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -76,16 +76,16 @@
     let result = client
         .call(route, key, Bytes::from(body.clone()), |part| {
             match part {
-                Part::Text(text) => print!("{text}"),
-                Part::Restart(text) => print!("\n(restarted)\n{text}"),
+                Part::Text(text) => out!("{text}"),
+                Part::Restart(text) => out!("\n(restarted)\n{text}"),
             }
             // A failure to print shows in the command's output itself.
             let _ = std::io::stdout().flush();
         })
         .await;
     match result {
-        Ok(Reply::Text(_)) => println!(),
-        Ok(Reply::Body(body)) => println!("{}", String::from_utf8_lossy(&body)),
+        Ok(Reply::Text(_)) => outln!(""),
+        Ok(Reply::Body(body)) => outln!("{}", String::from_utf8_lossy(&body)),
         Err(error) => {
             eprintln!("error: {error}");
             return Ok(ExitCode::from(match error.verdict() {
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -71,7 +71,7 @@
         findings.extend(check(file, kind)?);
     }
     if is_json(args) {
-        println!("{}", serde_json::to_string_pretty(&findings)?);
+        outln!("{}", serde_json::to_string_pretty(&findings)?);
     } else {
         findings.iter().for_each(Finding::print);
     }
@@ -146,6 +146,6 @@
             message,
         } = self;
         let separator = if path.is_empty() { "" } else { ": " };
-        println!("{file}:{line}:{column}: {path}{separator}{message}");
+        outln!("{file}:{line}:{column}: {path}{separator}{message}");
     }
 }
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -8,7 +8,7 @@
 };
 
 /// Exit code of a command that failed.
-const FAILED: u8 = 1;
+pub(super) const FAILED: u8 = 1;
 
 /// Returns the command line's definition.
 #[must_use]
--- a/src/cli/dump.rs
+++ b/src/cli/dump.rs
@@ -29,6 +29,6 @@
         };
         dumps.insert(address.to_string(), value);
     }
-    println!("{}", serde_json::to_string_pretty(&dumps)?);
+    outln!("{}", serde_json::to_string_pretty(&dumps)?);
     Ok(ExitCode::from(u8::from(failed)))
 }
--- a/src/cli/generate.rs
+++ b/src/cli/generate.rs
@@ -39,7 +39,7 @@
         Some(path) => {
             std::fs::write(path, text).wrap_err_with(|| format!("writing {}", path.display()))?
         }
-        None => print!("{text}"),
+        None => out!("{text}"),
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -88,9 +88,9 @@
         profile.streams.iter().all(|s| s.texts > 0 && s.per_s > 0.0),
         "`texts` and `per_s` are above 0"
     );
-    println!("seed {seed}");
+    outln!("seed {seed}");
     let failed = send_all(&profile, &nodes, seed).await;
-    println!("{failed} requests failed");
+    outln!("{failed} requests failed");
     Ok(ExitCode::SUCCESS)
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,8 @@
 //! The command line.
 
+#[macro_use]
+mod output;
+
 mod admin;
 mod call;
 mod check;
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -87,11 +87,11 @@
     };
     match result {
         Ok(version) if is_json(args) => {
-            println!("{}", serde_json::to_string(&Published { version })?);
+            outln!("{}", serde_json::to_string(&Published { version })?);
         }
-        Ok(version) => println!("published as version {version}"),
+        Ok(version) => outln!("published as version {version}"),
         Err(error) if is_json(args) => {
-            println!("{}", serde_json::to_string(&error)?);
+            outln!("{}", serde_json::to_string(&error)?);
             return Ok(ExitCode::FAILURE);
         }
         Err(error) => eyre::bail!("not known to be published: {error}"),
--- a/src/cli/replay.rs
+++ b/src/cli/replay.rs
@@ -76,17 +76,17 @@
         .get_one::<String>("format")
         .is_some_and(|f| f == "json")
     {
-        println!("{}", serde_json::to_string_pretty(&compared)?);
+        outln!("{}", serde_json::to_string_pretty(&compared)?);
         return Ok(ExitCode::SUCCESS);
     }
-    println!(
+    outln!(
         "{}: {} requests, seed {}",
         trace.header.deployment,
         trace.requests.len(),
         options.seed
     );
     for comparison in compared {
-        println!("\n{comparison}");
+        outln!("\n{comparison}");
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cli/rollouts.rs
+++ b/src/cli/rollouts.rs
@@ -53,9 +53,9 @@
         .get_one::<String>("format")
         .is_some_and(|f| f == "json")
     {
-        println!("{}", serde_json::to_string_pretty(&table.rows())?);
+        outln!("{}", serde_json::to_string_pretty(&table.rows())?);
     } else {
-        print!("{table}");
+        out!("{table}");
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -47,7 +47,7 @@
         reports.push(Report { address, result });
     }
     if is_json(args) {
-        println!("{}", serde_json::to_string_pretty(&reports)?);
+        outln!("{}", serde_json::to_string_pretty(&reports)?);
     } else {
         reports.iter().for_each(Report::print);
     }
@@ -69,7 +69,7 @@
         let status = match &self.result {
             Outcome::Status(status) => status,
             Outcome::Error(error) => {
-                println!("{}: {error}", self.address);
+                outln!("{}: {error}", self.address);
                 return;
             }
         };
@@ -77,15 +77,17 @@
             .version
             .map_or_else(|| "none".to_owned(), |version| version.to_string());
         let by = status.operator.as_deref().unwrap_or("nobody");
-        println!(
+        outln!(
             "{} {}: {}, configuration {version} by {by}",
-            self.address, status.node, status.state
+            self.address,
+            status.node,
+            status.state
         );
         for rollout in &status.rollouts {
-            println!("  {rollout}");
+            outln!("  {rollout}");
         }
         if let Some(refused) = &status.refused {
-            println!("  refused: {refused}");
+            outln!("  refused: {refused}");
         }
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,6 +18,7 @@
 mod mixed_releases;
 mod new_endpoints;
 mod operators;
+mod output;
 mod peer;
 mod placement;
 mod planned_stop;
--- /dev/null
+++ b/tests/integration/output.rs
@@ -0,0 +1,36 @@
+//! Output of the commands.
+
+use std::process::Command;
+
+/// Guards against a panic of a command whose reader has gone, as in `almondpath replay FILE | head`.
+#[test]
+fn a_reader_that_goes_causes_no_panic() {
+    struct Case {
+        args: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            args: &["replay", "traces/canelones-heldout.jsonl"],
+        },
+        Case {
+            args: &[
+                "replay",
+                "--format",
+                "json",
+                "traces/canelones-heldout.jsonl",
+            ],
+        },
+    ];
+    for Case { args } in cases {
+        let (reader, writer) = std::io::pipe().expect("a pipe");
+        drop(reader);
+        let output = Command::new(env!("CARGO_BIN_EXE_almondpath"))
+            .args(args)
+            .stdout(writer)
+            .output()
+            .expect("the program ends");
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(!errors.contains("panicked"), "{args:?}: {errors}");
+        assert_eq!(output.status.code(), Some(1), "{args:?}: {errors}");
+    }
+}
