Look at the order of readers only when a newer configuration is known

Every probe that arrived made a node outside a gap hash the names of all nodes of its failure domain and copy them, to tell whether it waits at the log itself. The version is compared first now, which costs nothing, and the order is taken without copies. Behaviour stays as it is; the time was not measured.

--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,6 +1,5 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -120,11 +119,12 @@
     #[must_use]
     pub fn domain_rank(&self) -> usize {
         let own = self.own();
-        let before = |other: &Member| {
-            let order = |member: &Member| (short_hash(&member.name), Arc::clone(&member.name));
-            other.domain == own.domain && order(other) < order(own)
-        };
-        self.available().filter(|p| before(&p.member)).count()
+        let place = (short_hash(&own.name), &own.name);
+        self.available()
+            .map(|peer| &peer.member)
+            .filter(|other| other.domain == own.domain)
+            .filter(|other| (short_hash(&other.name), &other.name) < place)
+            .count()
     }
 
     /// Returns the number of updates that wait to be passed on.
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -196,12 +196,12 @@
             // The records have expired at the log.
             return facts.control_end > self.control_end();
         }
-        if !self.is_direct_reader() && self.cluster.log_reached.load(Ordering::SeqCst) {
-            // The read that has just been triggered costs less than the whole state.
+        let active = self.active.load().as_ref().map(|active| active.version);
+        if facts.config <= active {
             return false;
         }
-        let active = self.active.load().as_ref().map(|active| active.version);
-        facts.config > active
+        // A node that reads because of this probe has the record sooner than the whole state.
+        !self.cluster.log_reached.load(Ordering::SeqCst) || self.is_direct_reader()
     }
 
     fn fetch_control(self: &Arc<Self>, from: std::net::SocketAddr) {
