--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -51,6 +51,9 @@
   # Adds generated tokens to stored copies. A node that does not implement it, because it runs an
   # earlier release, gets the same by `progress`.
   append @7 (batch :Batch) -> (receipts :Receipts);
+
+  # Exchanges what two nodes of a gateway know of all nodes.
+  gossip @8 (payload :Data) -> (answer :Answer);
 }
 
 # Payloads are JSON documents; their types are serde structs of the module that owns the method.
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -4,7 +4,8 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use super::{
-    call, check, completions, dev, dump, generate, load, publish, replay, rollouts, serve, status,
+    call, check, completions, dev, dump, gateway, generate, load, publish, replay, rollouts, serve,
+    status,
 };
 
 /// Exit code of a command that failed.
@@ -27,6 +28,7 @@
                 .help("Format of the log on the standard error"),
         )
         .subcommand(serve::command())
+        .subcommand(gateway::command())
         .subcommand(generate::command())
         .subcommand(check::command())
         .subcommand(publish::command())
@@ -52,10 +54,13 @@
     T: Into<OsString> + Clone,
 {
     let matches = command().get_matches_from(args);
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+    // A gateway runs on a part of one core, where further threads only cost wake-ups.
+    let mut builder = if matches.subcommand_name() == Some("gateway") {
+        tokio::runtime::Builder::new_current_thread()
+    } else {
+        tokio::runtime::Builder::new_multi_thread()
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("error: starting the runtime: {error}");
@@ -76,6 +81,7 @@
         .is_some_and(|f| f == "json");
     match matches.subcommand() {
         Some(("serve", args)) => serve::run(args, json).await,
+        Some(("gateway", args)) => gateway::run(args).await,
         Some(("generate", args)) => generate::run(args),
         Some(("check", args)) => check::run(args),
         Some(("completions", args)) => Ok(completions::run(args)),
--- /dev/null
+++ b/src/cli/gateway.rs
@@ -0,0 +1,77 @@
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{ContextCompat, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::gateway::{Node, Parts};
+use crate::platform::{CloudApi, Decoder, Headers, LogStore, NodeFile};
+
+use super::logger::stdout_logger;
+
+/// Variable that names the settings file on the platform's hosts.
+const FILE_VARIABLE: &str = "ALMONDPATH_NODE_FILE";
+
+pub(super) fn command() -> Command {
+    Command::new("gateway")
+        .about("Runs a node on the users' platform")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file of the platform; without it ALMONDPATH_NODE_FILE names it"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(clap::ArgAction::SetTrue)
+                .help("Checks the settings file and ends"),
+        )
+        .after_help("Example:\n  almondpath gateway /etc/almondpath/local.toml --check")
+}
+
+pub(super) async fn run(args: &ArgMatches) -> eyre::Result<ExitCode> {
+    let path = args
+        .get_one::<PathBuf>("file")
+        .cloned()
+        .or_else(|| std::env::var_os(FILE_VARIABLE).map(PathBuf::from))
+        .wrap_err_with(|| format!("no settings file: give FILE or set {FILE_VARIABLE}"))?;
+    let file = NodeFile::load(&path)?;
+    if args.get_flag("check") {
+        println!("{} is valid", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let parts = Parts {
+        dialect: Arc::new(Headers),
+        documents: Arc::new(Decoder),
+        store: Arc::new(LogStore::new(file.store())),
+        cloud: Arc::new(CloudApi::new(file.cloud())),
+    };
+    let (log, _guard) = stdout_logger();
+    let node = Node::new(file.settings(), parts, log);
+    on_signals(Arc::clone(&node), path).wrap_err("installing signal handlers")?;
+    node.run().await?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Leaves on SIGTERM and SIGINT; checks the settings file on SIGHUP.
+fn on_signals(node: Arc<Node>, path: PathBuf) -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = term.recv() => node.leave(),
+                _ = interrupt.recv() => node.leave(),
+                _ = hangup.recv() => {
+                    let file = NodeFile::load(&path).map(|file| file.settings());
+                    node.reload(file.map_err(|error| format!("{error:#}")));
+                }
+            }
+        }
+    });
+    Ok(())
+}
--- a/src/cli/logger.rs
+++ b/src/cli/logger.rs
@@ -13,6 +13,19 @@
     asynchronous(slog_term::FullFormat::new(decorator).build().fuse())
 }
 
+/// Returns a logger that writes JSON lines to the standard output, and a guard that writes the lines
+/// that wait when it is dropped.
+///
+/// A line that finds the queue full is dropped; the next one that is written says how many were.
+pub(super) fn stdout_logger() -> (Logger, slog_async::AsyncGuard) {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let drain = std::sync::Mutex::new(drain).fuse();
+    let (drain, guard) = slog_async::Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .build_with_guard();
+    (Logger::root(drain.fuse(), o!()), guard)
+}
+
 fn asynchronous<D>(drain: D) -> Logger
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod completions;
 mod dev;
 mod dump;
+mod gateway;
 mod generate;
 mod load;
 mod logger;
--- a/src/clock/clock.rs
+++ b/src/clock/clock.rs
@@ -63,6 +63,21 @@
         }
     }
 
+    /// Returns the time since the host started; unlike [`Clock::now`] it counts the time for which
+    /// the host was suspended.
+    #[must_use]
+    pub fn boot(&self) -> Millis {
+        match &self.source {
+            Source::System(_) => {
+                let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+                let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+                let rest = u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000_000;
+                Millis::from_secs(seconds) + Millis(rest)
+            }
+            Source::Manual(time) => Millis(time.load(Ordering::SeqCst)),
+        }
+    }
+
     /// Moves a manual clock forward; has no effect on the system's clock.
     pub fn advance(&self, by: Millis) {
         if let Source::Manual(time) = &self.source {
--- /dev/null
+++ b/src/gateway/ask.rs
@@ -0,0 +1,61 @@
+use std::sync::Arc;
+
+use crate::clock::Millis;
+
+/// A part of a prompt; requests share parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Part {
+    /// Number that identifies the part.
+    pub id: u64,
+    /// Length in tokens.
+    pub tokens: u32,
+}
+
+/// What a request declares about its prompt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub input: u64,
+    /// Most tokens of the response.
+    pub output: u64,
+    /// Estimate of the tokens of the response.
+    pub hint: Option<u64>,
+    /// Parts in order; the last one belongs to the request or its session alone.
+    pub parts: Vec<Part>,
+}
+
+impl Prompt {
+    /// Returns the tokens of prompt and response together.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.input + self.output
+    }
+
+    /// Returns the parts that other requests share.
+    #[must_use]
+    pub fn shared(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the number of the longest shared prefix, by which requests of one subject meet at
+    /// the same endpoint.
+    #[must_use]
+    pub fn subject(&self) -> Option<u64> {
+        self.shared().last().map(|part| part.id)
+    }
+}
+
+/// What a caller says of a request in its head.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ask {
+    /// Id of this attempt of the caller.
+    pub id: Option<Arc<str>>,
+    /// Key of the client account.
+    pub key: Option<Arc<str>>,
+    /// Time for which the caller waits.
+    pub patience: Option<Millis>,
+    /// Present on requests to model engines.
+    pub prompt: Option<Prompt>,
+    /// Number of the last event that the caller has.
+    pub resume_after: Option<u64>,
+}
--- /dev/null
+++ b/src/gateway/config.rs
@@ -0,0 +1,125 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+
+use super::{Account, Route, Service};
+
+/// Bounds of what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time within which a head has to arrive.
+    pub header_timeout: Millis,
+    /// Time for which a connection may stay unused.
+    pub idle_timeout: Millis,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_timeout: Millis(5_000),
+            idle_timeout: Millis(60_000),
+        }
+    }
+}
+
+/// The configuration in force at a gateway: routes, services and client accounts.
+///
+/// A configuration is never changed; a newer version replaces it as a whole.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Version; grows with every change.
+    pub version: u64,
+    /// Routes, the longest prefix first.
+    routes: Vec<Arc<Route>>,
+    services: HashMap<Arc<str>, Arc<Service>>,
+    accounts: Vec<Arc<Account>>,
+    keys: HashMap<Arc<str>, usize>,
+    /// Bounds of what a caller may send.
+    pub limits: Limits,
+}
+
+/// Construction.
+impl Config {
+    /// Creates a configuration; a key that two accounts claim belongs to the first one.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        mut routes: Vec<Arc<Route>>,
+        services: Vec<Service>,
+        accounts: Vec<Account>,
+        limits: Limits,
+    ) -> Self {
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let mut keys = HashMap::new();
+        for (index, account) in accounts.iter().enumerate() {
+            for key in &account.keys {
+                keys.entry(Arc::clone(key)).or_insert(index);
+            }
+        }
+        Self {
+            version,
+            routes,
+            services: services
+                .into_iter()
+                .map(|service| (Arc::clone(&service.name), Arc::new(service)))
+                .collect(),
+            accounts: accounts.into_iter().map(Arc::new).collect(),
+            keys,
+            limits,
+        }
+    }
+}
+
+/// Lookup.
+impl Config {
+    /// Returns the route of a request: of the routes of its host the one with the longest prefix.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        self.routes
+            .iter()
+            .find(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&*route.prefix))
+    }
+
+    /// Returns the account that holds a key.
+    #[must_use]
+    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
+        self.keys.get(key).map(|index| &self.accounts[*index])
+    }
+
+    /// Returns whether callers have to present a key.
+    #[must_use]
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Returns all accounts.
+    #[must_use]
+    pub fn accounts(&self) -> &[Arc<Account>] {
+        &self.accounts
+    }
+
+    /// Returns a service by its name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Returns all services, in no particular order.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Returns all routes.
+    #[must_use]
+    pub fn routes(&self) -> &[Arc<Route>] {
+        &self.routes
+    }
+}
--- /dev/null
+++ b/src/gateway/duties.rs
@@ -0,0 +1,241 @@
+use std::sync::Arc;
+
+use serde::Serialize;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::clock::Millis;
+use crate::error::Error;
+
+use super::lease::{Entry, Fixed};
+use super::{Append, Holder, Node, Page, Topic};
+
+/// Time between two steps of the holder.
+const STEP: Millis = Millis(250);
+
+/// Time between two reads of a node that does not hold the lease.
+const FOLLOW: Millis = Millis(700);
+
+/// Time between two renewals.
+const RENEW: Millis = Millis(800);
+
+/// Time after the end of a window until its counts have arrived from all nodes.
+const COUNTS_SETTLE: Millis = Millis(2_500);
+
+/// What the holder keeps beside the lease.
+#[derive(Default)]
+struct Work {
+    /// When the last record was sent.
+    sent: Option<Millis>,
+    /// Whether it is unknown if that record was stored.
+    unknown: bool,
+    /// Windows whose report the platform has taken.
+    reported: std::collections::BTreeSet<u64>,
+    /// The fence that was held last, for the log.
+    fence: Option<u64>,
+}
+
+/// Takes part in the lease of the duties, and performs them while it holds it.
+///
+/// # Errors
+///
+/// Never fails; a store that is away is waited for.
+pub(super) async fn run(node: Arc<Node>) -> eyre::Result<()> {
+    let mut work = Work::default();
+    loop {
+        let own = node.state().lease.is_own();
+        if node.leaving.is_cancelled() {
+            if own && let Some(holder) = acting(&node) {
+                let fence = holder.fence;
+                append(&node, &mut work, Entry::Release { fence }).await;
+            }
+            return Ok(());
+        }
+        if let Err(error) = read(&node, &mut work).await {
+            slog::debug!(node.log, "duties not read"; "reason" => %error);
+            sleep(STEP.into()).await;
+            continue;
+        }
+        step(&node, &mut work).await;
+        let pause = if node.state().lease.is_own() {
+            STEP
+        } else {
+            FOLLOW
+        };
+        tokio::select! {
+            () = sleep(pause.into()) => {}
+            () = node.leaving.cancelled() => {}
+        }
+    }
+}
+
+/// Returns the holder to act as, if this node may act right now.
+fn acting(node: &Node) -> Option<Holder> {
+    node.state().lease.acting(node.clock.boot())
+}
+
+async fn step(node: &Arc<Node>, work: &mut Work) {
+    let now = node.clock.boot();
+    let (own, free, held) = {
+        let lease = &node.state().lease;
+        (lease.is_own(), lease.is_free(now), lease.holder())
+    };
+    let fence = own.then(|| held.map(|(_, fence)| fence)).flatten();
+    if work.fence != fence {
+        info!(node.log, "duties"; "holding" => own, "fence" => fence, "before" => work.fence);
+        work.fence = fence;
+    }
+    if let Some(fence) = fence {
+        let due = work.sent.is_none_or(|sent| sent + RENEW <= now);
+        if due {
+            append(node, work, Entry::Renew { fence }).await;
+        }
+        if node.settings.reports_usage {
+            report(node, work).await;
+        }
+    } else if free && node.is_ready() {
+        let entry = Entry::Take {
+            node: Arc::clone(&node.settings.node),
+            incarnation: node.incarnation,
+        };
+        append(node, work, entry).await;
+    }
+}
+
+/// Reads the records that were added, without waiting.
+async fn read(node: &Node, work: &mut Work) -> Result<(), Error> {
+    loop {
+        // The holder alone appends, so that it only reads when it is unsure.
+        let (own, next) = {
+            let lease = &node.state().lease;
+            (lease.is_own(), lease.next())
+        };
+        if own && !work.unknown {
+            return Ok(());
+        }
+        match node.store.read(Topic::Duties, next, Millis::ZERO).await? {
+            Page::Expired { first } => node.state().lease.skip_to(first),
+            Page::Records { records, .. } => {
+                let more = !records.is_empty();
+                for record in records {
+                    take_in(
+                        node,
+                        record.offset,
+                        record.value.as_deref().unwrap_or_default(),
+                    );
+                }
+                if !more {
+                    let sent = work.unknown.then_some(work.sent).flatten();
+                    work.unknown = false;
+                    // A record that is not stored by now may still be: its condition then holds
+                    // only if nothing was added since, and this node would read it next.
+                    if let Some(sent) = sent
+                        && node.state().lease.is_own()
+                    {
+                        node.state().lease.stored(sent);
+                    }
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+fn take_in(node: &Node, offset: u64, value: &[u8]) {
+    match serde_json::from_slice::<Entry>(value) {
+        Ok(entry) => node.state().lease.read(offset, entry, node.clock.boot()),
+        Err(error) => {
+            warn!(node.log, "duty record not readable"; "offset" => offset, "reason" => %error);
+            node.state().lease.skip_to(offset + 1);
+        }
+    }
+}
+
+/// Appends a record where the topic ends; returns whether it is stored.
+async fn append(node: &Node, work: &mut Work, entry: Entry) -> bool {
+    let value = encode(&entry);
+    let at = node.state().lease.next();
+    let sent = node.clock.boot();
+    work.sent = Some(sent);
+    match node.store.append(Topic::Duties, Some(at), &value).await {
+        Ok(Append::Stored { offset }) => {
+            let lease = &mut node.state().lease;
+            lease.read(offset, entry, sent);
+            lease.stored(sent);
+            true
+        }
+        Ok(Append::Moved { end }) => {
+            info!(node.log, "duty record refused"; "at" => at, "end" => end);
+            work.unknown = true;
+            false
+        }
+        Err(error) => {
+            info!(node.log, "duty record not stored"; "at" => at, "reason" => %error);
+            work.unknown = true;
+            false
+        }
+    }
+}
+
+fn encode<T>(value: &T) -> Vec<u8>
+where
+    T: Serialize,
+{
+    serde_json::to_vec(value).expect("records have string keys only")
+}
+
+/// Reports the windows that are due.
+async fn report(node: &Arc<Node>, work: &mut Work) {
+    let length = node.settings.usage_window.0.max(1);
+    let wall = node.wall().0;
+    let settled = wall.saturating_sub(COUNTS_SETTLE.0) / length;
+    let oldest = wall.saturating_sub(node.settings.usage_due.0) / length;
+    for window in oldest..settled {
+        if work.reported.contains(&window) {
+            continue;
+        }
+        if !report_window(node, work, window).await {
+            return;
+        }
+    }
+    work.reported = work.reported.split_off(&oldest);
+}
+
+/// Fixes the counts of a window in the store, then sends them; returns whether the platform took
+/// them.
+async fn report_window(node: &Arc<Node>, work: &mut Work, window: u64) -> bool {
+    let known = node.state().lease.fixed(window).cloned();
+    let counts = match known {
+        Some(counts) => counts,
+        None => match fix(node, work, window).await {
+            Some(counts) => counts,
+            None => return false,
+        },
+    };
+    let Some(holder) = acting(node) else {
+        return false;
+    };
+    match node.cloud.usage(&holder, window, &counts).await {
+        Ok(()) => {
+            info!(node.log, "usage reported"; "window" => window, "fence" => holder.fence,
+                "requests" => counts.values().sum::<u64>());
+            work.reported.insert(window);
+            true
+        }
+        Err(error) => {
+            warn!(node.log, "usage not reported"; "window" => window, "reason" => %error);
+            false
+        }
+    }
+}
+
+async fn fix(node: &Arc<Node>, work: &mut Work, window: u64) -> Option<Fixed> {
+    let holder = acting(node)?;
+    let counts = node.usage_of(window);
+    let entry = Entry::Usage {
+        fence: holder.fence,
+        window,
+        counts: counts.clone(),
+    };
+    append(node, work, entry).await.then_some(counts)
+}
--- /dev/null
+++ b/src/gateway/endpoint.rs
@@ -0,0 +1,167 @@
+use slotmap::new_key_type;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Millis;
+
+use super::{Health, Listing, Load, Prefixes, Prompt};
+
+new_key_type! {
+    /// Key of an endpoint in a [`Fleet`](super::Fleet).
+    pub struct Key;
+}
+
+/// Tokens of prompts that an engine reads in a millisecond, before any response was seen; engines
+/// of the present generation read 40 to 50.
+const FIRST_PREFILL_RATE: f64 = 40.0;
+
+/// Time of a plain request before any response was seen.
+const FIRST_SERVICE_TIME: Millis = Millis(30);
+
+/// Weight of a new observation in the averages.
+const SMOOTHING: f64 = 0.1;
+
+/// Age at which a reported load says nothing about the present any more.
+const LOAD_AGE: Millis = Millis(1_000);
+
+/// How an endpoint takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It takes new requests.
+    Ready,
+    /// It finishes what it has.
+    Leaving,
+    /// It is not listed any more.
+    Gone,
+}
+
+/// One endpoint as this node sees it.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// What it states about itself.
+    pub listing: Listing,
+    /// How it takes part.
+    pub standing: Standing,
+    /// When the standing last changed.
+    pub since: Millis,
+    /// Since when its entry is missing though it may be alive.
+    pub doubtful: Option<Millis>,
+    /// Requests of this node that it has now.
+    pub inflight: u32,
+    /// When anything of a response last arrived from it.
+    pub heard: Millis,
+    /// Prompt tokens of this node that it has still to read.
+    pub pending_tokens: u64,
+    /// Prompt tokens of the other nodes that it has still to read, as they said last.
+    pub pending_elsewhere: u64,
+    /// Requests of the other nodes that it has, as they said last.
+    pub inflight_elsewhere: u32,
+    /// What the outcomes of requests say.
+    pub health: Health,
+    /// Shared parts that it is believed to keep.
+    pub prefixes: Prefixes,
+    /// Cancelled when it is gone or does not answer.
+    pub lost: CancellationToken,
+    load: Option<(Load, Millis)>,
+    sent_since_load: u32,
+    prefill_rate: f64,
+    service_time: f64,
+}
+
+impl Endpoint {
+    /// Creates an endpoint that was listed just now.
+    #[must_use]
+    pub fn new(listing: Listing, memory_tokens: u64, now: Millis) -> Self {
+        Self {
+            standing: Standing::Ready,
+            since: now,
+            doubtful: None,
+            inflight: 0,
+            heard: Millis::ZERO,
+            pending_tokens: 0,
+            pending_elsewhere: 0,
+            inflight_elsewhere: 0,
+            health: Health::default(),
+            prefixes: Prefixes::new(memory_tokens),
+            lost: CancellationToken::new(),
+            load: None,
+            sent_since_load: 0,
+            prefill_rate: FIRST_PREFILL_RATE,
+            service_time: FIRST_SERVICE_TIME.as_f64(),
+            listing,
+        }
+    }
+}
+
+/// Evidence.
+impl Endpoint {
+    /// Notes that a request was sent.
+    pub fn sent(&mut self) {
+        self.inflight += 1;
+        self.sent_since_load += 1;
+    }
+
+    /// Notes a load that the endpoint reported.
+    pub fn loaded(&mut self, load: Load, now: Millis) {
+        self.load = Some((load, now));
+        self.sent_since_load = 0;
+    }
+
+    /// Notes how long the endpoint took from the request to the first event of its response, with
+    /// so many tokens to read before.
+    pub fn first_event(&mut self, tokens: u64, took: Millis) {
+        if tokens < 500 {
+            return;
+        }
+        let rate = (tokens as f64 / took.as_f64().max(1.0)).clamp(4.0, 80.0);
+        self.prefill_rate += SMOOTHING * (rate - self.prefill_rate);
+    }
+
+    /// Notes how long a plain request took.
+    pub fn served(&mut self, took: Millis) {
+        self.service_time += SMOOTHING * (took.as_f64() - self.service_time);
+    }
+}
+
+/// Estimates.
+impl Endpoint {
+    /// Returns the requests that the endpoint has, from its last report and what was sent since.
+    #[must_use]
+    pub fn requests(&self, now: Millis) -> u32 {
+        let known = self.inflight + self.inflight_elsewhere;
+        match self.load {
+            Some((load, at)) if now - at < LOAD_AGE => {
+                known.max(load.running + load.waiting + self.sent_since_load)
+            }
+            _ => known,
+        }
+    }
+
+    /// Returns the prompt tokens that the endpoint would have to read for a request beyond what it
+    /// keeps.
+    #[must_use]
+    pub fn uncached(&self, prompt: &Prompt) -> u64 {
+        prompt
+            .input
+            .saturating_sub(self.prefixes.cached(prompt.shared()))
+    }
+
+    /// Returns the prompt tokens that wait at the endpoint.
+    #[must_use]
+    pub fn waiting_tokens(&self) -> u64 {
+        self.pending_tokens + self.pending_elsewhere
+    }
+
+    /// Returns the time in milliseconds in which the endpoint reads so many tokens.
+    #[must_use]
+    pub fn reading(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.prefill_rate
+    }
+
+    /// Returns the time in milliseconds after which a plain request sent now would be answered.
+    #[must_use]
+    pub fn answering(&self, now: Millis) -> f64 {
+        let slots = f64::from(self.listing.slots.max(1));
+        let rounds = (f64::from(self.requests(now)) - slots + 1.0).max(0.0) / slots;
+        self.service_time * (1.0 + rounds)
+    }
+}
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,87 @@
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Largest event that is kept until it is complete.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// One complete event of a stream, as bytes with its terminator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The event's bytes, terminator included.
+    pub bytes: Bytes,
+    /// The event's number.
+    pub id: Option<u64>,
+}
+
+/// Splits an event stream into complete events without changing a byte.
+///
+/// # Examples
+///
+/// ```
+/// use almondpath::gateway::Events;
+///
+/// let mut events = Events::default();
+/// events.push(b"id: 4\ndata: a\n\nid: 5\nda");
+/// assert_eq!(events.next().and_then(|event| event.id), Some(4));
+/// assert!(events.next().is_none());
+/// assert!(events.has_partial());
+/// ```
+#[derive(Debug, Default)]
+pub struct Events {
+    buffer: BytesMut,
+    /// Bytes at the start of the buffer that hold no end of an event.
+    searched: usize,
+}
+
+impl Events {
+    /// Adds bytes; returns false when an event exceeds the bound and the stream can't be used.
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        self.buffer.extend_from_slice(bytes);
+        self.buffer.len() <= MAX_EVENT_BYTES
+    }
+
+    /// Returns whether an incomplete event is left.
+    #[must_use]
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Returns where the first event ends.
+    fn end(&mut self) -> Option<usize> {
+        let bytes = &self.buffer[..];
+        let mut at = self.searched;
+        while let Some(offset) = bytes[at..].iter().position(|byte| *byte == b'\n') {
+            let line_end = at + offset + 1;
+            match &bytes[line_end..] {
+                [b'\n', ..] => return Some(line_end + 1),
+                [b'\r', b'\n', ..] => return Some(line_end + 2),
+                [] | [b'\r'] => {
+                    self.searched = line_end - 1;
+                    return None;
+                }
+                _ => at = line_end,
+            }
+        }
+        self.searched = at;
+        None
+    }
+}
+
+impl Iterator for Events {
+    type Item = Event;
+
+    fn next(&mut self) -> Option<Event> {
+        let end = self.end()?;
+        let bytes = self.buffer.copy_to_bytes(end);
+        self.searched = 0;
+        let id = id(&bytes);
+        Some(Event { bytes, id })
+    }
+}
+
+/// Returns the number in the `id` field of an event.
+fn id(event: &[u8]) -> Option<u64> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/src/gateway/fleet.rs
@@ -0,0 +1,216 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+
+use crate::clock::Millis;
+
+use super::endpoint::{Endpoint, Key, Standing};
+use super::{Identity, Listing};
+
+/// Time after which an endpoint that is gone and has no requests is forgotten.
+const FORGET: Millis = Millis::from_secs(60);
+
+/// Time after the return of the register within which endpoints whose entries lapsed are listed
+/// again.
+const DOUBT: Millis = Millis(2_500);
+
+/// A change of what this node believes about an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The endpoint.
+    pub identity: Identity,
+    /// Its service.
+    pub service: Arc<str>,
+    /// How it takes part from now on.
+    pub standing: Standing,
+}
+
+/// All endpoints that this node knows, with the order of what was said about them.
+///
+/// A departure is final for one run of an endpoint, whatever is heard later: a late statement must
+/// not bring it back. Only an entry that lapsed while the register was away is taken back.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    endpoints: SlotMap<Key, Endpoint>,
+    by_id: HashMap<Arc<str>, Key>,
+    /// Departures of endpoints that were not listed yet.
+    announced: HashMap<Identity, Millis>,
+}
+
+/// Lookup.
+impl Fleet {
+    /// Returns an endpoint.
+    #[must_use]
+    pub fn get(&self, key: Key) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// Returns an endpoint for changes.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(key)
+    }
+
+    /// Returns the endpoint that has this id now.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<Key> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Endpoint)> {
+        self.endpoints.iter()
+    }
+
+    /// Returns all endpoints for changes.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Key, &mut Endpoint)> {
+        self.endpoints.iter_mut()
+    }
+
+    /// Returns the endpoints of a service that take new requests.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = (Key, &'a Endpoint)> {
+        self.endpoints.iter().filter(move |(_, endpoint)| {
+            endpoint.standing == Standing::Ready && &*endpoint.listing.service == service
+        })
+    }
+
+    /// Returns whether any endpoint takes new requests.
+    #[must_use]
+    pub fn has_ready(&self) -> bool {
+        self.endpoints
+            .values()
+            .any(|endpoint| endpoint.standing == Standing::Ready)
+    }
+
+    /// Returns the endpoints that leave or have left, for other nodes.
+    pub fn departed(&self) -> impl Iterator<Item = &Identity> {
+        self.endpoints
+            .values()
+            .filter(|endpoint| endpoint.standing != Standing::Ready)
+            .map(|endpoint| &endpoint.listing.identity)
+    }
+}
+
+/// Statements.
+impl Fleet {
+    /// Takes in what an endpoint states about itself. Older statements have no effect.
+    pub fn listed(&mut self, listing: Listing, memory_tokens: u64, now: Millis) -> Option<Change> {
+        let Some(key) = self.find(&listing.identity.id) else {
+            return Some(self.insert(listing, memory_tokens, now));
+        };
+        let known = &mut self.endpoints[key];
+        let (old, new) = (known.listing.identity.born, listing.identity.born);
+        if new < old || (new == old && listing.sequence < known.listing.sequence) {
+            return None;
+        }
+        if new > old {
+            known.lost.cancel();
+            known.standing = Standing::Gone;
+            known.since = now;
+            return Some(self.insert(listing, memory_tokens, now));
+        }
+        if known.standing == Standing::Leaving && !listing.leaving {
+            return None;
+        }
+        let leaving = listing.leaving;
+        known.doubtful = None;
+        if known.standing == Standing::Gone {
+            // Its entry had lapsed.
+            known.lost = tokio_util::sync::CancellationToken::new();
+        }
+        known.listing = listing;
+        let standing = if leaving {
+            Standing::Leaving
+        } else {
+            Standing::Ready
+        };
+        Self::stand(known, standing, now)
+    }
+
+    /// Notes that the entry of an endpoint was removed; the endpoint goes on with what it has.
+    pub fn removed(&mut self, id: &str, now: Millis) -> Option<Change> {
+        let key = self.find(id)?;
+        let known = &mut self.endpoints[key];
+        known.lost.cancel();
+        Self::stand(known, Standing::Leaving, now)
+    }
+
+    /// Notes that the entry of an endpoint is missing while entries may have lapsed because the
+    /// register was away. It counts as gone unless it is listed again soon.
+    pub fn lapsed(&mut self, id: &str, now: Millis) {
+        if let Some(key) = self.find(id) {
+            let known = &mut self.endpoints[key];
+            known.doubtful.get_or_insert(now);
+        }
+    }
+
+    /// Removes endpoints that were not listed again in time; returns the changes.
+    pub fn settle(&mut self, now: Millis) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for endpoint in self.endpoints.values_mut() {
+            let doubtful = endpoint.doubtful.is_some_and(|at| at + DOUBT <= now);
+            if doubtful && endpoint.standing == Standing::Ready {
+                endpoint.lost.cancel();
+                changes.extend(Self::stand(endpoint, Standing::Gone, now));
+            }
+        }
+        changes
+    }
+
+    /// Notes that another node saw an endpoint leave.
+    pub fn departs(&mut self, identity: &Identity, now: Millis) -> Option<Change> {
+        let Some(key) = self.find(&identity.id) else {
+            self.announced.insert(identity.clone(), now);
+            return None;
+        };
+        let known = &mut self.endpoints[key];
+        if known.listing.identity.born != identity.born {
+            self.announced.insert(identity.clone(), now);
+            return None;
+        }
+        Self::stand(known, Standing::Leaving, now)
+    }
+
+    /// Forgets endpoints that are long gone.
+    pub fn prune(&mut self, now: Millis) {
+        self.endpoints.retain(|_, endpoint| {
+            endpoint.standing == Standing::Ready
+                || endpoint.inflight > 0
+                || endpoint.since + FORGET > now
+        });
+        let endpoints = &self.endpoints;
+        self.by_id.retain(|_, key| endpoints.contains_key(*key));
+        self.announced.retain(|_, at| *at + FORGET > now);
+    }
+
+    fn insert(&mut self, listing: Listing, memory_tokens: u64, now: Millis) -> Change {
+        let identity = listing.identity.clone();
+        let leaving = listing.leaving || self.announced.contains_key(&identity);
+        let service = Arc::clone(&listing.service);
+        let mut endpoint = Endpoint::new(listing, memory_tokens, now);
+        if leaving {
+            endpoint.standing = Standing::Leaving;
+        }
+        let standing = endpoint.standing;
+        let key = self.endpoints.insert(endpoint);
+        self.by_id.insert(Arc::clone(&identity.id), key);
+        Change {
+            identity,
+            service,
+            standing,
+        }
+    }
+
+    fn stand(endpoint: &mut Endpoint, standing: Standing, now: Millis) -> Option<Change> {
+        if endpoint.standing == standing {
+            return None;
+        }
+        endpoint.standing = standing;
+        endpoint.since = now;
+        Some(Change {
+            identity: endpoint.listing.identity.clone(),
+            service: Arc::clone(&endpoint.listing.service),
+            standing,
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/lease.rs
@@ -0,0 +1,214 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Millis;
+
+use super::Holder;
+
+/// Counts of requests by account, as they were fixed for a report.
+pub type Fixed = BTreeMap<Arc<str>, u64>;
+
+/// A record in the topic of duties.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Entry {
+    /// A node takes the lease; the record's offset is the fence.
+    Take {
+        /// Name of the node.
+        node: Arc<str>,
+        /// Wall time of the node's start.
+        incarnation: u64,
+    },
+    /// The holder goes on holding the lease.
+    Renew {
+        /// Fence of the holder.
+        fence: u64,
+    },
+    /// The holder gives the lease up.
+    Release {
+        /// Fence of the holder.
+        fence: u64,
+    },
+    /// The holder fixes what it reports for a window.
+    Usage {
+        /// Fence of the holder.
+        fence: u64,
+        /// Number of the window.
+        window: u64,
+        /// Counts.
+        counts: Fixed,
+    },
+}
+
+/// How long a lease is used and respected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Time after the start of its last renewal for which the holder acts.
+    pub use_for: Millis,
+    /// Time without news after which another node takes the lease: longer than `use_for` and the
+    /// longest call of a duty together.
+    pub respect_for: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    node: Arc<str>,
+    incarnation: u64,
+    fence: u64,
+    released: bool,
+    heard: Millis,
+}
+
+/// The lease of the duties, as a node reads it from the topic.
+///
+/// Records are appended only where the topic ends, so that a node that appends has read everything
+/// before. Whoever takes the lease waits until the former holder has stopped acting by its own
+/// steady clock.
+#[derive(Debug)]
+pub struct Lease {
+    node: Arc<str>,
+    incarnation: u64,
+    terms: Terms,
+    /// Offset after the last record that was read.
+    next: u64,
+    known: Option<Known>,
+    /// When a record of this node was last sent that is known to be stored.
+    renewed: Option<Millis>,
+    /// Counts that were fixed, by window.
+    fixed: BTreeMap<u64, Fixed>,
+    started: Millis,
+}
+
+/// Fixed windows that are remembered.
+const WINDOWS: usize = 16;
+
+/// Reading.
+impl Lease {
+    /// Creates the lease of a node that knows nothing yet.
+    #[must_use]
+    pub fn new(node: Arc<str>, incarnation: u64, terms: Terms, now: Millis) -> Self {
+        Self {
+            node,
+            incarnation,
+            terms,
+            next: 0,
+            known: None,
+            renewed: None,
+            fixed: BTreeMap::new(),
+            started: now,
+        }
+    }
+
+    /// Returns the offset of the next record to read.
+    #[must_use]
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Goes on at a later offset, because earlier records are not kept.
+    pub fn skip_to(&mut self, offset: u64) {
+        self.next = self.next.max(offset);
+    }
+
+    /// Takes in a record.
+    pub fn read(&mut self, offset: u64, entry: Entry, now: Millis) {
+        if offset < self.next {
+            return;
+        }
+        self.next = offset + 1;
+        match entry {
+            Entry::Take { node, incarnation } => {
+                self.known = Some(Known {
+                    node,
+                    incarnation,
+                    fence: offset,
+                    released: false,
+                    heard: now,
+                });
+            }
+            Entry::Renew { fence } => self.heard(fence, false, now),
+            Entry::Release { fence } => self.heard(fence, true, now),
+            Entry::Usage {
+                fence,
+                window,
+                counts,
+            } => {
+                self.heard(fence, false, now);
+                self.fixed.entry(window).or_insert(counts);
+                while self.fixed.len() > WINDOWS {
+                    self.fixed.pop_first();
+                }
+            }
+        }
+    }
+
+    fn heard(&mut self, fence: u64, released: bool, now: Millis) {
+        if let Some(known) = &mut self.known
+            && known.fence == fence
+        {
+            known.heard = now;
+            known.released |= released;
+        }
+    }
+}
+
+/// Decisions.
+impl Lease {
+    /// Notes that a record of this node, sent at `sent`, was stored.
+    pub fn stored(&mut self, sent: Millis) {
+        self.renewed = Some(sent);
+    }
+
+    /// Stops acting on the lease until the next renewal.
+    pub fn suspend(&mut self) {
+        self.renewed = None;
+    }
+
+    /// Returns whether this node holds the lease by the last record.
+    #[must_use]
+    pub fn is_own(&self) -> bool {
+        self.known.as_ref().is_some_and(|known| {
+            known.node == self.node && known.incarnation == self.incarnation && !known.released
+        })
+    }
+
+    /// Returns the holder to act as, while this node may act.
+    #[must_use]
+    pub fn acting(&self, now: Millis) -> Option<Holder> {
+        let renewed = self.renewed?;
+        if !self.is_own() || now >= renewed + self.terms.use_for {
+            return None;
+        }
+        self.known.as_ref().map(|known| Holder {
+            node: Arc::clone(&known.node),
+            fence: known.fence,
+        })
+    }
+
+    /// Returns whether the lease may be taken by this node.
+    #[must_use]
+    pub fn is_free(&self, now: Millis) -> bool {
+        match &self.known {
+            Some(known) if known.released => true,
+            Some(known) => !self.is_own() && known.heard + self.terms.respect_for <= now,
+            // Records may have expired while nobody wrote.
+            None => self.started + self.terms.respect_for <= now,
+        }
+    }
+
+    /// Returns the fence and holder by the last record.
+    #[must_use]
+    pub fn holder(&self) -> Option<(Arc<str>, u64)> {
+        self.known
+            .as_ref()
+            .map(|known| (Arc::clone(&known.node), known.fence))
+    }
+
+    /// Returns the counts that were fixed for a window.
+    #[must_use]
+    pub fn fixed(&self, window: u64) -> Option<&Fixed> {
+        self.fixed.get(&window)
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,74 @@
+//! The gateway: forwards opaque HTTP requests and event streams to the endpoints of a platform.
+//!
+//! What a head means, how the platform's store is spoken to and where settings come from is told by
+//! an adapter through [`Dialect`], [`Documents`], [`Store`] and [`Cloud`]. Decisions are pure
+//! live in their own modules: where a request goes ([`choose`]), what an account may ask for
+//! ([`Quotas`]), how often requests are sent again ([`Budget`]) and who performs duties ([`Lease`]).
+
+mod account;
+mod ask;
+mod budget;
+mod call;
+mod choose;
+mod cloud;
+mod config;
+mod dialect;
+mod documents;
+mod duties;
+mod endpoint;
+mod events;
+mod fleet;
+mod forward;
+mod gossip;
+mod health;
+mod lease;
+mod listing;
+mod load;
+mod node;
+mod prefixes;
+mod quota;
+mod refusal;
+mod relay;
+mod roster;
+mod route;
+mod server;
+mod service;
+mod settings;
+mod store;
+mod ticket;
+mod upstream;
+mod usage;
+mod watch;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+
+pub use self::account::{Account, Quota};
+pub use self::ask::{Ask, Part, Prompt};
+pub use self::budget::{Budget, Ratio};
+pub use self::choose::{Choice, Query, choose};
+pub use self::cloud::{Cloud, Holder, Order, Ordered};
+pub use self::config::{Config, Limits};
+pub use self::dialect::{Dialect, Onward, Reply};
+pub use self::documents::Documents;
+pub use self::endpoint::{Endpoint, Key, Standing};
+pub use self::events::{Event, Events};
+pub use self::fleet::{Change, Fleet};
+pub use self::health::Health;
+pub use self::lease::{Entry, Fixed, Lease, Terms};
+pub use self::listing::{Identity, Listing};
+pub use self::load::Load;
+pub use self::node::{Node, Parts};
+pub use self::prefixes::Prefixes;
+pub use self::quota::{Quotas, Silence};
+pub use self::refusal::{Reason, Refusal};
+pub use self::roster::{Burden, Member, Roster, Statement};
+pub use self::route::{Repeat, Route, Share};
+pub use self::service::{Engine, Scale, Service};
+pub use self::settings::Settings;
+pub use self::store::{Append, Page, Record, Snapshot, Store, Topic};
+pub use self::upstream::{Line, Upstream};
+pub use self::usage::{Counts, Usage};
+
+/// Body of a response to a caller.
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
--- /dev/null
+++ b/src/gateway/node.rs
@@ -0,0 +1,390 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use eyre::WrapErr;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use slog::{Logger, info};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::{Clock, Millis};
+use crate::supervisor::Supervisor;
+use crate::{peer, peer::Tokens};
+
+use super::fleet::{Change, Fleet};
+use super::quota::{Quotas, Silence};
+use super::roster::Roster;
+use super::upstream::Upstream;
+use super::usage::Usage;
+use super::{
+    Account, Body, Budget, Burden, Cloud, Config, Dialect, Documents, Lease, Settings, Statement,
+    Store, duties, gossip, server, watch as watching,
+};
+
+/// Time within which another node answers.
+const PEER_BOUND: Millis = Millis(800);
+
+/// Interval of the upkeep of connections and memories.
+const UPKEEP: Millis = Millis(1_000);
+
+/// Unused connections to endpoints are closed at this age.
+const IDLE_CONNECTION: Millis = Millis(4_000);
+
+/// Most addresses in an answer to a caller.
+const MAX_ADDRESSES: usize = 64;
+
+/// What the gateway needs from an adapter.
+pub struct Parts {
+    /// The meaning of heads.
+    pub dialect: Arc<dyn Dialect>,
+    /// The meaning of documents.
+    pub documents: Arc<dyn Documents>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// The platform's interface for duties.
+    pub cloud: Arc<dyn Cloud>,
+}
+
+/// A configuration with the document it came from, for nodes that can't read the store.
+#[derive(Debug)]
+pub(super) struct Active {
+    pub(super) config: Config,
+    pub(super) document: Bytes,
+}
+
+/// What decisions are made from.
+pub(super) struct State {
+    pub(super) fleet: Fleet,
+    pub(super) quotas: Quotas,
+    pub(super) budgets: HashMap<Arc<str>, Budget>,
+    pub(super) usage: Usage,
+    pub(super) roster: Roster,
+    pub(super) lease: Lease,
+    /// Addresses of other nodes that the store names.
+    pub(super) contacts: HashMap<Arc<str>, SocketAddr>,
+    sequence: u64,
+}
+
+/// One node of the gateway.
+pub struct Node {
+    pub(super) settings: Settings,
+    pub(super) dialect: Arc<dyn Dialect>,
+    pub(super) documents: Arc<dyn Documents>,
+    pub(super) store: Arc<dyn Store>,
+    pub(super) cloud: Arc<dyn Cloud>,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) active: ArcSwapOption<Active>,
+    pub(super) upstream: Upstream,
+    pub(super) incarnation: u64,
+    pub(super) requests: AtomicUsize,
+    /// Cancelled when the node begins to shut down.
+    pub(super) leaving: CancellationToken,
+    /// Cancelled when the node stops serving.
+    pub(super) stopped: CancellationToken,
+    metrics: PrometheusHandle,
+    state: Mutex<State>,
+}
+
+/// Construction and life.
+impl Node {
+    /// Creates a node that serves nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, parts: Parts, log: Logger) -> Arc<Self> {
+        let clock = Clock::system();
+        let incarnation = clock.wall().0;
+        let boot = clock.boot();
+        let state = State {
+            fleet: Fleet::default(),
+            quotas: Quotas::default(),
+            budgets: HashMap::new(),
+            usage: Usage::new(settings.usage_window),
+            roster: Roster::default(),
+            lease: Lease::new(
+                Arc::clone(&settings.node),
+                incarnation,
+                settings.lease,
+                boot,
+            ),
+            contacts: HashMap::new(),
+            sequence: 0,
+        };
+        Arc::new(Self {
+            settings,
+            dialect: parts.dialect,
+            documents: parts.documents,
+            store: parts.store,
+            cloud: parts.cloud,
+            upstream: Upstream::new(clock.clone()),
+            clock,
+            log,
+            active: ArcSwapOption::empty(),
+            incarnation,
+            requests: AtomicUsize::new(0),
+            leaving: CancellationToken::new(),
+            stopped: CancellationToken::new(),
+            metrics: metrics_handle(),
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Serves until the node was told to leave and its requests have ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn run(self: Arc<Self>) -> eyre::Result<()> {
+        info!(self.log, "starting"; "node" => &*self.settings.node,
+            "front" => %self.settings.front, "incarnation" => self.incarnation);
+        let (_, tokens) = watch::channel(Arc::new(Tokens::default()));
+        let handle = peer::spawn(
+            self.settings.peer,
+            Arc::new(gossip::Answering::new(Arc::clone(&self))),
+            PEER_BOUND,
+            tokens,
+            self.stopped.clone(),
+        )
+        .wrap_err("listening for other nodes")?;
+        let mut children =
+            Supervisor::new(self.stopped.clone(), self.clock.clone(), self.log.clone());
+        let node = Arc::clone(&self);
+        children.spawn("gossip", move |_| {
+            gossip::run(Arc::clone(&node), handle.clone())
+        });
+        let node = Arc::clone(&self);
+        children.spawn("operator", move |_| watching::operator(Arc::clone(&node)));
+        let node = Arc::clone(&self);
+        children.spawn("endpoints", move |_| watching::endpoints(Arc::clone(&node)));
+        let node = Arc::clone(&self);
+        children.spawn("nodes", move |_| watching::nodes(Arc::clone(&node)));
+        let node = Arc::clone(&self);
+        children.spawn("duties", move |_| duties::run(Arc::clone(&node)));
+        let node = Arc::clone(&self);
+        children.spawn("upkeep", move |_| Arc::clone(&node).upkeep());
+        server::run(Arc::clone(&self)).await?;
+        info!(self.log, "stopped"; "requests" => self.requests.load(Ordering::Relaxed));
+        self.stopped.cancel();
+        children.join().await;
+        Ok(())
+    }
+
+    /// Begins to shut down: the node takes no new work, answers what it has and ends.
+    pub fn leave(&self) {
+        if !self.leaving.is_cancelled() {
+            info!(self.log, "leaving"; "requests" => self.requests.load(Ordering::Relaxed));
+            self.leaving.cancel();
+        }
+    }
+
+    /// Notes that the settings file was read again.
+    ///
+    /// The addresses, limits and bounds of a process hold until it starts again.
+    pub fn reload(&self, settings: Result<Settings, String>) {
+        match settings {
+            Ok(settings) => {
+                let same =
+                    settings.node == self.settings.node && settings.front == self.settings.front;
+                info!(self.log, "reload"; "outcome" => "read", "same_addresses" => same);
+            }
+            Err(reason) => {
+                slog::warn!(self.log, "reload"; "outcome" => "kept", "reason" => reason);
+            }
+        }
+    }
+
+    async fn upkeep(self: Arc<Self>) -> eyre::Result<()> {
+        while !self.stopped.is_cancelled() {
+            tokio::time::sleep(UPKEEP.into()).await;
+            let now = self.clock.now();
+            self.upstream.prune(IDLE_CONNECTION);
+            let state = &mut *self.state();
+            state.fleet.prune(now);
+            state.fleet.settle(now);
+            state.roster.prune(now);
+            let roster = &state.roster;
+            state.quotas.retain_nodes(|name, incarnation| {
+                roster
+                    .members()
+                    .any(|m| &*m.statement.node == name && m.statement.incarnation == incarnation)
+            });
+        }
+        Ok(())
+    }
+}
+
+/// State.
+impl Node {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        // Every change leaves the state usable, also when a later step panics.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the node takes requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.is_cancelled()
+            && self.active.load().is_some()
+            && self.state().fleet.has_ready()
+    }
+
+    /// Returns the time of day that most nodes agree on.
+    pub(super) fn wall(&self) -> Millis {
+        let now = self.clock.now();
+        self.state().roster.wall(self.clock.wall(), now)
+    }
+
+    /// Installs a configuration unless the present one is as new; returns whether it did.
+    pub(super) fn install(&self, document: &Bytes, source: &str) -> bool {
+        let config = match self.documents.config(document) {
+            Ok(config) => config,
+            Err(error) => {
+                slog::warn!(self.log, "configuration not readable"; "source" => source,
+                    "reason" => %error);
+                return false;
+            }
+        };
+        let present = self.active.load().as_ref().map(|a| a.config.version);
+        if present.is_some_and(|version| version >= config.version) {
+            return false;
+        }
+        info!(self.log, "configuration"; "version" => config.version, "before" => present,
+            "source" => source, "routes" => config.routes().len());
+        metrics::gauge!("almondpath_config_version").set(config.version as f64);
+        self.active.store(Some(Arc::new(Active {
+            config,
+            document: document.clone(),
+        })));
+        true
+    }
+
+    /// Takes in what the endpoint with this id states about itself.
+    pub(super) fn listed(&self, id: &str, document: &[u8]) {
+        let listing = match self.documents.listing(id, document) {
+            Ok(listing) => listing,
+            Err(error) => {
+                slog::warn!(self.log, "endpoint entry not usable"; "endpoint" => id,
+                    "reason" => %error);
+                return;
+            }
+        };
+        let active = self.active.load();
+        let memory = active
+            .as_ref()
+            .and_then(|active| active.config.service(&listing.service)?.engine)
+            .map_or(0, |engine| engine.memory_tokens);
+        let change = self.state().fleet.listed(listing, memory, self.clock.now());
+        self.log_change(change, "entry");
+    }
+
+    pub(super) fn log_change(&self, change: Option<Change>, source: &str) {
+        if let Some(change) = change {
+            info!(self.log, "endpoint"; "endpoint" => &*change.identity.id,
+                "born" => change.identity.born, "service" => &*change.service,
+                "standing" => ?change.standing, "source" => source);
+        }
+    }
+
+    /// Counts a request that began to run.
+    pub(super) fn began(&self, account: Option<&Arc<Account>>) {
+        if let Some(account) = account {
+            let wall = self.wall();
+            self.state().usage.began(&account.name, wall);
+        }
+    }
+
+    /// Returns the addresses of the nodes that take requests, this one among them.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        if self.active.load().is_none() {
+            return Vec::new();
+        }
+        let own = self.is_ready().then_some(self.settings.front);
+        let now = self.clock.now();
+        let state = self.state();
+        let others = state.roster.members().filter(|member| {
+            member.statement.ready
+                && !member.statement.leaving
+                && state.roster.is_heard(member, now)
+        });
+        own.into_iter()
+            .chain(others.map(|member| member.statement.front))
+            .take(MAX_ADDRESSES)
+            .collect()
+    }
+
+    /// Returns the metrics in the text format.
+    pub(super) fn metrics_page(&self, _: &Request<Incoming>) -> Response<Body> {
+        server::text(StatusCode::OK, Bytes::from(self.metrics.render()))
+    }
+
+    /// Returns how many nodes may be serving and how many of them are not heard.
+    pub(super) fn silence(state: &State, now: Millis) -> Silence {
+        let (nodes, unheard) = state.roster.serving(now);
+        Silence { nodes, unheard }
+    }
+
+    /// Returns the next statement of this node.
+    pub(super) fn statement(&self) -> Statement {
+        let ready = self.is_ready();
+        let config = self.active.load().as_ref().map_or(0, |a| a.config.version);
+        let state = &mut *self.state();
+        state.sequence += 1;
+        let burdens = state
+            .fleet
+            .iter()
+            .filter(|(_, e)| e.inflight > 0)
+            .map(|(_, e)| Burden {
+                endpoint: Arc::clone(&e.listing.identity.id),
+                requests: e.inflight,
+                tokens: e.pending_tokens,
+            });
+        let granted = state.quotas.granted();
+        Statement {
+            node: Arc::clone(&self.settings.node),
+            incarnation: self.incarnation,
+            sequence: state.sequence,
+            peer: self.settings.peer,
+            front: self.settings.front,
+            domain: Arc::clone(&self.settings.domain),
+            ready,
+            leaving: self.leaving.is_cancelled(),
+            config,
+            granted: granted
+                .map(|(name, units)| (Arc::clone(name), units))
+                .collect(),
+            usage: state.usage.counts().clone(),
+            burdens: burdens.collect(),
+            departed: state
+                .fleet
+                .departed()
+                .map(|identity| (Arc::clone(&identity.id), identity.born))
+                .collect(),
+        }
+    }
+
+    /// Returns the requests of all nodes that began to run in a window, by account.
+    pub(super) fn usage_of(&self, window: u64) -> BTreeMap<Arc<str>, u64> {
+        let state = self.state();
+        let mut sum: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        let elsewhere = state.roster.members().map(|m| &m.statement.usage);
+        for counts in elsewhere.chain([state.usage.counts()]) {
+            for (account, count) in counts.get(&window).into_iter().flatten() {
+                *sum.entry(Arc::clone(account)).or_default() += count;
+            }
+        }
+        sum
+    }
+}
+
+/// Installs the recorder of metrics; a second node of the same process has none.
+fn metrics_handle() -> PrometheusHandle {
+    let builder = || PrometheusBuilder::new();
+    builder()
+        .install_recorder()
+        .unwrap_or_else(|_| builder().build_recorder().handle())
+}
--- /dev/null
+++ b/src/gateway/refusal.rs
@@ -0,0 +1,131 @@
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Response, StatusCode, header};
+
+use crate::clock::Millis;
+
+use super::Body;
+
+/// Why the gateway answers a request itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The head or the body can't be read.
+    Malformed,
+    /// The body exceeds the limit.
+    TooLarge,
+    /// The key belongs to no account.
+    UnknownKey,
+    /// No route matches.
+    NoRoute,
+    /// The account is over its quota.
+    Quota,
+    /// No configuration is known yet.
+    NoConfig,
+    /// No endpoint takes requests now.
+    NoEndpoint,
+    /// The request can't be answered in time.
+    Overload,
+    /// The endpoint did not run the request, and it may not be sent again.
+    Declined,
+    /// The time for the request is over before it was sent.
+    Expired,
+    /// The response was lost; the request may have run.
+    Lost,
+    /// The time for the request is over; it may have run.
+    Timeout,
+    /// The caller did not send its whole request in time.
+    SlowCaller,
+}
+
+impl Reason {
+    /// Returns the name used in bodies, metrics and logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too_large",
+            Self::UnknownKey => "unknown_key",
+            Self::NoRoute => "no_route",
+            Self::Quota => "quota",
+            Self::NoConfig => "no_config",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Overload => "overload",
+            Self::Declined => "declined",
+            Self::Expired => "expired",
+            Self::Lost => "lost",
+            Self::Timeout => "timeout",
+            Self::SlowCaller => "slow_caller",
+        }
+    }
+
+    /// Returns the status code. 408, 429 and 503 promise that the request has not run and never
+    /// will; 502 and 504 promise nothing.
+    #[must_use]
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Quota => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfig | Self::NoEndpoint | Self::Overload | Self::Declined | Self::Expired => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::SlowCaller => StatusCode::REQUEST_TIMEOUT,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// An answer of the gateway itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Time after which the caller may come back.
+    pub retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    /// Creates a refusal.
+    #[must_use]
+    pub fn new(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Tells the caller when to come back.
+    #[must_use]
+    pub fn with_retry_after(mut self, delay: Millis) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+
+    /// Returns the response.
+    #[must_use]
+    pub fn response(self) -> Response<Body> {
+        let text = format!("{{\"error\":\"{}\"}}", self.reason.as_str());
+        let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+        let mut response = Response::new(body.boxed_unsync());
+        *response.status_mut() = self.reason.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/json"),
+        );
+        if let Some(delay) = self.retry_after {
+            insert_seconds(headers, delay);
+        }
+        response
+    }
+}
+
+fn insert_seconds(headers: &mut HeaderMap, delay: Millis) {
+    let seconds = format!("{:.2}", delay.as_f64() / 1_000.0);
+    if let Ok(value) = header::HeaderValue::from_str(&seconds) {
+        headers.insert(header::RETRY_AFTER, value);
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,48 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::clock::Millis;
+
+use super::budget::Ratio;
+use super::lease::Terms;
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Unique name of the node.
+    pub node: Arc<str>,
+    /// Failure domain of the node's host.
+    pub domain: Arc<str>,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address that tells whether the node takes requests.
+    pub ready: SocketAddr,
+    /// Address that tells callers which nodes take requests.
+    pub directory: SocketAddr,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Addresses of other nodes to start from.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Millis,
+    /// Limit of repeated sends.
+    pub resends: Ratio,
+    /// Length of a window of the usage report.
+    pub usage_window: Millis,
+    /// Time after the end of a window until which its report is taken.
+    pub usage_due: Millis,
+    /// How long a lease is used and respected.
+    pub lease: Terms,
+    /// Longest time that callers may keep an address.
+    pub address_ttl: Millis,
+    /// Interval at which endpoints state that they live.
+    pub heartbeat: Millis,
+    /// Most requests at the same time.
+    pub max_requests: usize,
+    /// Whether the platform takes usage reports.
+    pub reports_usage: bool,
+    /// Whether the platform takes orders for endpoints.
+    pub orders_endpoints: bool,
+}
--- /dev/null
+++ b/src/gateway/upstream.rs
@@ -0,0 +1,164 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::clock::{Clock, Millis};
+use crate::error::{Error, ErrorKind};
+
+use super::endpoint::Key;
+
+/// Time within which an endpoint accepts a connection; endpoints are a few ms away.
+const CONNECT_BOUND: Millis = Millis(400);
+
+/// Most unused connections to one endpoint.
+const MAX_IDLE: usize = 16;
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    since: Millis,
+}
+
+/// A connection that carries one request.
+#[derive(Debug)]
+pub struct Line {
+    key: Key,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// Connections to endpoints.
+///
+/// A connection is used again only after a complete response, for a short time, and never when a
+/// byte arrived on it in between. Requests are never repeated here.
+#[derive(Debug)]
+pub struct Upstream {
+    idle: Mutex<HashMap<Key, Vec<Idle>>>,
+    clock: Clock,
+}
+
+impl Upstream {
+    /// Creates an empty pool.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            idle: Mutex::default(),
+            clock,
+        }
+    }
+
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// A connection that was unused for longer than `idle` is not used.
+    ///
+    /// # Errors
+    ///
+    /// `NotRun` when nothing was sent, `MayHaveRun` for every later failure.
+    pub async fn send(
+        &self,
+        key: Key,
+        address: SocketAddr,
+        idle: Millis,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Line), Error> {
+        while let Some(mut sender) = self.take(key, idle) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, Line { key, sender })),
+                Err(mut error) => match error.take_message() {
+                    // The connection was closed before anything was written.
+                    Some(unsent) => request = unsent,
+                    None => return Err(lost(address, &error.into_error())),
+                },
+            }
+        }
+        let mut sender = connect(address).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok((response, Line { key, sender })),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let error = lost(address, &error.into_error());
+                Err(if unsent {
+                    error.with_verdict(crate::verdict::Verdict::NotRun)
+                } else {
+                    error
+                })
+            }
+        }
+    }
+
+    /// Keeps the connection of a response that was read to its end.
+    pub fn keep(&self, line: Line) {
+        if line.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.entry(line.key).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(Idle {
+                sender: line.sender,
+                since: self.clock.now(),
+            });
+        }
+    }
+
+    /// Closes unused connections that are older than `age`.
+    pub fn prune(&self, age: Millis) {
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|_, kept| {
+            kept.retain(|line| now - line.since < age && !line.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+
+    fn take(&self, key: Key, idle: Millis) -> Option<SendRequest<Full<Bytes>>> {
+        let now = self.clock.now();
+        let mut lines = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = lines.get_mut(&key)?;
+        // The one used last is the least likely to have been closed by the endpoint.
+        while let Some(line) = kept.pop() {
+            if now - line.since < idle && line.sender.is_ready() {
+                return Some(line.sender);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
+    let refused = |reason: String| {
+        Error::not_run(
+            ErrorKind::Unavailable,
+            format!("connecting to {address} failed: {reason}"),
+        )
+    };
+    let stream = timeout(CONNECT_BOUND.into(), TcpStream::connect(address))
+        .await
+        .map_err(|_| refused(format!("no answer within {CONNECT_BOUND}")))?
+        .map_err(|error| refused(error.to_string()))?;
+    // Nagle's algorithm only delays a request that is written at once; a failure does not matter.
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| refused(error.to_string()))?;
+    // The request on the connection reports its failure.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+fn lost(address: SocketAddr, error: &hyper::Error) -> Error {
+    Error::may_have_run(
+        ErrorKind::EndpointFailed,
+        format!("request to {address} failed: {error}"),
+    )
+}
--- /dev/null
+++ b/src/gateway/watch.rs
@@ -0,0 +1,303 @@
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::clock::Millis;
+use crate::error::Error;
+
+use super::fleet::Fleet;
+use super::{Node, Page, Record, Topic};
+
+/// Time for which a read of the operator's records waits: a connection that went silent is noticed
+/// after it.
+const OPERATOR_WAIT: Millis = Millis(2_500);
+
+/// Time for which a read of the endpoints waits.
+const ENDPOINTS_WAIT: Millis = Millis(2_000);
+
+/// Pause between two reads of the endpoints: a departure has to be known within a second or two,
+/// and each read is paid for.
+const ENDPOINTS_PAUSE: Millis = Millis(300);
+
+/// Pause after the first failure; it doubles with each further one.
+const FIRST_BACKOFF: Millis = Millis(100);
+
+/// Longest pause after a failure: the store's return has to be noticed within a second.
+const LONGEST_BACKOFF: Millis = Millis(800);
+
+/// Time after a failure of the store for which a missing entry may only have lapsed.
+const DISTURBED: Millis = Millis(3_000);
+
+/// Time for which the store may answer with an end below the known one before the topic is read
+/// again from the start.
+const STALE: Millis = Millis(4_000);
+
+/// Interval at which the records of the nodes are read.
+const NODES_INTERVAL: Millis = Millis(10_000);
+
+/// As [`NODES_INTERVAL`], while few nodes are known.
+const NODES_INTERVAL_EARLY: Millis = Millis(1_000);
+
+/// Time after the start for which the records of the nodes are read more often.
+const EARLY: Millis = Millis(6_000);
+
+/// A topic as it is followed: a snapshot, then records in order.
+struct Follower {
+    node: Arc<Node>,
+    topic: Topic,
+    wait: Millis,
+    pause: Millis,
+    backoff: Millis,
+    failed: Option<Millis>,
+    /// Offset of the next record; none before a snapshot was taken in.
+    next: Option<u64>,
+    /// Since when the store answers with an end below `next`.
+    stale: Option<Millis>,
+}
+
+/// What a step of a follower yielded.
+enum News {
+    /// The newest record of each key.
+    All(Vec<Record>),
+    /// Further records.
+    More(Vec<Record>),
+}
+
+impl Follower {
+    fn new(node: Arc<Node>, topic: Topic, wait: Millis, pause: Millis) -> Self {
+        Self {
+            node,
+            topic,
+            wait,
+            pause,
+            backoff: FIRST_BACKOFF,
+            failed: None,
+            next: None,
+            stale: None,
+        }
+    }
+
+    /// Returns whether entries may have lapsed because the store was away.
+    fn is_disturbed(&self) -> bool {
+        let now = self.node.clock.now();
+        self.failed.is_some_and(|at| at + DISTURBED > now)
+    }
+
+    /// Waits for news.
+    async fn news(&mut self) -> News {
+        loop {
+            match self.step().await {
+                Ok(Some(news)) => {
+                    self.regained();
+                    return news;
+                }
+                Ok(None) => {
+                    self.regained();
+                    sleep(self.pause.into()).await;
+                }
+                Err(error) => self.lost(&error).await,
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<Option<News>, Error> {
+        let Some(next) = self.next else {
+            let snapshot = self.node.store.newest(self.topic).await?;
+            self.next = Some(snapshot.end);
+            self.stale = None;
+            return Ok(Some(News::All(snapshot.records)));
+        };
+        match self.node.store.read(self.topic, next, self.wait).await? {
+            Page::Expired { first } => {
+                info!(self.node.log, "records expired"; "topic" => ?self.topic, "next" => next,
+                    "first" => first);
+                self.next = None;
+                Ok(None)
+            }
+            Page::Records { end, .. } if end < next => {
+                let now = self.node.clock.now();
+                let since = *self.stale.get_or_insert(now);
+                if now - since > STALE {
+                    warn!(self.node.log, "topic went back"; "topic" => ?self.topic,
+                        "next" => next, "end" => end);
+                    self.next = None;
+                }
+                Ok(None)
+            }
+            Page::Records { records, .. } => {
+                self.stale = None;
+                let last = records.last().map(|record| record.offset + 1);
+                self.next = Some(last.unwrap_or(next));
+                Ok((!records.is_empty()).then_some(News::More(records)))
+            }
+        }
+    }
+
+    fn regained(&mut self) {
+        if self.backoff > FIRST_BACKOFF {
+            info!(self.node.log, "store regained"; "topic" => ?self.topic);
+        }
+        self.backoff = FIRST_BACKOFF;
+    }
+
+    async fn lost(&mut self, error: &Error) {
+        if self.backoff == FIRST_BACKOFF {
+            warn!(self.node.log, "store lost"; "topic" => ?self.topic, "reason" => %error);
+        }
+        metrics::counter!("almondpath_store_failures_total").increment(1);
+        self.failed = Some(self.node.clock.now());
+        let jitter = rand::rng().random_range(0.5..1.5);
+        sleep(Millis((self.backoff.as_f64() * jitter) as u64).into()).await;
+        self.backoff = Millis(self.backoff.0 * 2).min(LONGEST_BACKOFF);
+        self.failed = Some(self.node.clock.now());
+    }
+}
+
+/// Follows the operator's records.
+///
+/// # Errors
+///
+/// Never fails; a store that is away is waited for.
+pub(super) async fn operator(node: Arc<Node>) -> eyre::Result<()> {
+    let mut follower = Follower::new(
+        Arc::clone(&node),
+        Topic::Operator,
+        OPERATOR_WAIT,
+        Millis::ZERO,
+    );
+    loop {
+        let (News::All(records) | News::More(records)) = follower.news().await;
+        for record in records {
+            if let (Some(key), Some(value)) = (&record.key, &record.value) {
+                operator_record(&node, key, value);
+            }
+        }
+    }
+}
+
+fn operator_record(node: &Node, key: &str, value: &Bytes) {
+    if key == node.documents.config_key() {
+        node.install(value, "store");
+    }
+}
+
+/// Follows the endpoints.
+///
+/// # Errors
+///
+/// Never fails; a store that is away is waited for.
+pub(super) async fn endpoints(node: Arc<Node>) -> eyre::Result<()> {
+    let mut follower = Follower::new(
+        Arc::clone(&node),
+        Topic::Endpoints,
+        ENDPOINTS_WAIT,
+        ENDPOINTS_PAUSE,
+    );
+    loop {
+        let news = follower.news().await;
+        let disturbed = follower.is_disturbed();
+        match news {
+            News::All(records) => {
+                let present: HashSet<_> = records.iter().filter_map(|r| r.key.clone()).collect();
+                take_in(&node, &records, disturbed);
+                let missing = missing(&node.state().fleet, &present);
+                for id in missing {
+                    remove(&node, &id, disturbed);
+                }
+            }
+            News::More(records) => take_in(&node, &records, disturbed),
+        }
+        sleep(ENDPOINTS_PAUSE.into()).await;
+    }
+}
+
+fn take_in(node: &Node, records: &[Record], disturbed: bool) {
+    for record in records {
+        match (&record.key, &record.value) {
+            (Some(id), Some(document)) => node.listed(id, document),
+            (Some(id), None) => remove(node, id, disturbed),
+            (None, _) => {}
+        }
+    }
+}
+
+fn missing(fleet: &Fleet, present: &HashSet<Arc<str>>) -> Vec<Arc<str>> {
+    fleet
+        .iter()
+        .map(|(_, endpoint)| &endpoint.listing.identity.id)
+        .filter(|id| !present.contains(*id))
+        .cloned()
+        .collect()
+}
+
+fn remove(node: &Node, id: &str, disturbed: bool) {
+    let now = node.clock.now();
+    if disturbed {
+        node.state().fleet.lapsed(id, now);
+        return;
+    }
+    let change = node.state().fleet.removed(id, now);
+    node.log_change(change, "removal");
+}
+
+/// What a node writes about itself when it starts.
+#[derive(Debug, Serialize, Deserialize)]
+struct Contact {
+    peer: SocketAddr,
+}
+
+/// Writes this node's address once and reads those of the others now and then.
+///
+/// # Errors
+///
+/// Fails when the own record can't be encoded.
+pub(super) async fn nodes(node: Arc<Node>) -> eyre::Result<()> {
+    let contact = serde_json::to_vec(&Contact {
+        peer: node.settings.peer,
+    })?;
+    let begun = node.clock.now();
+    let mut written = false;
+    loop {
+        if !written {
+            let put = node
+                .store
+                .put(Topic::Nodes, None, &node.settings.node, &contact);
+            written = put.await.is_ok();
+        }
+        match node.store.newest(Topic::Nodes).await {
+            Ok(snapshot) => contacts(&node, &snapshot.records),
+            Err(error) => slog::debug!(node.log, "nodes not read"; "reason" => %error),
+        }
+        let early = node.clock.now() - begun < EARLY || !written;
+        let pause = if early {
+            NODES_INTERVAL_EARLY
+        } else {
+            NODES_INTERVAL
+        };
+        sleep(pause.into()).await;
+    }
+}
+
+fn contacts(node: &Node, records: &[Record]) {
+    let state = &mut *node.state();
+    for record in records {
+        let (Some(name), Some(value)) = (&record.key, &record.value) else {
+            continue;
+        };
+        match serde_json::from_slice::<Contact>(value) {
+            Ok(contact) if **name != *node.settings.node => {
+                state.contacts.insert(Arc::clone(name), contact.peer);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                warn!(node.log, "node record not readable"; "node" => &**name, "reason" => %error);
+            }
+        }
+    }
+}
--- a/src/node/cluster.rs
+++ b/src/node/cluster.rs
@@ -10,7 +10,7 @@
 use crate::control::Fold;
 use crate::membership::{Member, Rates, State, View};
 use crate::peer;
-use crate::platform;
+use crate::provider;
 use crate::settings;
 
 /// What a node shares with the other nodes.
@@ -34,7 +34,7 @@
     pub(super) rates: Mutex<Rates>,
     /// Endpoints whose process is not known, by the hash of their host's name.
     pub(super) unread: Mutex<HashMap<u32, Millis>>,
-    pub(super) platform: platform::Http,
+    pub(super) platform: provider::Http,
     /// Cancelled when the connections to other nodes close, after open calls are complete.
     pub(super) token: CancellationToken,
 }
@@ -62,7 +62,7 @@
             grown: Notify::new(),
             rates: Mutex::default(),
             unread: Mutex::default(),
-            platform: platform::Http::new(settings.platform),
+            platform: provider::Http::new(settings.platform),
             token: CancellationToken::new(),
         }
     }
--- a/src/node/polls.rs
+++ b/src/node/polls.rs
@@ -26,7 +26,7 @@
 use crate::clock::Millis;
 use crate::endpoint::{Key, Load, Table};
 use crate::membership::{self, Notice, short_hash};
-use crate::platform::{Cloud as _, HostList as _};
+use crate::provider::{Cloud as _, HostList as _};
 
 use super::Node;
 
--- a/src/node/rollouts/controller.rs
+++ b/src/node/rollouts/controller.rs
@@ -10,7 +10,7 @@
 use crate::config::Kind;
 use crate::control::{self, Change, LEASE, Lease, Phase, Reason, Record, Standing};
 use crate::log::{Offset, Service as _};
-use crate::platform::{Fenced, HttpOrders, Order, Orders as _};
+use crate::provider::{Fenced, HttpOrders, Order, Orders as _};
 use crate::rollout::{Plan, Step, View};
 
 use super::Node;
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -84,6 +84,15 @@
     async fn trip(&self, _payload: Bytes) -> Result<Bytes, Error> {
         Err(unimplemented(Method::Trip))
     }
+
+    /// Exchanges what two nodes of a gateway know of all nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the message can't be parsed.
+    async fn gossip(&self, _payload: Bytes) -> Result<Bytes, Error> {
+        Err(unimplemented(Method::Gossip))
+    }
 }
 
 fn unimplemented(method: Method) -> Error {
--- a/src/peer/method.rs
+++ b/src/peer/method.rs
@@ -16,6 +16,8 @@
     Config,
     /// Announces that a version receives no more requests.
     Trip,
+    /// Exchanges what two nodes of a gateway know of all nodes.
+    Gossip,
 }
 
 impl Method {
@@ -29,6 +31,7 @@
             Self::Find => "find",
             Self::Config => "config",
             Self::Trip => "trip",
+            Self::Gossip => "gossip",
         }
     }
 }
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -912,6 +912,8 @@
     pub type TripResults<> = ::capnp::capability::Results<crate::peer::peer_capnp::peer::trip_results::Owned>;
     pub type AppendParams<> = ::capnp::capability::Params<crate::peer::peer_capnp::peer::append_params::Owned>;
     pub type AppendResults<> = ::capnp::capability::Results<crate::peer::peer_capnp::peer::append_results::Owned>;
+    pub type GossipParams<> = ::capnp::capability::Params<crate::peer::peer_capnp::peer::gossip_params::Owned>;
+    pub type GossipResults<> = ::capnp::capability::Results<crate::peer::peer_capnp::peer::gossip_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -985,6 +987,9 @@
         pub fn append_request(&self) -> ::capnp::capability::Request<crate::peer::peer_capnp::peer::append_params::Owned,crate::peer::peer_capnp::peer::append_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn gossip_request(&self) -> ::capnp::capability::Request<crate::peer::peer_capnp::peer::gossip_params::Owned,crate::peer::peer_capnp::peer::gossip_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn probe(self: ::capnp::capability::Rc<Self>, _: ProbeParams<>, _: ProbeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::probe not implemented".to_string()))) }
@@ -995,6 +1000,7 @@
         fn config(self: ::capnp::capability::Rc<Self>, _: ConfigParams<>, _: ConfigResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::config not implemented".to_string()))) }
         fn trip(self: ::capnp::capability::Rc<Self>, _: TripParams<>, _: TripResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::trip not implemented".to_string()))) }
         fn append(self: ::capnp::capability::Rc<Self>, _: AppendParams<>, _: AppendResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::append not implemented".to_string()))) }
+        fn gossip(self: ::capnp::capability::Rc<Self>, _: GossipParams<>, _: GossipResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::gossip not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1032,6 +1038,7 @@
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::config(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::trip(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::append(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::gossip(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -4384,6 +4391,423 @@
             pub(crate) const TYPE_ID: u64 = 0xd5a4_b4a1_367d_9750;
         }
     }
+
+    pub mod gossip_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_payload(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_payload(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_payload(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_payload(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_payload(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_payload(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(156, 88, 152, 133, 99, 230, 223, 228),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(103, 111, 115, 115, 105, 112, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 97, 121, 108, 111, 97, 100, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xe4df_e663_8598_589c;
+        }
+    }
+
+    pub mod gossip_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::capnp::Result<crate::peer::peer_capnp::answer::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_answer(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_answer(self) -> ::capnp::Result<crate::peer::peer_capnp::answer::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_answer(&mut self, value: crate::peer::peer_capnp::answer::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_answer(self, ) -> crate::peer::peer_capnp::answer::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_answer(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_answer(&self) -> crate::peer::peer_capnp::answer::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(243, 126, 130, 171, 182, 68, 192, 183),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(103, 111, 115, 115, 105, 112, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(97, 110, 115, 119, 101, 114, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(53, 157, 171, 201, 49, 142, 99, 183),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::peer::peer_capnp::answer::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb7c0_44b6_ab82_7ef3;
+        }
+    }
 }
 
 pub mod answer {
--- a/src/peer/pool.rs
+++ b/src/peer/pool.rs
@@ -302,6 +302,7 @@
         Method::Find => call!(client, find_request, payload),
         Method::Config => call!(client, config_request, payload),
         Method::Trip => call!(client, trip_request, payload),
+        Method::Gossip => call!(client, gossip_request, payload),
     }
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -177,6 +177,7 @@
     forward!(find, FindParams, FindResults);
     forward!(config, ConfigParams, ConfigResults);
     forward!(trip, TripParams, TripResults);
+    forward!(gossip, GossipParams, GossipResults);
 }
 
 impl authentication::Server for Server {
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -1,27 +1,108 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use serde::{Deserialize, Serialize};
+use hyper::{Method, StatusCode};
+use serde::Serialize;
 
 use crate::clock::Millis;
-use crate::error::Error;
-
-/// A notice that a host will be reclaimed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Reclaim {
-    /// Name of the host.
-    pub host: Arc<str>,
-    /// Time from the response until the host is gone.
-    pub deadline_ms: Millis,
+use crate::error::{Error, ErrorKind};
+use crate::gateway::{Cloud, Holder, Order, Ordered};
+use crate::transport::Client;
+
+use super::http;
+
+/// Time within which a call is answered. The lease is respected for longer than a call may take.
+const CALL_BOUND: Millis = Millis(700);
+
+const HOLDER: &str = "x-almondpath-duty-holder";
+const FENCE: &str = "x-almondpath-fence-token";
+
+/// The platform's interface for duties.
+#[derive(Debug)]
+pub struct CloudApi {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl CloudApi {
+    /// Creates a client of the interface at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::new(CALL_BOUND),
+        }
+    }
+
+    async fn post<B>(&self, path: &str, holder: &Holder, body: &B) -> Result<StatusCode, Error>
+    where
+        B: Serialize + Sync,
+    {
+        let body = serde_json::to_vec(body)
+            .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))?;
+        let headers = [
+            (HOLDER, holder.node.to_string()),
+            (FENCE, holder.fence.to_string()),
+        ];
+        let sent = http::call(
+            &self.client,
+            Method::POST,
+            self.address,
+            path,
+            &headers,
+            body.into(),
+        );
+        Ok(sent.await?.0)
+    }
+}
+
+#[derive(Serialize)]
+struct UsageBody<'a> {
+    /// Number of the window.
+    window_id: u64,
+    counts: &'a BTreeMap<Arc<str>, u64>,
+}
+
+#[derive(Serialize)]
+struct ScaleBody<'a> {
+    service: &'a str,
+    zone: &'a str,
+    desired: u32,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    spot: bool,
 }
 
-/// What the system needs of the cloud API to learn about reclaims.
 #[async_trait]
-pub trait Cloud: Send + Sync {
-    /// Returns the notices that stand.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the API does not answer.
-    async fn notices(&self) -> Result<Vec<Reclaim>, Error>;
+impl Cloud for CloudApi {
+    async fn usage(
+        &self,
+        holder: &Holder,
+        window: u64,
+        counts: &BTreeMap<Arc<str>, u64>,
+    ) -> Result<(), Error> {
+        let body = UsageBody {
+            window_id: window,
+            counts,
+        };
+        match self.post("/usage", holder, &body).await? {
+            StatusCode::OK => Ok(()),
+            status => Err(http::refused("the usage report", status)),
+        }
+    }
+
+    async fn scale(&self, holder: &Holder, order: &Order, desired: u32) -> Result<Ordered, Error> {
+        let body = ScaleBody {
+            service: &order.service,
+            zone: &order.domain,
+            desired,
+            spot: order.spot,
+        };
+        match self.post("/scale", holder, &body).await? {
+            StatusCode::OK => Ok(Ordered::Accepted),
+            StatusCode::CONFLICT => Ok(Ordered::Unavailable),
+            status => Err(http::refused("the order", status)),
+        }
+    }
 }
--- /dev/null
+++ b/src/platform/documents.rs
@@ -0,0 +1,291 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::clock::Millis;
+use crate::error::{Error, ErrorKind};
+use crate::gateway::{
+    Account, Config, Documents, Engine, Identity, Limits, Listing, Quota, Repeat, Route, Scale,
+    Service, Share,
+};
+
+/// Key of the configuration among the operator's records.
+const CONFIG_KEY: &str = "config";
+
+/// Reads the documents of the operator and of the endpoints.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Decoder;
+
+#[derive(Deserialize)]
+struct ConfigDocument {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteDocument>,
+    #[serde(default)]
+    services: Vec<ServiceDocument>,
+    #[serde(default)]
+    limits: Option<LimitsDocument>,
+    /// Client accounts.
+    #[serde(default)]
+    tenants: Vec<TenantDocument>,
+}
+
+#[derive(Deserialize)]
+struct RouteDocument {
+    name: Arc<str>,
+    hostname: Arc<str>,
+    path_prefix: Arc<str>,
+    /// `idempotent`, `non_idempotent` or `streaming`: what may be repeated, and the form of the
+    /// response.
+    route_type: Arc<str>,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    /// The only service, where the traffic is not split.
+    service: Option<Arc<str>>,
+    #[serde(default)]
+    traffic_split: Vec<SplitDocument>,
+    /// Most endpoints, not most sends, for one attempt of a caller.
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    anonymous: bool,
+    #[serde(default)]
+    resume_streams: bool,
+    gap_target_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct SplitDocument {
+    service: Arc<str>,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct ServiceDocument {
+    name: Arc<str>,
+    #[serde(default)]
+    max_connections: Option<u32>,
+    engine: Option<EngineDocument>,
+    scale_limits: Option<ScaleDocument>,
+}
+
+#[derive(Deserialize)]
+struct EngineDocument {
+    slots: u32,
+    /// Memory of one engine, in tokens.
+    kv_capacity: u64,
+}
+
+#[derive(Deserialize)]
+struct ScaleDocument {
+    /// Fewest and most endpoints in each failure domain, not in all.
+    min: u32,
+    max: u32,
+    boot_s: f64,
+    spot_price: Option<f64>,
+    #[serde(default)]
+    zone_prices: HashMap<Arc<str>, f64>,
+}
+
+#[derive(Deserialize)]
+struct LimitsDocument {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct TenantDocument {
+    name: Arc<str>,
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    priority: Option<u8>,
+    /// `tokens`, or requests when it is missing.
+    unit: Option<Arc<str>>,
+    /// Tokens of a request that states none.
+    #[serde(default)]
+    plain_tokens: f64,
+    /// 0 or missing: no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// What an endpoint states about itself; the other fields are not used.
+#[derive(Deserialize)]
+struct EntryDocument {
+    service: Arc<str>,
+    address: std::net::SocketAddr,
+    #[serde(rename = "zone")]
+    domain: Arc<str>,
+    version: Arc<str>,
+    #[serde(default)]
+    slots: u32,
+    /// `ready` or `draining`; an entry with another state names no endpoint to use.
+    state: Arc<str>,
+    /// How much longer the endpoint stays slow, not how long it has been running.
+    #[serde(default)]
+    cold_remaining_ms: f64,
+    #[serde(default)]
+    sequence: u64,
+    /// Wall time of its start. Entries of another writer may have it as another type.
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    spot: bool,
+    leaves_ms: Option<f64>,
+}
+
+impl Documents for Decoder {
+    fn config_key(&self) -> &'static str {
+        CONFIG_KEY
+    }
+
+    fn config(&self, document: &[u8]) -> Result<Config, Error> {
+        let document: ConfigDocument = read(document)?;
+        let routes: Result<Vec<_>, _> = document.routes.into_iter().map(route).collect();
+        Ok(Config::new(
+            document.version,
+            routes?,
+            document.services.into_iter().map(service).collect(),
+            document.tenants.into_iter().map(account).collect(),
+            document.limits.map(limits).unwrap_or_default(),
+        ))
+    }
+
+    fn listing(&self, id: &str, document: &[u8]) -> Result<Listing, Error> {
+        let entry: EntryDocument = read(document)?;
+        let leaving = match &*entry.state {
+            "ready" => false,
+            "draining" => true,
+            state => return Err(malformed(format!("unknown state `{state}`"))),
+        };
+        if entry.service.is_empty() || id.is_empty() {
+            return Err(malformed("no service or id".to_owned()));
+        }
+        Ok(Listing {
+            identity: Identity {
+                id: id.into(),
+                born: entry.born,
+            },
+            service: entry.service,
+            address: entry.address,
+            domain: entry.domain,
+            version: entry.version,
+            slots: entry.slots,
+            leaving,
+            leaves_in: entry.leaves_ms.map(millis),
+            cold: millis(entry.cold_remaining_ms),
+            spot: entry.spot,
+            sequence: entry.sequence,
+        })
+    }
+}
+
+fn read<T>(document: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(document).map_err(|error| malformed(error.to_string()))
+}
+
+fn malformed(reason: String) -> Error {
+    Error::not_run(ErrorKind::Malformed, reason)
+}
+
+/// Times are whole or fractional milliseconds.
+fn millis(time: f64) -> Millis {
+    Millis(time.max(0.0) as u64)
+}
+
+fn route(document: RouteDocument) -> Result<Arc<Route>, Error> {
+    let (repeat, streaming) = match &*document.route_type {
+        "idempotent" => (Repeat::Idempotent, false),
+        "non_idempotent" => (Repeat::Never, false),
+        "streaming" if document.resume_streams => (Repeat::Resume, true),
+        "streaming" => (Repeat::Never, true),
+        kind => return Err(malformed(format!("unknown kind of route `{kind}`"))),
+    };
+    let shares = match document.service {
+        Some(service) => vec![Share {
+            service,
+            weight: 1.0,
+        }],
+        None => document
+            .traffic_split
+            .into_iter()
+            .map(|split| Share {
+                service: split.service,
+                weight: split.weight,
+            })
+            .collect(),
+    };
+    Ok(Arc::new(Route {
+        name: document.name,
+        host: document.hostname,
+        prefix: document.path_prefix,
+        repeat,
+        streaming,
+        timeout: millis(document.timeout_ms),
+        target: millis(document.target_latency_ms),
+        gap_target: document.gap_target_ms.map(millis),
+        priority: document.priority,
+        shares,
+        max_attempts: document.max_attempts.unwrap_or(1).max(1),
+        anonymous: document.anonymous,
+    }))
+}
+
+fn service(document: ServiceDocument) -> Service {
+    Service {
+        name: document.name,
+        max_connections: document.max_connections.unwrap_or(u32::MAX),
+        engine: document.engine.map(|engine| Engine {
+            slots: engine.slots,
+            memory_tokens: engine.kv_capacity,
+        }),
+        scale: document.scale_limits.map(|limits| Scale {
+            min: limits.min,
+            max: limits.max,
+            boot: millis(limits.boot_s * 1_000.0),
+            spot_price: limits.spot_price,
+            prices: limits.zone_prices,
+        }),
+    }
+}
+
+fn limits(document: LimitsDocument) -> Limits {
+    let default = Limits::default();
+    Limits {
+        header_bytes: document.max_header_bytes.unwrap_or(default.header_bytes),
+        body_bytes: document.max_body_bytes.unwrap_or(default.body_bytes),
+        header_timeout: document
+            .header_timeout_ms
+            .map_or(default.header_timeout, millis),
+        idle_timeout: document
+            .idle_timeout_ms
+            .map_or(default.idle_timeout, millis),
+    }
+}
+
+fn account(document: TenantDocument) -> Account {
+    let limited = document.rate_per_s > 0.0;
+    Account {
+        name: document.name,
+        keys: document.api_keys,
+        priority: document.priority,
+        quota: limited.then(|| Quota {
+            rate: document.rate_per_s,
+            burst: document.burst,
+            tokens: document.unit.as_deref() == Some("tokens"),
+            plain_tokens: document.plain_tokens,
+        }),
+    }
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,46 +1,49 @@
 use std::net::SocketAddr;
 
-use async_trait::async_trait;
-
-use crate::clock::Millis;
-use crate::endpoint::Host;
-use crate::error::Error;
-use crate::transport;
-
-use super::{Cloud, HostList, Reclaim};
-
-/// Time within which the platform answers; a slower answer is as useful as none, because other
-/// nodes ask at other times.
-const TIMEOUT: Millis = Millis(1_000);
-
-/// The platform over HTTP.
-#[derive(Clone, Debug)]
-pub struct Http {
-    pub(super) http: transport::Client,
-    pub(super) address: SocketAddr,
-}
-
-impl Http {
-    /// Creates a client for the platform at `address`.
-    #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
-        Self {
-            http: transport::Client::new(TIMEOUT),
-            address,
-        }
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+
+use crate::error::{Error, ErrorKind};
+use crate::transport::Client;
+
+/// Sends a call and returns status and body.
+pub(super) async fn call(
+    client: &Client,
+    method: Method,
+    address: SocketAddr,
+    target: &str,
+    headers: &[(&'static str, String)],
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), Error> {
+    let mut request = client.request(method, address, target, body)?;
+    for (name, value) in headers {
+        let value = value
+            .parse()
+            .map_err(|_| Error::not_run(ErrorKind::Malformed, format!("header {name}")))?;
+        request.headers_mut().insert(*name, value);
     }
+    send(client, request).await
 }
 
-#[async_trait]
-impl HostList for Http {
-    async fn hosts(&self) -> Result<Vec<Host>, Error> {
-        self.http.get_json(self.address, "/hosts").await
-    }
+async fn send(
+    client: &Client,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), Error> {
+    let response = client.send(request).await?;
+    let status = response.status();
+    let body = client.body(response).await?;
+    Ok((status, body))
 }
 
-#[async_trait]
-impl Cloud for Http {
-    async fn notices(&self) -> Result<Vec<Reclaim>, Error> {
-        self.http.get_json(self.address, "/notices").await
+/// Returns the error for a status that is no answer.
+///
+/// The platform promises that nothing was done when it answers 429 or 503.
+pub(super) fn refused(what: &str, status: StatusCode) -> Error {
+    let message = format!("{what} was answered with {status}");
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => Error::not_run(ErrorKind::Overloaded, message),
+        StatusCode::SERVICE_UNAVAILABLE => Error::not_run(ErrorKind::Unavailable, message),
+        _ => Error::may_have_run(ErrorKind::Unavailable, message),
     }
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::Millis;
 use crate::endpoint::{Export, Generate, Import, Load, Start};
-use crate::platform::Fenced;
+use crate::provider::Fenced;
 use crate::transport;
 
 use super::orders::{Effect, Orders, VersionFault};
--- a/src/standin/orders.rs
+++ b/src/standin/orders.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Millis;
 use crate::log::Offset;
-use crate::platform::{Fenced, Order};
+use crate::provider::{Fenced, Order};
 
 use super::{Answer, reply};
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Millis;
 use crate::endpoint::Host;
-use crate::platform::Reclaim;
+use crate::provider::Reclaim;
 
 use super::reply;
 use super::starts::Starts;
--- a/src/standin/starts.rs
+++ b/src/standin/starts.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 use crate::placement::Token;
-use crate::platform::StartHost;
+use crate::provider::StartHost;
 
 use super::{Answer, PlatformFaults, reply};
 
--- a/tests/integration/placement.rs
+++ b/tests/integration/placement.rs
@@ -3,7 +3,7 @@
 use almondpath::clock::Millis;
 use almondpath::error::ErrorKind;
 use almondpath::placement::{Class, Need, Offer, Starter, plan, wave};
-use almondpath::platform::{Http, StartHost, Starts, Weights};
+use almondpath::provider::{Http, StartHost, Starts, Weights};
 use almondpath::transport;
 use almondpath::verdict::Verdict;
 use serde_json::{Value, json};
