--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -8,7 +8,8 @@
 use crate::error::Error;
 
 use super::lease::{Entry, Fixed};
-use super::{Append, Holder, Node, Page, Topic};
+use super::scaler::Scaler;
+use super::{Append, Holder, Node, Order, Ordered, Page, Scale, Topic};
 
 /// Time between two steps of the holder.
 const STEP: Millis = Millis(250);
@@ -51,6 +52,10 @@
             }
             return Ok(());
         }
+        if !own && !node.is_reader() {
+            sleep(FOLLOW.into()).await;
+            continue;
+        }
         if let Err(error) = read(&node, &mut work).await {
             slog::debug!(node.log, "duties not read"; "reason" => %error);
             sleep(STEP.into()).await;
@@ -84,6 +89,7 @@
     if work.fence != fence {
         info!(node.log, "duties"; "holding" => own, "fence" => fence, "before" => work.fence);
         work.fence = fence;
+        node.state().scaler.reset();
     }
     if let Some(fence) = fence {
         let due = work.sent.is_none_or(|sent| sent + RENEW <= now);
@@ -93,6 +99,9 @@
         if node.settings.reports_usage {
             report(node, work).await;
         }
+        if node.settings.orders_endpoints {
+            order(node).await;
+        }
     } else if free && node.is_ready() {
         let entry = Entry::Take {
             node: Arc::clone(&node.settings.node),
@@ -125,6 +134,7 @@
                     );
                 }
                 if !more {
+                    node.state().lease.at_end();
                     let sent = work.unknown.then_some(work.sent).flatten();
                     work.unknown = false;
                     // A record that is not stored by now may still be: its condition then holds
@@ -239,3 +249,54 @@
     };
     append(node, work, entry).await.then_some(counts)
 }
+
+/// Orders endpoints for each service whose number may be chosen.
+async fn order(node: &Arc<Node>) {
+    let Some(active) = node.active.load_full() else {
+        return;
+    };
+    for service in active.config.services() {
+        if let Some(scale) = &service.scale {
+            for (order, count) in orders(node, &service.name, scale) {
+                give(node, order, count).await;
+            }
+        }
+    }
+}
+
+/// Decides on the orders for a service.
+fn orders(node: &Node, service: &Arc<str>, scale: &Scale) -> Vec<(Order, u32)> {
+    let now = node.clock.now();
+    let state = &mut *node.state();
+    let own = state.demand.rates(now);
+    let heard = state
+        .roster
+        .members()
+        .filter(|member| state.roster.is_heard(member, now));
+    let busy: f64 = heard
+        .flat_map(|member| &member.statement.demand)
+        .chain(&own)
+        .filter(|(name, _)| name == service)
+        .map(|(_, busy)| busy)
+        .sum();
+    let present = Scaler::present(&state.fleet, service, scale);
+    let orders = state.scaler.decide(service, scale, &present, busy, now);
+    if !orders.is_empty() {
+        info!(node.log, "orders"; "service" => &**service, "busy" => busy, "present" => ?present);
+    }
+    orders
+}
+
+/// Gives an order, if this node may act right now.
+async fn give(node: &Node, order: Order, count: u32) {
+    let Some(holder) = acting(node) else {
+        return;
+    };
+    let given = node.cloud.scale(&holder, &order, count).await;
+    let refused = !matches!(given, Ok(Ordered::Accepted));
+    info!(node.log, "order"; "service" => &*order.service, "domain" => &*order.domain,
+        "spot" => order.spot, "count" => count, "fence" => holder.fence,
+        "outcome" => given.map_or_else(|error| error.to_string(), |given| format!("{given:?}")));
+    let now = node.clock.now();
+    node.state().scaler.gave(order, count, refused, now);
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,6 +14,7 @@
 use crate::peer::{Handle, Handler, Method};
 
 use super::node::State;
+use super::register::Fate;
 use super::{Node, Statement};
 
 /// Time between two rounds with few nodes; what a node grants or sees leave is known everywhere
@@ -32,14 +33,59 @@
 /// Rounds after which one node that is not heard is asked.
 const PROBE_ROUNDS: u64 = 4;
 
+/// Versions of a node's news that another node has.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+struct Since {
+    /// Incarnation of the node; the versions start from 0 in each.
+    incarnation: u64,
+    /// Version of the statements.
+    statements: u64,
+    /// Version of the entries.
+    entries: u64,
+}
+
+/// What became of the entry of an endpoint.
+#[derive(Debug, Serialize, Deserialize)]
+struct EntryNews {
+    id: Arc<str>,
+    /// The entry, if it is there.
+    document: Option<String>,
+    /// Whether a missing entry may only have lapsed.
+    lapsed: bool,
+}
+
+impl EntryNews {
+    /// Returns none for an entry that is no text and so names no endpoint.
+    fn new(id: Arc<str>, fate: Fate) -> Option<Self> {
+        let lapsed = fate == Fate::Lapsed;
+        let document = match fate {
+            Fate::Listed(document) => Some(String::from_utf8(document.into()).ok()?),
+            Fate::Removed | Fate::Lapsed => None,
+        };
+        Some(Self {
+            id,
+            document,
+            lapsed,
+        })
+    }
+
+    fn fate(self) -> Fate {
+        match self.document {
+            Some(document) => Fate::Listed(document.into()),
+            None if self.lapsed => Fate::Lapsed,
+            None => Fate::Removed,
+        }
+    }
+}
+
 /// What one node tells another, and asks for.
 #[derive(Debug, Serialize, Deserialize)]
 struct Question {
     statement: Statement,
     /// Wall time of the sender.
     wall: Millis,
-    /// Version of the receiver's news that the sender has, and the receiver's incarnation.
-    since: (u64, u64),
+    /// What the sender has of the receiver's news.
+    since: Since,
     /// Configuration document, for a receiver that is behind.
     document: Option<String>,
 }
@@ -53,12 +99,20 @@
     /// Version of the news.
     version: u64,
     news: Vec<Statement>,
+    /// Version of the entries.
+    entries_version: u64,
+    /// Changed entries of endpoints.
+    entries: Vec<EntryNews>,
+    /// How far the sender has read the operator's records, and how long ago.
+    operator: Option<(u64, Millis)>,
+    /// How far the sender has read the entries of the endpoints, and how long ago.
+    endpoints: Option<(u64, Millis)>,
     /// Configuration document, for an asker that is behind.
     document: Option<String>,
 }
 
 /// Versions of the other nodes' news that were received, by address.
-type Received = Mutex<HashMap<SocketAddr, (u64, u64)>>;
+type Received = Mutex<HashMap<SocketAddr, Since>>;
 
 /// Exchanges statements with other nodes until the process ends.
 ///
@@ -96,6 +150,19 @@
     let heard: Vec<_> = heard.iter().map(|m| m.statement.peer).collect();
     let mut rng = rand::rng();
     let mut targets: Vec<_> = heard.choose_multiple(&mut rng, FAN_OUT).copied().collect();
+    // A reader of the own failure domain has the newest entries, and is near.
+    let own = (&node.settings.node, &node.settings.domain);
+    let readers = roster.readers(own, now);
+    let reader = roster
+        .members()
+        .filter(|m| readers.contains(&m.statement.node))
+        .max_by_key(|m| m.statement.domain == node.settings.domain);
+    if let Some(reader) = reader
+        && !readers.contains(&node.settings.node)
+    {
+        targets.truncate(FAN_OUT - 1);
+        targets.push(reader.statement.peer);
+    }
     if round % PROBE_ROUNDS == 1 || targets.is_empty() {
         let unheard = silent
             .iter()
@@ -118,10 +185,14 @@
     let since = lock(received).get(&to).copied().unwrap_or_default();
     let question = question(node, since, None);
     let asked = question.statement.config;
+    let sent = node.clock.now();
     let answer: Answer = handle.call(to, Method::Gossip, &question).await?;
     let behind = answer.statement.config < asked;
-    let seen = (answer.version, answer.statement.incarnation);
-    lock(received).insert(to, seen);
+    let seen = Since {
+        incarnation: answer.statement.incarnation,
+        statements: answer.version,
+        entries: answer.entries_version,
+    };
     hear(
         node,
         answer.wall,
@@ -129,6 +200,12 @@
         answer.news,
         answer.document,
     );
+    for news in answer.entries {
+        let id = Arc::clone(&news.id);
+        node.entry(&id, news.fate(), "node");
+    }
+    follow(node, sent, answer.operator, answer.endpoints);
+    lock(received).insert(to, seen);
     if behind {
         let question = self::question(node, seen, document(node));
         let _: Answer = handle.call(to, Method::Gossip, &question).await?;
@@ -136,11 +213,27 @@
     Ok(())
 }
 
+/// Takes over how far another node has read, after its news were taken in; it answered after `sent`.
+fn follow(
+    node: &Node,
+    sent: Millis,
+    operator: Option<(u64, Millis)>,
+    endpoints: Option<(u64, Millis)>,
+) {
+    let state = &mut *node.state();
+    if let Some((next, age)) = operator {
+        state.operator.follow(next, sent - age);
+    }
+    if let Some((next, age)) = endpoints {
+        state.endpoints.follow(next, sent - age);
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn question(node: &Node, since: (u64, u64), document: Option<String>) -> Question {
+fn question(node: &Node, since: Since, document: Option<String>) -> Question {
     Question {
         statement: node.statement(),
         wall: node.clock.wall(),
@@ -244,7 +337,7 @@
         let node = &self.node;
         let question: Question = serde_json::from_slice(&payload)
             .map_err(|error| Error::not_run(ErrorKind::Malformed, error.to_string()))?;
-        let (asked, incarnation) = question.since;
+        let since = question.since;
         let config = question.statement.config;
         hear(
             node,
@@ -255,17 +348,30 @@
         );
         let own = node.statement();
         let behind = config < own.config;
-        let known = if incarnation == node.incarnation {
-            asked
+        let since = if since.incarnation == node.incarnation {
+            since
         } else {
-            0
+            Since::default()
         };
-        let (version, news) = node.state().roster.since(known);
+        let now = node.clock.now();
+        let state = node.state();
+        let (version, news) = state.roster.since(since.statements);
+        let (entries_version, entries) = state.register.since(since.entries);
+        let read = |position: &super::Position| Some((position.next?, position.age(now)?));
+        let (operator, endpoints) = (read(&state.operator), read(&state.endpoints));
+        drop(state);
+        let entries = entries.into_iter();
         let answer = Answer {
             statement: own,
             wall: node.clock.wall(),
             version,
             news,
+            entries_version,
+            entries: entries
+                .filter_map(|(id, fate)| EntryNews::new(id, fate))
+                .collect(),
+            operator,
+            endpoints,
             document: behind.then(|| document(node)).flatten(),
         };
         serde_json::to_vec(&answer)
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -79,6 +79,8 @@
     /// Counts that were fixed, by window.
     fixed: BTreeMap<u64, Fixed>,
     started: Millis,
+    /// Whether the topic was read to its end.
+    read: bool,
 }
 
 /// Fixed windows that are remembered.
@@ -98,6 +100,7 @@
             renewed: None,
             fixed: BTreeMap::new(),
             started: now,
+            read: false,
         }
     }
 
@@ -112,6 +115,11 @@
         self.next = self.next.max(offset);
     }
 
+    /// Notes that everything stored was read.
+    pub fn at_end(&mut self) {
+        self.read = true;
+    }
+
     /// Takes in a record.
     pub fn read(&mut self, offset: u64, entry: Entry, now: Millis) {
         if offset < self.next {
@@ -193,6 +201,8 @@
         match &self.known {
             Some(known) if known.released => true,
             Some(known) => !self.is_own() && known.heard + self.terms.respect_for <= now,
+            // Nobody ever wrote.
+            None if self.next == 0 => self.read,
             // Records may have expired while nobody wrote.
             None => self.started + self.terms.respect_for <= now,
         }
--- a/src/gateway/listing.rs
+++ b/src/gateway/listing.rs
@@ -38,3 +38,18 @@
     /// Number of the statement; grows within one run of the endpoint.
     pub sequence: u64,
 }
+
+impl Listing {
+    /// Returns whether a statement differs from this one in more than its number and the time that
+    /// passed.
+    #[must_use]
+    pub fn tells_more(&self, other: &Self) -> bool {
+        let same = Self {
+            sequence: self.sequence,
+            cold: self.cold,
+            leaves_in: self.leaves_in,
+            ..other.clone()
+        };
+        same != *self
+    }
+}
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -19,7 +19,9 @@
 
 use super::fleet::{Change, Fleet};
 use super::quota::{Quotas, Silence};
+use super::register::{Fate, Position, Register};
 use super::roster::Roster;
+use super::scaler::{Demand, Scaler};
 use super::upstream::Upstream;
 use super::usage::Usage;
 use super::{
@@ -66,6 +68,13 @@
     pub(super) usage: Usage,
     pub(super) roster: Roster,
     pub(super) lease: Lease,
+    /// How far the operator's records were read.
+    pub(super) operator: Position,
+    /// How far the entries of the endpoints were read.
+    pub(super) endpoints: Position,
+    pub(super) register: Register,
+    pub(super) demand: Demand,
+    pub(super) scaler: Scaler,
     /// Addresses of other nodes that the store names.
     pub(super) contacts: HashMap<Arc<str>, SocketAddr>,
     sequence: u64,
@@ -112,6 +121,11 @@
                 settings.lease,
                 boot,
             ),
+            operator: Position::default(),
+            endpoints: Position::default(),
+            register: Register::default(),
+            demand: Demand::default(),
+            scaler: Scaler::default(),
             contacts: HashMap::new(),
             sequence: 0,
         };
@@ -207,6 +221,8 @@
             state.fleet.prune(now);
             state.fleet.settle(now);
             state.roster.prune(now);
+            let fleet = &state.fleet;
+            state.register.retain(|id| fleet.find(id).is_some());
             let roster = &state.roster;
             state.quotas.retain_nodes(|name, incarnation| {
                 roster
@@ -263,14 +279,33 @@
         true
     }
 
-    /// Takes in what the endpoint with this id states about itself.
-    pub(super) fn listed(&self, id: &str, document: &[u8]) {
+    /// Takes in what became of the entry of an endpoint.
+    pub(super) fn entry(&self, id: &str, fate: Fate, source: &str) {
+        let now = self.clock.now();
+        match &fate {
+            Fate::Listed(document) => {
+                if !self.listed(id, document, source) {
+                    return;
+                }
+            }
+            Fate::Removed => {
+                let change = self.state().fleet.removed(id, now);
+                self.log_change(change, source);
+            }
+            Fate::Lapsed => self.state().fleet.lapsed(id, now),
+        }
+        self.state().register.note(id, fate);
+    }
+
+    /// Takes in what the endpoint with this id states about itself; returns whether other nodes
+    /// should know it.
+    fn listed(&self, id: &str, document: &[u8], source: &str) -> bool {
         let listing = match self.documents.listing(id, document) {
             Ok(listing) => listing,
             Err(error) => {
                 slog::warn!(self.log, "endpoint entry not usable"; "endpoint" => id,
                     "reason" => %error);
-                return;
+                return false;
             }
         };
         let active = self.active.load();
@@ -278,8 +313,17 @@
             .as_ref()
             .and_then(|active| active.config.service(&listing.service)?.engine)
             .map_or(0, |engine| engine.memory_tokens);
-        let change = self.state().fleet.listed(listing, memory, self.clock.now());
-        self.log_change(change, "entry");
+        let (news, change) = {
+            let state = &mut *self.state();
+            let known = state.fleet.find(id).and_then(|key| state.fleet.get(key));
+            let news = known.is_none_or(|endpoint| {
+                endpoint.listing.tells_more(&listing) || endpoint.doubtful.is_some()
+            });
+            let now = self.clock.now();
+            (news, state.fleet.listed(listing, memory, now))
+        };
+        self.log_change(change, source);
+        news
     }
 
     pub(super) fn log_change(&self, change: Option<Change>, source: &str) {
@@ -298,6 +342,13 @@
         }
     }
 
+    /// Returns whether this node reads the store for others.
+    pub(super) fn is_reader(&self) -> bool {
+        let own = (&self.settings.node, &self.settings.domain);
+        let readers = self.state().roster.readers(own, self.clock.now());
+        readers.contains(&self.settings.node)
+    }
+
     /// Returns the addresses of the nodes that take requests, this one among them.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         if self.active.load().is_none() {
@@ -332,6 +383,7 @@
     pub(super) fn statement(&self) -> Statement {
         let ready = self.is_ready();
         let config = self.active.load().as_ref().map_or(0, |a| a.config.version);
+        let now = self.clock.now();
         let state = &mut *self.state();
         state.sequence += 1;
         let burdens = state
@@ -359,6 +411,7 @@
                 .collect(),
             usage: state.usage.counts().clone(),
             burdens: burdens.collect(),
+            demand: state.demand.rates(now),
             departed: state
                 .fleet
                 .departed()
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,8 +1,9 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
 
@@ -20,6 +21,9 @@
 /// Nodes beyond which news take longer than a few rounds to reach everyone.
 const FEW_NODES: usize = 16;
 
+/// Nodes that read the store in a deployment of one failure domain.
+const FEWEST_READERS: usize = 2;
+
 /// What a node says about one endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Burden {
@@ -60,6 +64,8 @@
     pub burdens: Vec<Burden>,
     /// Endpoints that it saw leave, as id and start.
     pub departed: Vec<(Arc<str>, u64)>,
+    /// What its requests ask of each service, in endpoints that would be busy all the time.
+    pub demand: Vec<(Arc<str>, f64)>,
 }
 
 /// A node as this node knows it.
@@ -145,6 +151,30 @@
         }
     }
 
+    /// Returns the nodes that read the store for the others: one of each failure domain, and at
+    /// least [`FEWEST_READERS`] of them. `own` is this node's name and failure domain.
+    #[must_use]
+    pub fn readers(&self, own: (&Arc<str>, &Arc<str>), now: Millis) -> Vec<Arc<str>> {
+        let heard = self.members.values().filter(|member| {
+            self.is_heard(member, now) && member.statement.ready && !member.statement.leaving
+        });
+        let mut nodes: Vec<_> = heard
+            .map(|member| (&member.statement.node, &member.statement.domain))
+            .chain([own])
+            .collect();
+        nodes.sort_by_key(|(name, _)| xxh3_64(name.as_bytes()));
+        let mut domains = HashSet::new();
+        let (mut readers, others): (Vec<_>, Vec<_>) = nodes
+            .into_iter()
+            .partition(|(_, domain)| domains.insert(*domain));
+        let missing = FEWEST_READERS.saturating_sub(readers.len());
+        readers.extend(others.into_iter().take(missing));
+        readers
+            .into_iter()
+            .map(|(name, _)| Arc::clone(name))
+            .collect()
+    }
+
     /// Returns the number of nodes that may be serving, this one included, and how many of them
     /// are not heard.
     #[must_use]
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -44,11 +44,18 @@
         let ahead = endpoint.waiting_tokens();
         endpoint.sent();
         endpoint.pending_tokens += uncached;
+        let busy = endpoint.reading(uncached);
+        let service = Arc::clone(&endpoint.listing.service);
+        let (endpoint_id, lost) = (
+            Arc::clone(&endpoint.listing.identity.id),
+            endpoint.lost.clone(),
+        );
+        state.demand.add(&service, busy, now);
         Some(Self {
             node: Arc::clone(node),
             key,
-            endpoint: Arc::clone(&endpoint.listing.identity.id),
-            lost: endpoint.lost.clone(),
+            endpoint: endpoint_id,
+            lost,
             uncached,
             sent: now,
             expected: Millis(choice.first_event as u64),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,18 +12,26 @@
 use crate::error::Error;
 
 use super::fleet::Fleet;
+use super::register::{Fate, Position};
 use super::{Node, Page, Record, Topic};
 
 /// Time for which a read of the operator's records waits: a connection that went silent is noticed
 /// after it.
-const OPERATOR_WAIT: Millis = Millis(2_500);
+const OPERATOR_WAIT: Millis = Millis(800);
 
-/// Time for which a read of the endpoints waits.
-const ENDPOINTS_WAIT: Millis = Millis(2_000);
+/// Time for which a read of the endpoints waits: heartbeats would end every wait at once.
+const ENDPOINTS_WAIT: Millis = Millis::ZERO;
 
 /// Pause between two reads of the endpoints: a departure has to be known within a second or two,
 /// and each read is paid for.
-const ENDPOINTS_PAUSE: Millis = Millis(300);
+const ENDPOINTS_PAUSE: Millis = Millis(400);
+
+/// Age of what other nodes passed on beyond which a node reads the store itself. A departure has to
+/// be known within two seconds.
+const OLDEST_NEWS: Millis = Millis(1_500);
+
+/// Interval at which a node looks whether it has to read.
+const READER_CHECK: Millis = Millis(150);
 
 /// Pause after the first failure; it doubles with each further one.
 const FIRST_BACKOFF: Millis = Millis(100);
@@ -55,9 +63,7 @@
     pause: Millis,
     backoff: Millis,
     failed: Option<Millis>,
-    /// Offset of the next record; none before a snapshot was taken in.
-    next: Option<u64>,
-    /// Since when the store answers with an end below `next`.
+    /// Since when the store answers with an end below the known one.
     stale: Option<Millis>,
 }
 
@@ -78,7 +84,6 @@
             pause,
             backoff: FIRST_BACKOFF,
             failed: None,
-            next: None,
             stale: None,
         }
     }
@@ -89,9 +94,33 @@
         self.failed.is_some_and(|at| at + DISTURBED > now)
     }
 
-    /// Waits for news.
-    async fn news(&mut self) -> News {
+    /// Runs `work` on the position of the topic.
+    fn position<F, T>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Position) -> T,
+    {
+        let state = &mut *self.node.state();
+        work(match self.topic {
+            Topic::Operator => &mut state.operator,
+            _ => &mut state.endpoints,
+        })
+    }
+
+    /// Returns whether this node has to read: for others, or because no other node's news are
+    /// recent enough.
+    fn has_to_read(&self) -> bool {
+        let now = self.node.clock.now();
+        let age = self.position(|position| position.age(now));
+        age.is_none_or(|age| age > OLDEST_NEWS) || self.node.is_reader()
+    }
+
+    /// Waits for news. The position moves on with [`Follower::taken`].
+    async fn news(&mut self) -> (News, Position) {
         loop {
+            if !self.has_to_read() {
+                sleep(READER_CHECK.into()).await;
+                continue;
+            }
             match self.step().await {
                 Ok(Some(news)) => {
                     self.regained();
@@ -106,18 +135,22 @@
         }
     }
 
-    async fn step(&mut self) -> Result<Option<News>, Error> {
-        let Some(next) = self.next else {
+    async fn step(&mut self) -> Result<Option<(News, Position)>, Error> {
+        let sent = self.node.clock.now();
+        let at = |next| Position {
+            next: Some(next),
+            current: Some(sent),
+        };
+        let Some(next) = self.position(|position| position.next) else {
             let snapshot = self.node.store.newest(self.topic).await?;
-            self.next = Some(snapshot.end);
             self.stale = None;
-            return Ok(Some(News::All(snapshot.records)));
+            return Ok(Some((News::All(snapshot.records), at(snapshot.end))));
         };
         match self.node.store.read(self.topic, next, self.wait).await? {
             Page::Expired { first } => {
                 info!(self.node.log, "records expired"; "topic" => ?self.topic, "next" => next,
                     "first" => first);
-                self.next = None;
+                self.position(|position| position.next = None);
                 Ok(None)
             }
             Page::Records { end, .. } if end < next => {
@@ -126,19 +159,29 @@
                 if now - since > STALE {
                     warn!(self.node.log, "topic went back"; "topic" => ?self.topic,
                         "next" => next, "end" => end);
-                    self.next = None;
+                    self.position(|position| position.next = None);
                 }
                 Ok(None)
             }
             Page::Records { records, .. } => {
                 self.stale = None;
-                let last = records.last().map(|record| record.offset + 1);
-                self.next = Some(last.unwrap_or(next));
-                Ok((!records.is_empty()).then_some(News::More(records)))
+                let Some(last) = records.last().map(|record| record.offset + 1) else {
+                    self.taken(at(next));
+                    return Ok(None);
+                };
+                Ok(Some((News::More(records), at(last))))
             }
         }
     }
 
+    /// Notes that all news before a position were taken in.
+    fn taken(&self, at: Position) {
+        self.position(|position| {
+            position.next = position.next.max(at.next);
+            position.current = position.current.max(at.current);
+        });
+    }
+
     fn regained(&mut self) {
         if self.backoff > FIRST_BACKOFF {
             info!(self.node.log, "store regained"; "topic" => ?self.topic);
@@ -172,12 +215,13 @@
         Millis::ZERO,
     );
     loop {
-        let (News::All(records) | News::More(records)) = follower.news().await;
+        let (News::All(records) | News::More(records), at) = follower.news().await;
         for record in records {
             if let (Some(key), Some(value)) = (&record.key, &record.value) {
                 operator_record(&node, key, value);
             }
         }
+        follower.taken(at);
     }
 }
 
@@ -200,30 +244,35 @@
         ENDPOINTS_PAUSE,
     );
     loop {
-        let news = follower.news().await;
-        let disturbed = follower.is_disturbed();
+        let (news, at) = follower.news().await;
+        let missing_fate = if follower.is_disturbed() {
+            Fate::Lapsed
+        } else {
+            Fate::Removed
+        };
         match news {
             News::All(records) => {
                 let present: HashSet<_> = records.iter().filter_map(|r| r.key.clone()).collect();
-                take_in(&node, &records, disturbed);
+                take_in(&node, records, &missing_fate);
                 let missing = missing(&node.state().fleet, &present);
                 for id in missing {
-                    remove(&node, &id, disturbed);
+                    node.entry(&id, missing_fate.clone(), "list");
                 }
             }
-            News::More(records) => take_in(&node, &records, disturbed),
+            News::More(records) => take_in(&node, records, &missing_fate),
         }
+        follower.taken(at);
         sleep(ENDPOINTS_PAUSE.into()).await;
     }
 }
 
-fn take_in(node: &Node, records: &[Record], disturbed: bool) {
+fn take_in(node: &Node, records: Vec<Record>, removed: &Fate) {
     for record in records {
-        match (&record.key, &record.value) {
-            (Some(id), Some(document)) => node.listed(id, document),
-            (Some(id), None) => remove(node, id, disturbed),
-            (None, _) => {}
-        }
+        let Some(id) = record.key else {
+            continue;
+        };
+        let fate = record.value.map_or_else(|| removed.clone(), Fate::Listed);
+        node.entry(&id, fate, "record");
     }
 }
 
@@ -236,16 +285,6 @@
         .collect()
 }
 
-fn remove(node: &Node, id: &str, disturbed: bool) {
-    let now = node.clock.now();
-    if disturbed {
-        node.state().fleet.lapsed(id, now);
-        return;
-    }
-    let change = node.state().fleet.removed(id, now);
-    node.log_change(change, "removal");
-}
-
 /// What a node writes about itself when it starts.
 #[derive(Debug, Serialize, Deserialize)]
 struct Contact {
@@ -270,11 +309,14 @@
                 .put(Topic::Nodes, None, &node.settings.node, &contact);
             written = put.await.is_ok();
         }
-        match node.store.newest(Topic::Nodes).await {
-            Ok(snapshot) => contacts(&node, &snapshot.records),
-            Err(error) => slog::debug!(node.log, "nodes not read"; "reason" => %error),
+        let alone = node.state().roster.members().next().is_none();
+        if alone || node.is_reader() {
+            match node.store.newest(Topic::Nodes).await {
+                Ok(snapshot) => contacts(&node, &snapshot.records),
+                Err(error) => slog::debug!(node.log, "nodes not read"; "reason" => %error),
+            }
         }
-        let early = node.clock.now() - begun < EARLY || !written;
+        let early = node.clock.now() - begun < EARLY || !written || alone;
         let pause = if early {
             NODES_INTERVAL_EARLY
         } else {
