--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -15,10 +15,10 @@
 const STEP: Millis = Millis(250);
 
 /// Time between two reads of a node that does not hold the lease.
-const FOLLOW: Millis = Millis(700);
+const FOLLOW: Millis = Millis(500);
 
 /// Time between two renewals.
-const RENEW: Millis = Millis(800);
+const RENEW: Millis = Millis(1_000);
 
 /// Time after the end of a window until its counts have arrived from all nodes.
 const COUNTS_SETTLE: Millis = Millis(2_500);
@@ -52,7 +52,7 @@
             }
             return Ok(());
         }
-        if !own && !node.is_reader() {
+        if !own && !(node.is_reader() && is_vacant(&node)) {
             sleep(FOLLOW.into()).await;
             continue;
         }
@@ -74,6 +74,11 @@
     }
 }
 
+/// Returns whether no node that is heard performs the duties, so that the lease has to be looked at.
+fn is_vacant(node: &Node) -> bool {
+    !node.state().roster.has_holder(node.clock.now())
+}
+
 /// Returns the holder to act as, if this node may act right now.
 fn acting(node: &Node) -> Option<Holder> {
     node.state().lease.acting(node.clock.boot())
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -411,6 +411,10 @@
                 .collect(),
             usage: state.usage.counts().clone(),
             burdens: burdens.collect(),
+            duties: state
+                .lease
+                .acting(self.clock.boot())
+                .map(|holder| holder.fence),
             demand: state.demand.rates(now),
             departed: state
                 .fleet
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -21,9 +21,12 @@
 /// Nodes beyond which news take longer than a few rounds to reach everyone.
 const FEW_NODES: usize = 16;
 
-/// Nodes that read the store in a deployment of one failure domain.
+/// Nodes that read the store in a small deployment: one may fail.
 const FEWEST_READERS: usize = 2;
 
+/// Nodes that one reader can pass its news on to.
+const NODES_PER_READER: usize = 24;
+
 /// What a node says about one endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Burden {
@@ -64,6 +67,8 @@
     pub burdens: Vec<Burden>,
     /// Endpoints that it saw leave, as id and start.
     pub departed: Vec<(Arc<str>, u64)>,
+    /// Fence of the duties, while the node performs them.
+    pub duties: Option<u64>,
     /// What its requests ask of each service, in endpoints that would be busy all the time.
     pub demand: Vec<(Arc<str>, f64)>,
 }
@@ -135,6 +140,14 @@
         self.members.values()
     }
 
+    /// Returns whether a node that is heard performs the duties.
+    #[must_use]
+    pub fn has_holder(&self, now: Millis) -> bool {
+        self.members
+            .values()
+            .any(|member| member.statement.duties.is_some() && self.is_heard(member, now))
+    }
+
     /// Returns whether a node is heard.
     #[must_use]
     pub fn is_heard(&self, member: &Member, now: Millis) -> bool {
@@ -151,8 +164,8 @@
         }
     }
 
-    /// Returns the nodes that read the store for the others: one of each failure domain, and at
-    /// least [`FEWEST_READERS`] of them. `own` is this node's name and failure domain.
+    /// Returns the nodes that read the store for the others, from different failure domains where
+    /// there are enough. `own` is this node's name and failure domain.
     #[must_use]
     pub fn readers(&self, own: (&Arc<str>, &Arc<str>), now: Millis) -> Vec<Arc<str>> {
         let heard = self.members.values().filter(|member| {
@@ -164,11 +177,12 @@
             .collect();
         nodes.sort_by_key(|(name, _)| xxh3_64(name.as_bytes()));
         let mut domains = HashSet::new();
+        let wanted = nodes.len().div_ceil(NODES_PER_READER).max(FEWEST_READERS);
         let (mut readers, others): (Vec<_>, Vec<_>) = nodes
             .into_iter()
             .partition(|(_, domain)| domains.insert(*domain));
-        let missing = FEWEST_READERS.saturating_sub(readers.len());
-        readers.extend(others.into_iter().take(missing));
+        readers.extend(others);
+        readers.truncate(wanted);
         readers
             .into_iter()
             .map(|(name, _)| Arc::clone(name))
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -24,7 +24,7 @@
 
 /// Pause between two reads of the endpoints: a departure has to be known within a second or two,
 /// and each read is paid for.
-const ENDPOINTS_PAUSE: Millis = Millis(400);
+const ENDPOINTS_PAUSE: Millis = Millis(500);
 
 /// Age of what other nodes passed on beyond which a node reads the store itself. A departure has to
 /// be known within two seconds.
