Credit a renewal only when the record is read back

Tests for decoders, quotas, budgets, fleet, events, and the order of endpoints come with it; they were written after the code they guard.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -48,7 +48,7 @@
         if node.leaving.is_cancelled() {
             if own && let Some(holder) = acting(&node) {
                 let fence = holder.fence;
-                append(&node, &mut work, Entry::Release { fence }).await;
+                append(&node, &mut work, |_| Entry::Release { fence }).await;
             }
             return Ok(());
         }
@@ -99,7 +99,7 @@
     if let Some(fence) = fence {
         let due = work.sent.is_none_or(|sent| sent + RENEW <= now);
         if due {
-            append(node, work, Entry::Renew { fence }).await;
+            append(node, work, |number| Entry::Renew { fence, number }).await;
         }
         if node.settings.reports_usage {
             report(node, work).await;
@@ -108,11 +108,12 @@
             order(node).await;
         }
     } else if free && node.is_ready() {
-        let entry = Entry::Take {
+        let take = |number| Entry::Take {
             node: Arc::clone(&node.settings.node),
             incarnation: node.incarnation,
+            number,
         };
-        append(node, work, entry).await;
+        append(node, work, take).await;
     }
 }
 
@@ -140,15 +141,7 @@
                 }
                 if !more {
                     node.state().lease.at_end();
-                    let sent = work.unknown.then_some(work.sent).flatten();
                     work.unknown = false;
-                    // A record that is not stored by now may still be: its condition then holds
-                    // only if nothing was added since, and this node would read it next.
-                    if let Some(sent) = sent
-                        && node.state().lease.is_own()
-                    {
-                        node.state().lease.stored(sent);
-                    }
                     return Ok(());
                 }
             }
@@ -166,17 +159,23 @@
     }
 }
 
-/// Appends a record where the topic ends; returns whether it is stored.
-async fn append(node: &Node, work: &mut Work, entry: Entry) -> bool {
-    let value = encode(&entry);
-    let at = node.state().lease.next();
+/// Appends the record that `make` returns for its number where the topic ends; returns whether it is
+/// stored.
+async fn append<F>(node: &Node, work: &mut Work, make: F) -> bool
+where
+    F: FnOnce(u64) -> Entry,
+{
     let sent = node.clock.boot();
+    let (at, number) = {
+        let lease = &mut node.state().lease;
+        (lease.next(), lease.send(sent))
+    };
+    let entry = make(number);
+    let value = encode(&entry);
     work.sent = Some(sent);
     match node.store.append(Topic::Duties, Some(at), &value).await {
         Ok(Append::Stored { offset }) => {
-            let lease = &mut node.state().lease;
-            lease.read(offset, entry, sent);
-            lease.stored(sent);
+            node.state().lease.read(offset, entry, sent);
             true
         }
         Ok(Append::Moved { end }) => {
@@ -247,12 +246,13 @@
 async fn fix(node: &Arc<Node>, work: &mut Work, window: u64) -> Option<Fixed> {
     let holder = acting(node)?;
     let counts = node.usage_of(window);
-    let entry = Entry::Usage {
+    let usage = |number| Entry::Usage {
         fence: holder.fence,
         window,
         counts: counts.clone(),
+        number,
     };
-    append(node, work, entry).await.then_some(counts)
+    append(node, work, usage).await.then_some(counts)
 }
 
 /// Orders endpoints for each service whose number may be chosen.
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -20,11 +20,15 @@
         node: Arc<str>,
         /// Wall time of the node's start.
         incarnation: u64,
+        /// Number of the record among those of the node.
+        number: u64,
     },
     /// The holder goes on holding the lease.
     Renew {
         /// Fence of the holder.
         fence: u64,
+        /// Number of the record among those of the node.
+        number: u64,
     },
     /// The holder gives the lease up.
     Release {
@@ -39,6 +43,8 @@
         window: u64,
         /// Counts.
         counts: Fixed,
+        /// Number of the record among those of the node.
+        number: u64,
     },
 }
 
@@ -74,8 +80,12 @@
     /// Offset after the last record that was read.
     next: u64,
     known: Option<Known>,
-    /// When a record of this node was last sent that is known to be stored.
+    /// When the latest record of this node that is known to be stored was sent.
     renewed: Option<Millis>,
+    /// Number of the next record of this node.
+    number: u64,
+    /// When the last records of this node were sent, by number.
+    sent: BTreeMap<u64, Millis>,
     /// Counts that were fixed, by window.
     fixed: BTreeMap<u64, Fixed>,
     started: Millis,
@@ -83,6 +93,9 @@
     read: bool,
 }
 
+/// Records of this node that may still be read: one is sent after the other.
+const SENT: usize = 64;
+
 /// Fixed windows that are remembered.
 const WINDOWS: usize = 16;
 
@@ -98,6 +111,8 @@
             next: 0,
             known: None,
             renewed: None,
+            number: 0,
+            sent: BTreeMap::new(),
             fixed: BTreeMap::new(),
             started: now,
             read: false,
@@ -127,7 +142,11 @@
         }
         self.next = offset + 1;
         match entry {
-            Entry::Take { node, incarnation } => {
+            Entry::Take {
+                node,
+                incarnation,
+                number,
+            } => {
                 self.known = Some(Known {
                     node,
                     incarnation,
@@ -135,15 +154,22 @@
                     released: false,
                     heard: now,
                 });
+                self.renewed = None;
+                self.confirm(offset, number);
+            }
+            Entry::Renew { fence, number } => {
+                self.heard(fence, false, now);
+                self.confirm(fence, number);
             }
-            Entry::Renew { fence } => self.heard(fence, false, now),
             Entry::Release { fence } => self.heard(fence, true, now),
             Entry::Usage {
                 fence,
                 window,
                 counts,
+                number,
             } => {
                 self.heard(fence, false, now);
+                self.confirm(fence, number);
                 self.fixed.entry(window).or_insert(counts);
                 while self.fixed.len() > WINDOWS {
                     self.fixed.pop_first();
@@ -152,6 +178,17 @@
         }
     }
 
+    /// Notes that a record was read; if this node holds the lease, it is the node's own.
+    fn confirm(&mut self, fence: u64, number: u64) {
+        let current = self
+            .known
+            .as_ref()
+            .is_some_and(|known| known.fence == fence);
+        if current && self.is_own() {
+            self.renewed = self.renewed.max(self.sent.get(&number).copied());
+        }
+    }
+
     fn heard(&mut self, fence: u64, released: bool, now: Millis) {
         if let Some(known) = &mut self.known
             && known.fence == fence
@@ -164,14 +201,18 @@
 
 /// Decisions.
 impl Lease {
-    /// Notes that a record of this node, sent at `sent`, was stored.
-    pub fn stored(&mut self, sent: Millis) {
-        self.renewed = Some(sent);
-    }
-
-    /// Stops acting on the lease until the next renewal.
-    pub fn suspend(&mut self) {
-        self.renewed = None;
+    /// Returns the number of a record that this node sends now.
+    ///
+    /// The node may act for a while after this time once the record is read back: whether an append
+    /// whose answer was lost took effect is known only then.
+    pub fn send(&mut self, now: Millis) -> u64 {
+        let number = self.number;
+        self.number += 1;
+        self.sent.insert(number, now);
+        while self.sent.len() > SENT {
+            self.sent.pop_first();
+        }
+        number
     }
 
     /// Returns whether this node holds the lease by the last record.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,12 @@
 mod call_harness;
 mod config_spread;
 mod end_to_end;
+mod gateway_documents;
+mod gateway_events;
+mod gateway_fleet;
+mod gateway_lease;
+mod gateway_limits;
+mod gateway_scaler;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
 mod hedging;
