Test gateway processes against stand-ins of the platform; end after a planned stop

The stop test found a process that never ended: it waited for followers of the store. A stand-in store, cloud interface and engines with the traps of the protocol serve all tests.

--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -184,7 +184,8 @@
         server::run(Arc::clone(&self)).await?;
         info!(self.log, "stopped"; "requests" => self.requests.load(Ordering::Relaxed));
         self.stopped.cancel();
-        children.join().await;
+        // Followers of the store wait in calls; nothing that they could still do is needed.
+        drop(children);
         Ok(())
     }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -13,7 +13,9 @@
 mod gateway_fleet;
 mod gateway_lease;
 mod gateway_limits;
+mod gateway_outcomes;
 mod gateway_scaler;
+mod gateway_serving;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
 mod hedging;
@@ -28,6 +30,8 @@
 mod peer;
 mod placement;
 mod planned_stop;
+#[allow(dead_code, reason = "not every feature uses every helper")]
+mod platform;
 mod ports;
 mod prefix_index;
 mod refusals;
--- /dev/null
+++ b/tests/integration/platform/mod.rs
@@ -0,0 +1,14 @@
+//! Stand-ins of the users' platform, and gateway processes against them.
+
+mod caller;
+mod cloud;
+mod deployment;
+mod engine;
+mod http;
+mod store;
+
+pub(crate) use self::caller::{Answer, Ask, Caller};
+pub(crate) use self::cloud::Cloud;
+pub(crate) use self::deployment::{Deployment, config};
+pub(crate) use self::engine::{Behaviour, Engine};
+pub(crate) use self::store::{Faults, Store};
--- /dev/null
+++ b/tests/integration/platform/store.rs
@@ -0,0 +1,224 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use super::http::{self, Answer, Call};
+
+/// What goes wrong at the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    /// Calls get no answer.
+    pub(crate) silent: bool,
+    /// Calls are refused.
+    pub(crate) down: bool,
+    /// Appends are stored and not answered.
+    pub(crate) lose_answers: bool,
+}
+
+#[derive(Default)]
+struct Topic {
+    first: u64,
+    records: Vec<Vec<u8>>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+}
+
+#[derive(Default)]
+struct State {
+    topics: HashMap<String, Topic>,
+    /// The newest value of each key, which expire never.
+    newest: HashMap<String, BTreeMap<String, (u64, Vec<u8>)>>,
+    faults: Faults,
+    calls: usize,
+}
+
+/// The platform's store as a log.
+#[derive(Clone)]
+pub(crate) struct Store {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    grown: Arc<Notify>,
+}
+
+impl Store {
+    pub(crate) async fn start() -> Self {
+        let state: Arc<Mutex<State>> = Arc::default();
+        let grown = Arc::new(Notify::new());
+        let (shared, news) = (Arc::clone(&state), Arc::clone(&grown));
+        let address = http::serve(move |call| {
+            let (state, grown) = (Arc::clone(&shared), Arc::clone(&news));
+            async move { handle(&state, &grown, call).await }
+        })
+        .await;
+        Self {
+            address,
+            state,
+            grown,
+        }
+    }
+
+    pub(crate) fn set_faults(&self, faults: Faults) {
+        self.state.lock().expect("no panic").faults = faults;
+    }
+
+    pub(crate) fn calls(&self) -> usize {
+        self.state.lock().expect("no panic").calls
+    }
+
+    /// Replaces the record of a key, as the operator and the endpoints do.
+    pub(crate) fn put(&self, topic: &str, key: &str, value: &Value) {
+        self.put_bytes(topic, key, value.to_string().as_bytes());
+    }
+
+    pub(crate) fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.state.lock().expect("no panic").append(topic, record);
+        self.grown.notify_waiters();
+    }
+
+    /// Removes a key.
+    pub(crate) fn remove(&self, topic: &str, key: &str) {
+        self.put_bytes(topic, key, &[]);
+    }
+
+    /// Drops all records; the newest ones of each key stay.
+    pub(crate) fn expire(&self, topic: &str) {
+        let state = &mut *self.state.lock().expect("no panic");
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.end();
+        topic.records.clear();
+    }
+
+    /// Returns the records of a topic as JSON.
+    pub(crate) fn records(&self, topic: &str) -> Vec<Value> {
+        let state = self.state.lock().expect("no panic");
+        let records = state.topics.get(topic).map(|topic| topic.records.clone());
+        let records = records.unwrap_or_default().into_iter();
+        records
+            .filter_map(|r| serde_json::from_slice(&r).ok())
+            .collect()
+    }
+}
+
+impl State {
+    fn append(&mut self, name: &str, record: Vec<u8>) -> u64 {
+        let topic = self.topics.entry(name.to_owned()).or_default();
+        let offset = topic.end();
+        if name.starts_with("keyed.") {
+            let length = usize::from(record[0]);
+            let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
+            let value = record[length + 1..].to_vec();
+            let newest = self.newest.entry(name.to_owned()).or_default();
+            if value.is_empty() {
+                newest.remove(&key);
+            } else {
+                newest.insert(key, (offset, value));
+            }
+        }
+        topic.records.push(record);
+        offset
+    }
+}
+
+async fn handle(state: &Mutex<State>, grown: &Notify, call: Call) -> Answer {
+    let faults = {
+        let mut state = state.lock().expect("no panic");
+        state.calls += 1;
+        state.faults
+    };
+    if faults.silent {
+        tokio::time::sleep(Duration::from_secs(60)).await;
+    }
+    if faults.down {
+        return Some((503, Vec::new()));
+    }
+    match &*call.path {
+        "/api/log-append" => {
+            let answer = append(&mut state.lock().expect("no panic"), &call);
+            grown.notify_waiters();
+            if faults.lose_answers { None } else { answer }
+        }
+        "/api/log-newest" => newest(&state.lock().expect("no panic"), &call),
+        "/api/log-read" => {
+            let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0));
+            let news = grown.notified();
+            let (answer, empty) = read(&mut state.lock().expect("no panic"), &call);
+            if !empty || wait.is_zero() {
+                return answer;
+            }
+            // Either way the records are read again.
+            let _ = tokio::time::timeout(wait, news).await;
+            read(&mut state.lock().expect("no panic"), &call).0
+        }
+        _ => Some((404, Vec::new())),
+    }
+}
+
+fn topic_of(call: &Call) -> &str {
+    call.value("topic").expect("a topic")
+}
+
+fn append(state: &mut State, call: &Call) -> Answer {
+    let name = topic_of(call).to_owned();
+    if name == "keyed.op" || name == "keyed.servers" {
+        return Some((403, Vec::new()));
+    }
+    let end = state.topics.entry(name.clone()).or_default().end();
+    if call.number("at").is_some_and(|at| at != end) {
+        let body = json!({ "end_offset": end }).to_string();
+        return Some((412, body.into_bytes()));
+    }
+    let mut rest = &call.body[..];
+    while let Some((length, after)) = rest.split_first_chunk::<4>() {
+        let (record, after) = after.split_at(u32::from_be_bytes(*length) as usize);
+        state.append(&name, record.to_vec());
+        rest = after;
+    }
+    let body = json!({ "offset": end, "end_offset": state.topics[&name].end() });
+    Some((200, body.to_string().into_bytes()))
+}
+
+fn newest(state: &State, call: &Call) -> Answer {
+    let name = topic_of(call);
+    let items: Vec<Value> = state.newest.get(name).map_or_else(Vec::new, |newest| {
+        let items = newest.iter().map(|(key, (offset, value))| {
+            json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+        });
+        items.collect()
+    });
+    let end = state.topics.get(name).map_or(0, Topic::end);
+    let body = json!({ "items": items, "truncated": false, "end_offset": end });
+    Some((200, body.to_string().into_bytes()))
+}
+
+/// Returns the answer and whether it holds no record.
+fn read(state: &mut State, call: &Call) -> (Answer, bool) {
+    let topic = state.topics.entry(topic_of(call).to_owned()).or_default();
+    let from = call.number("from").expect("an offset");
+    if from < topic.first {
+        let body = json!({ "first": topic.first }).to_string();
+        return (Some((410, body.into_bytes())), false);
+    }
+    let mut body = topic.end().to_be_bytes().to_vec();
+    body.extend_from_slice(&topic.first.to_be_bytes());
+    let records = topic.records.iter().skip((from - topic.first) as usize);
+    let mut empty = true;
+    for record in records {
+        empty = false;
+        body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    (Some((200, body)), empty)
+}
