--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -76,7 +76,7 @@
 
 /// Returns whether no node that is heard performs the duties, so that the lease has to be looked at.
 fn is_vacant(node: &Node) -> bool {
-    !node.state().roster.has_holder(node.clock.now())
+    node.state().roster.holder(node.clock.now()).is_none()
 }
 
 /// Returns the holder to act as, if this node may act right now.
@@ -213,6 +213,7 @@
         }
     }
     work.reported = work.reported.split_off(&oldest);
+    node.state().usage.forget_before(oldest);
 }
 
 /// Fixes the counts of a window in the store, then sends them; returns whether the platform took
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -81,14 +81,6 @@
             .values()
             .any(|endpoint| endpoint.standing == Standing::Ready)
     }
-
-    /// Returns the endpoints that leave or have left, for other nodes.
-    pub fn departed(&self) -> impl Iterator<Item = &Identity> {
-        self.endpoints
-            .values()
-            .filter(|endpoint| endpoint.standing != Standing::Ready)
-            .map(|endpoint| &endpoint.listing.identity)
-    }
 }
 
 /// Statements.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,11 +1,12 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
+use rand::seq::{IndexedRandom, IteratorRandom};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
 use crate::clock::Millis;
@@ -13,105 +14,29 @@
 use crate::membership::Message;
 use crate::peer::{Handle, Handler, Method};
 
+use super::news::{Answer, Entries, EntryNews, Progress, Question, Since};
 use super::node::State;
-use super::register::Fate;
+use super::register::Position;
+use super::roster::Member;
 use super::{Node, Statement};
 
-/// Time between two rounds with few nodes; what a node grants or sees leave is known everywhere
-/// after two or three rounds.
+/// Time between two rounds with few nodes; what a node grants is known everywhere after two or three
+/// rounds.
 const ROUND: Millis = Millis(250);
 
-/// Nodes for which [`ROUND`] holds; with more, rounds are rarer so that the cost of a node stays.
-const ROUND_NODES: usize = 16;
+/// As [`ROUND`], with many nodes, so that the cost of a node stays.
+const ROUND_OF_MANY: Millis = Millis(600);
 
-/// Longest time between two rounds.
-const LONGEST_ROUND: Millis = Millis(750);
-
-/// Heard nodes that are asked in each round.
+/// Nodes that are asked in each round.
 const FAN_OUT: usize = 2;
 
 /// Rounds after which one node that is not heard is asked.
 const PROBE_ROUNDS: u64 = 4;
 
-/// Versions of a node's news that another node has.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
-struct Since {
-    /// Incarnation of the node; the versions start from 0 in each.
-    incarnation: u64,
-    /// Version of the statements.
-    statements: u64,
-    /// Version of the entries.
-    entries: u64,
-}
-
-/// What became of the entry of an endpoint.
-#[derive(Debug, Serialize, Deserialize)]
-struct EntryNews {
-    id: Arc<str>,
-    /// The entry, if it is there.
-    document: Option<String>,
-    /// Whether a missing entry may only have lapsed.
-    lapsed: bool,
-}
-
-impl EntryNews {
-    /// Returns none for an entry that is no text and so names no endpoint.
-    fn new(id: Arc<str>, fate: Fate) -> Option<Self> {
-        let lapsed = fate == Fate::Lapsed;
-        let document = match fate {
-            Fate::Listed(document) => Some(String::from_utf8(document.into()).ok()?),
-            Fate::Removed | Fate::Lapsed => None,
-        };
-        Some(Self {
-            id,
-            document,
-            lapsed,
-        })
-    }
-
-    fn fate(self) -> Fate {
-        match self.document {
-            Some(document) => Fate::Listed(document.into()),
-            None if self.lapsed => Fate::Lapsed,
-            None => Fate::Removed,
-        }
-    }
-}
-
-/// What one node tells another, and asks for.
-#[derive(Debug, Serialize, Deserialize)]
-struct Question {
-    statement: Statement,
-    /// Wall time of the sender.
-    wall: Millis,
-    /// What the sender has of the receiver's news.
-    since: Since,
-    /// Configuration document, for a receiver that is behind.
-    document: Option<String>,
-}
-
-/// What the other node answers.
-#[derive(Debug, Serialize, Deserialize)]
-struct Answer {
-    statement: Statement,
-    /// Wall time of the sender.
-    wall: Millis,
-    /// Version of the news.
-    version: u64,
-    news: Vec<Statement>,
-    /// Version of the entries.
-    entries_version: u64,
-    /// Changed entries of endpoints.
-    entries: Vec<EntryNews>,
-    /// How far the sender has read the operator's records, and how long ago.
-    operator: Option<(u64, Millis)>,
-    /// How far the sender has read the entries of the endpoints, and how long ago.
-    endpoints: Option<(u64, Millis)>,
-    /// Configuration document, for an asker that is behind.
-    document: Option<String>,
-}
+/// Rounds after which the holder of the duties is told what began to run.
+const USAGE_ROUNDS: u64 = 2;
 
-/// Versions of the other nodes' news that were received, by address.
+/// What was received of the entries of other nodes, by address.
 type Received = Mutex<HashMap<SocketAddr, Since>>;
 
 /// Exchanges statements with other nodes until the process ends.
@@ -124,8 +49,7 @@
     let mut round = 0_u64;
     while !node.stopped.is_cancelled() {
         round += 1;
-        let (targets, nodes) = targets(&node, round);
-        for to in targets {
+        for to in targets(&node, round) {
             let (node, handle) = (Arc::clone(&node), handle.clone());
             let received = Arc::clone(&received);
             tokio::spawn(async move {
@@ -135,45 +59,52 @@
                 }
             });
         }
-        let scale = nodes.div_ceil(ROUND_NODES).max(1) as u64;
-        sleep(Millis(ROUND.0 * scale).min(LONGEST_ROUND).into()).await;
+        let pause = if node.state().roster.is_small() {
+            ROUND
+        } else {
+            ROUND_OF_MANY
+        };
+        sleep(pause.into()).await;
     }
     Ok(())
 }
 
-/// Returns the nodes to ask in this round, and the number of nodes.
-fn targets(node: &Node, round: u64) -> (Vec<SocketAddr>, usize) {
+/// Returns the nodes to ask in this round.
+fn targets(node: &Node, round: u64) -> HashSet<SocketAddr> {
     let now = node.clock.now();
     let state = node.state();
     let roster = &state.roster;
-    let (heard, silent): (Vec<_>, Vec<_>) = roster.members().partition(|m| roster.is_heard(m, now));
-    let heard: Vec<_> = heard.iter().map(|m| m.statement.peer).collect();
+    let (heard, silent): (Vec<&Member>, Vec<&Member>) =
+        roster.members().partition(|m| roster.is_heard(m, now));
     let mut rng = rand::rng();
-    let mut targets: Vec<_> = heard.choose_multiple(&mut rng, FAN_OUT).copied().collect();
+    let mut targets = HashSet::new();
     // A reader of the own failure domain has the newest entries, and is near.
     let own = (&node.settings.node, &node.settings.domain);
     let readers = roster.readers(own, now);
-    let reader = roster
-        .members()
+    let near = |m: &&&Member| m.statement.domain == node.settings.domain;
+    let reader = heard
+        .iter()
         .filter(|m| readers.contains(&m.statement.node))
-        .max_by_key(|m| m.statement.domain == node.settings.domain);
-    if let Some(reader) = reader
-        && !readers.contains(&node.settings.node)
-    {
-        targets.truncate(FAN_OUT - 1);
-        targets.push(reader.statement.peer);
+        .max_by_key(|m| near(m));
+    if !readers.contains(&node.settings.node) {
+        targets.extend(reader.map(|m| m.statement.peer));
+    }
+    if round % USAGE_ROUNDS == 0 {
+        targets.extend(roster.holder(now).map(|m| m.statement.peer));
     }
+    let random = heard.choose_multiple(&mut rng, FAN_OUT - targets.len().min(1));
+    targets.extend(random.map(|m| m.statement.peer));
     if round % PROBE_ROUNDS == 1 || targets.is_empty() {
         let unheard = silent
             .iter()
             .map(|m| m.statement.peer)
             .chain(state.contacts.values().copied())
             .chain(node.settings.seeds.iter().copied())
-            .filter(|to| *to != node.settings.peer && !heard.contains(to));
-        let unheard: Vec<_> = unheard.collect();
+            .filter(|to| heard.iter().all(|m| m.statement.peer != *to));
         targets.extend(unheard.choose(&mut rng));
     }
-    (targets, roster.members().count() + 1)
+    targets.remove(&node.settings.peer);
+    targets
 }
 
 async fn exchange(
@@ -183,16 +114,12 @@
     received: &Received,
 ) -> Result<(), Error> {
     let since = lock(received).get(&to).copied().unwrap_or_default();
-    let question = question(node, since, None);
+    let question = question(node, to, since, None);
     let asked = question.statement.config;
     let sent = node.clock.now();
-    let answer: Answer = handle.call(to, Method::Gossip, &question).await?;
+    let answer: Answer = ask(handle, to, &question).await?;
     let behind = answer.statement.config < asked;
-    let seen = Since {
-        incarnation: answer.statement.incarnation,
-        statements: answer.version,
-        entries: answer.entries_version,
-    };
+    let incarnation = answer.statement.incarnation;
     hear(
         node,
         answer.wall,
@@ -200,32 +127,57 @@
         answer.news,
         answer.document,
     );
-    for news in answer.entries {
-        let id = Arc::clone(&news.id);
-        node.entry(&id, news.fate(), "node");
+    if let Some(entries) = answer.entries {
+        for news in entries.news {
+            let id = Arc::clone(&news.id);
+            node.entry(&id, news.fate(), "node");
+        }
+        follow(&mut node.state().endpoints, sent, entries.progress);
+        let version = entries.version;
+        let seen = Since {
+            incarnation,
+            version,
+        };
+        lock(received).insert(to, seen);
     }
-    follow(node, sent, answer.operator, answer.endpoints);
-    lock(received).insert(to, seen);
+    follow(&mut node.state().operator, sent, answer.operator);
     if behind {
-        let question = self::question(node, seen, document(node));
-        let _: Answer = handle.call(to, Method::Gossip, &question).await?;
+        let question = self::question(node, to, since, document(node));
+        let _: Answer = ask(handle, to, &question).await?;
     }
     Ok(())
 }
 
+async fn ask<A>(handle: &Handle, to: SocketAddr, question: &Question) -> Result<A, Error>
+where
+    A: DeserializeOwned,
+{
+    let payload = encode(question)?;
+    let answer = handle.call_bytes(to, Method::Gossip, payload).await?;
+    decode(&answer)
+}
+
+fn encode<T>(message: &T) -> Result<Bytes, Error>
+where
+    T: Serialize,
+{
+    postcard::to_stdvec(message)
+        .map(Bytes::from)
+        .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))
+}
+
+fn decode<T>(payload: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    postcard::from_bytes(payload)
+        .map_err(|error| Error::not_run(ErrorKind::Malformed, error.to_string()))
+}
+
 /// Takes over how far another node has read, after its news were taken in; it answered after `sent`.
-fn follow(
-    node: &Node,
-    sent: Millis,
-    operator: Option<(u64, Millis)>,
-    endpoints: Option<(u64, Millis)>,
-) {
-    let state = &mut *node.state();
-    if let Some((next, age)) = operator {
-        state.operator.follow(next, sent - age);
-    }
-    if let Some((next, age)) = endpoints {
-        state.endpoints.follow(next, sent - age);
+fn follow(position: &mut Position, sent: Millis, progress: Option<Progress>) {
+    if let Some(Progress { next, age }) = progress {
+        position.follow(next, sent - age);
     }
 }
 
@@ -233,19 +185,29 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn question(node: &Node, since: Since, document: Option<String>) -> Question {
+fn question(node: &Node, to: SocketAddr, since: Since, document: Option<Vec<u8>>) -> Question {
+    let statement = node.statement();
+    let now = node.clock.now();
+    let state = node.state();
+    let own = (&node.settings.node, &node.settings.domain);
+    let readers = state.roster.readers(own, now);
+    let is_reader =
+        |member: &Member| member.statement.peer == to && readers.contains(&member.statement.node);
+    let asks_entries = state.roster.is_small() || state.roster.members().any(is_reader);
+    let holder = state.roster.holder(now).map(|m| m.statement.peer);
     Question {
-        statement: node.statement(),
+        statement,
         wall: node.clock.wall(),
-        since,
+        digest: state.roster.digest(),
+        entries: asks_entries.then_some(since),
+        usage: (holder == Some(to)).then(|| state.usage.counts().clone()),
         document,
     }
 }
 
-fn document(node: &Node) -> Option<String> {
+fn document(node: &Node) -> Option<Vec<u8>> {
     let active = node.active.load();
-    let document = &active.as_ref()?.document;
-    std::str::from_utf8(document).ok().map(str::to_owned)
+    active.as_ref().map(|active| active.document.to_vec())
 }
 
 /// Takes in what another node said.
@@ -254,42 +216,30 @@
     wall: Millis,
     statement: Statement,
     news: Vec<Statement>,
-    document: Option<String>,
+    document: Option<Vec<u8>>,
 ) {
     if let Some(document) = document {
         node.install(&Bytes::from(document), "node");
     }
     let now = node.clock.now();
-    let mut changes = Vec::new();
-    {
-        let state = &mut *node.state();
-        state.roster.time(&statement.node, wall, now);
-        for statement in news.into_iter().chain([statement]) {
-            if statement.node != node.settings.node {
-                changes.extend(state.hear(statement, now));
-            }
+    let state = &mut *node.state();
+    state.roster.time(&statement.node, wall, now);
+    for statement in news.into_iter().chain([statement]) {
+        if statement.node != node.settings.node {
+            state.hear(statement, now);
         }
-        state.spread_burdens(now);
-    }
-    for change in changes {
-        node.log_change(Some(change), "node");
     }
+    state.spread_burdens(now);
 }
 
 impl State {
-    fn hear(&mut self, statement: Statement, now: Millis) -> Vec<super::Change> {
-        if !self.roster.hear(statement.clone(), now) {
-            return Vec::new();
-        }
+    fn hear(&mut self, statement: Statement, now: Millis) {
         for (account, granted) in &statement.granted {
             let incarnation = statement.incarnation;
             self.quotas
                 .absorb(&statement.node, incarnation, account, *granted);
         }
-        let departed = statement.departed.into_iter();
-        departed
-            .filter_map(|(id, born)| self.fleet.departs(&super::Identity { id, born }, now))
-            .collect()
+        self.roster.hear(statement, now);
     }
 
     /// Adds up what the other nodes have at each endpoint.
@@ -322,6 +272,31 @@
     pub(super) fn new(node: Arc<Node>) -> Self {
         Self { node }
     }
+
+    /// Returns the entries that changed after what the asker has.
+    fn entries(&self, since: Since) -> Entries {
+        let node = &self.node;
+        let version = if since.incarnation == node.incarnation {
+            since.version
+        } else {
+            0
+        };
+        let now = node.clock.now();
+        let state = node.state();
+        let (version, changes) = state.register.since(version);
+        Entries {
+            version,
+            news: changes.into_iter().map(EntryNews::new).collect(),
+            progress: progress(&state.endpoints, now),
+        }
+    }
+}
+
+fn progress(position: &Position, now: Millis) -> Option<Progress> {
+    Some(Progress {
+        next: position.next?,
+        age: position.age(now)?,
+    })
 }
 
 #[async_trait]
@@ -335,10 +310,12 @@
 
     async fn gossip(&self, payload: Bytes) -> Result<Bytes, Error> {
         let node = &self.node;
-        let question: Question = serde_json::from_slice(&payload)
-            .map_err(|error| Error::not_run(ErrorKind::Malformed, error.to_string()))?;
-        let since = question.since;
+        let question: Question = decode(&payload)?;
         let config = question.statement.config;
+        let (name, incarnation) = (
+            Arc::clone(&question.statement.node),
+            question.statement.incarnation,
+        );
         hear(
             node,
             question.wall,
@@ -346,36 +323,25 @@
             Vec::new(),
             question.document,
         );
+        if let Some(counts) = question.usage {
+            node.state().usage.absorb(&name, incarnation, counts);
+        }
         let own = node.statement();
         let behind = config < own.config;
-        let since = if since.incarnation == node.incarnation {
-            since
-        } else {
-            Since::default()
-        };
+        let entries = question.entries.map(|since| self.entries(since));
         let now = node.clock.now();
-        let state = node.state();
-        let (version, news) = state.roster.since(since.statements);
-        let (entries_version, entries) = state.register.since(since.entries);
-        let read = |position: &super::Position| Some((position.next?, position.age(now)?));
-        let (operator, endpoints) = (read(&state.operator), read(&state.endpoints));
-        drop(state);
-        let entries = entries.into_iter();
-        let answer = Answer {
+        let (news, operator) = {
+            let state = node.state();
+            let news = state.roster.unheard_by(&question.digest);
+            (news, progress(&state.operator, now))
+        };
+        encode(&Answer {
             statement: own,
             wall: node.clock.wall(),
-            version,
             news,
-            entries_version,
-            entries: entries
-                .filter_map(|(id, fate)| EntryNews::new(id, fate))
-                .collect(),
+            entries,
             operator,
-            endpoints,
             document: behind.then(|| document(node)).flatten(),
-        };
-        serde_json::to_vec(&answer)
-            .map(Bytes::from)
-            .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))
+        })
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod lease;
 mod listing;
 mod load;
+mod news;
 mod node;
 mod prefixes;
 mod quota;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -77,7 +77,25 @@
     pub(super) scaler: Scaler,
     /// Addresses of other nodes that the store names.
     pub(super) contacts: HashMap<Arc<str>, SocketAddr>,
-    sequence: u64,
+    /// The last statement of this node, and when it was made.
+    stated: Option<(Millis, Statement)>,
+}
+
+impl State {
+    /// Returns what this node has at endpoints. With many nodes the news would be too old to be of
+    /// use when they arrive.
+    fn burdens(&self) -> Vec<Burden> {
+        if !self.roster.is_small() {
+            return Vec::new();
+        }
+        let busy = self.fleet.iter().filter(|(_, e)| e.inflight > 0);
+        busy.map(|(_, endpoint)| Burden {
+            endpoint: Arc::clone(&endpoint.listing.identity.id),
+            requests: endpoint.inflight,
+            tokens: endpoint.pending_tokens,
+        })
+        .collect()
+    }
 }
 
 /// One node of the gateway.
@@ -127,7 +145,7 @@
             demand: Demand::default(),
             scaler: Scaler::default(),
             contacts: HashMap::new(),
-            sequence: 0,
+            stated: None,
         };
         Arc::new(Self {
             settings,
@@ -380,62 +398,51 @@
         Silence { nodes, unheard }
     }
 
-    /// Returns the next statement of this node.
+    /// Returns the present statement of this node; a new one is made now and then.
     pub(super) fn statement(&self) -> Statement {
         let ready = self.is_ready();
         let config = self.active.load().as_ref().map_or(0, |a| a.config.version);
+        let leaving = self.leaving.is_cancelled();
         let now = self.clock.now();
         let state = &mut *self.state();
-        state.sequence += 1;
-        let burdens = state
-            .fleet
-            .iter()
-            .filter(|(_, e)| e.inflight > 0)
-            .map(|(_, e)| Burden {
-                endpoint: Arc::clone(&e.listing.identity.id),
-                requests: e.inflight,
-                tokens: e.pending_tokens,
-            });
+        if let Some((at, statement)) = &state.stated {
+            let same = statement.ready == ready
+                && statement.config == config
+                && statement.leaving == leaving;
+            if same && *at + state.roster.statement_interval() > now {
+                return statement.clone();
+            }
+        }
+        let sequence = state.stated.as_ref().map_or(0, |(_, s)| s.sequence) + 1;
         let granted = state.quotas.granted();
-        Statement {
+        let statement = Statement {
             node: Arc::clone(&self.settings.node),
             incarnation: self.incarnation,
-            sequence: state.sequence,
+            sequence,
             peer: self.settings.peer,
             front: self.settings.front,
             domain: Arc::clone(&self.settings.domain),
             ready,
-            leaving: self.leaving.is_cancelled(),
+            leaving,
             config,
             granted: granted
-                .map(|(name, units)| (Arc::clone(name), units))
+                .filter(|(_, units)| *units > 0.0)
+                .map(|(name, units)| (Arc::clone(name), units as u64))
                 .collect(),
-            usage: state.usage.counts().clone(),
-            burdens: burdens.collect(),
+            burdens: state.burdens(),
             duties: state
                 .lease
                 .acting(self.clock.boot())
                 .map(|holder| holder.fence),
             demand: state.demand.rates(now),
-            departed: state
-                .fleet
-                .departed()
-                .map(|identity| (Arc::clone(&identity.id), identity.born))
-                .collect(),
-        }
+        };
+        state.stated = Some((now, statement.clone()));
+        statement
     }
 
     /// Returns the requests of all nodes that began to run in a window, by account.
     pub(super) fn usage_of(&self, window: u64) -> BTreeMap<Arc<str>, u64> {
-        let state = self.state();
-        let mut sum: BTreeMap<Arc<str>, u64> = BTreeMap::new();
-        let elsewhere = state.roster.members().map(|m| &m.statement.usage);
-        for counts in elsewhere.chain([state.usage.counts()]) {
-            for (account, count) in counts.get(&window).into_iter().flatten() {
-                *sum.entry(Arc::clone(account)).or_default() += count;
-            }
-        }
-        sum
+        self.state().usage.sum(window)
     }
 }
 
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -67,7 +67,8 @@
     }
 
     /// Takes in what another node granted to an account since it started.
-    pub fn absorb(&mut self, node: &Arc<str>, incarnation: u64, account: &Arc<str>, granted: f64) {
+    pub fn absorb(&mut self, node: &Arc<str>, incarnation: u64, account: &Arc<str>, granted: u64) {
+        let granted = granted as f64;
         let entry = (Arc::clone(node), incarnation, Arc::clone(account));
         let known = self.elsewhere.entry(entry).or_insert(0.0);
         let news = granted - *known;
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -3,15 +3,22 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Millis;
 
-use super::usage::Counts;
-
 /// Time without news after which a node counts as unreachable, with few nodes.
 const SILENCE: Millis = Millis(1_500);
 
+/// As [`SILENCE`], with many nodes, whose news take several rounds.
+const SILENCE_OF_MANY: Millis = Millis(4_000);
+
+/// Time for which a statement of a node holds, with few nodes.
+const STATED: Millis = Millis(200);
+
+/// As [`STATED`], with many nodes: each node gets the statements of all others.
+const STATED_OF_MANY: Millis = Millis(1_000);
+
 /// Time after which a silent node is forgotten. Longer than a restart takes.
 const FORGET: Millis = Millis::from_secs(30);
 
@@ -19,7 +26,7 @@
 const TIME_AGE: Millis = Millis::from_secs(5);
 
 /// Nodes beyond which news take longer than a few rounds to reach everyone.
-const FEW_NODES: usize = 16;
+pub(super) const FEW_NODES: usize = 16;
 
 /// Nodes that read the store in a small deployment: one may fail.
 const FEWEST_READERS: usize = 2;
@@ -60,13 +67,9 @@
     /// Version of its configuration.
     pub config: u64,
     /// Units that it granted to each account since its start.
-    pub granted: Vec<(Arc<str>, f64)>,
-    /// Requests that began to run.
-    pub usage: Counts,
+    pub granted: Vec<(Arc<str>, u64)>,
     /// What it has at endpoints.
     pub burdens: Vec<Burden>,
-    /// Endpoints that it saw leave, as id and start.
-    pub departed: Vec<(Arc<str>, u64)>,
     /// Fence of the duties, while the node performs them.
     pub duties: Option<u64>,
     /// What its requests ask of each service, in endpoints that would be busy all the time.
@@ -80,8 +83,16 @@
     pub statement: Statement,
     /// When that was heard.
     pub heard: Millis,
-    /// Number of the news on this node, for [`Roster::since`].
-    version: u64,
+}
+
+/// Number that stands for one run of a node in a [`Digest`].
+type Run = u32;
+
+/// What a node has heard of the others: the number of the last statement of each run of a node.
+pub(super) type Digest = Vec<(Run, u64)>;
+
+fn run(statement: &Statement) -> Run {
+    xxh3_64_with_seed(statement.node.as_bytes(), statement.incarnation) as Run
 }
 
 /// The other nodes, from what they say about themselves.
@@ -90,7 +101,6 @@
     members: BTreeMap<Arc<str>, Member>,
     /// Readings of the time of day of other nodes minus the steady time here.
     times: HashMap<Arc<str>, (Millis, i64)>,
-    version: u64,
 }
 
 /// News.
@@ -102,10 +112,8 @@
         if known.is_some_and(|k| (k.statement.incarnation, k.statement.sequence) >= order) {
             return false;
         }
-        self.version += 1;
         let member = Member {
             heard: now,
-            version: self.version,
             statement,
         };
         self.members
@@ -119,11 +127,38 @@
             .insert(Arc::clone(node), (now, wall.0 as i64 - now.0 as i64));
     }
 
-    /// Returns the version of the newest news, and the statements after `version`.
+    /// Returns what was heard.
     #[must_use]
-    pub fn since(&self, version: u64) -> (u64, Vec<Statement>) {
-        let news = self.members.values().filter(|m| m.version > version);
-        (self.version, news.map(|m| m.statement.clone()).collect())
+    pub(super) fn digest(&self) -> Digest {
+        let statements = self.members.values().map(|member| &member.statement);
+        statements
+            .map(|statement| (run(statement), statement.sequence))
+            .collect()
+    }
+
+    /// Returns the statements that a node with this digest has not heard.
+    #[must_use]
+    pub(super) fn unheard_by(&self, digest: &Digest) -> Vec<Statement> {
+        let known: HashMap<Run, u64> = digest.iter().copied().collect();
+        let statements = self.members.values().map(|member| &member.statement);
+        statements
+            .filter(|s| {
+                known
+                    .get(&run(s))
+                    .is_none_or(|sequence| *sequence < s.sequence)
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the node that performs the duties, if it is heard.
+    #[must_use]
+    pub fn holder(&self, now: Millis) -> Option<&Member> {
+        self.members
+            .values()
+            .filter(|member| self.is_heard(member, now))
+            .max_by_key(|member| member.statement.duties)
+            .filter(|member| member.statement.duties.is_some())
     }
 
     /// Forgets nodes that have been silent for long.
@@ -140,27 +175,35 @@
         self.members.values()
     }
 
-    /// Returns whether a node that is heard performs the duties.
-    #[must_use]
-    pub fn has_holder(&self, now: Millis) -> bool {
-        self.members
-            .values()
-            .any(|member| member.statement.duties.is_some() && self.is_heard(member, now))
-    }
-
     /// Returns whether a node is heard.
     #[must_use]
     pub fn is_heard(&self, member: &Member, now: Millis) -> bool {
         member.heard + self.silence() > now
     }
 
+    /// Returns whether the nodes are few.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        self.members.len() <= FEW_NODES
+    }
+
+    /// Returns the time for which a statement of this node holds.
+    #[must_use]
+    pub fn statement_interval(&self) -> Millis {
+        if self.is_small() {
+            STATED
+        } else {
+            STATED_OF_MANY
+        }
+    }
+
     /// Returns the time without news after which a node counts as unreachable.
     #[must_use]
     pub fn silence(&self) -> Millis {
-        if self.members.len() <= FEW_NODES {
+        if self.is_small() {
             SILENCE
         } else {
-            Millis(SILENCE.0 * 2)
+            SILENCE_OF_MANY
         }
     }
 
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::clock::Millis;
@@ -14,6 +14,8 @@
 pub struct Usage {
     window: Millis,
     counts: Counts,
+    /// What other nodes counted, by name and incarnation.
+    elsewhere: HashMap<(Arc<str>, u64), Counts>,
 }
 
 impl Usage {
@@ -23,6 +25,7 @@
         Self {
             window,
             counts: Counts::new(),
+            elsewhere: HashMap::new(),
         }
     }
 
@@ -36,7 +39,33 @@
         }
     }
 
-    /// Returns the counts.
+    /// Takes in what another node counted since its start.
+    pub fn absorb(&mut self, node: &Arc<str>, incarnation: u64, counts: Counts) {
+        let known = self.elsewhere.entry((Arc::clone(node), incarnation));
+        known.or_default().extend(counts);
+    }
+
+    /// Returns the requests of all nodes that began to run in a window, by account.
+    #[must_use]
+    pub fn sum(&self, window: u64) -> BTreeMap<Arc<str>, u64> {
+        let mut sum: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+        for counts in self.elsewhere.values().chain([&self.counts]) {
+            for (account, count) in counts.get(&window).into_iter().flatten() {
+                *sum.entry(Arc::clone(account)).or_default() += count;
+            }
+        }
+        sum
+    }
+
+    /// Forgets the windows before this one that other nodes counted.
+    pub fn forget_before(&mut self, window: u64) {
+        self.elsewhere.retain(|_, counts| {
+            *counts = counts.split_off(&window);
+            !counts.is_empty()
+        });
+    }
+
+    /// Returns what this node counted.
     #[must_use]
     pub fn counts(&self) -> &Counts {
         &self.counts
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -170,9 +170,7 @@
     {
         let payload = serde_json::to_vec(payload)
             .map_err(|error| Error::not_run(ErrorKind::Internal, error.to_string()))?;
-        let (reply, answer) = oneshot::channel();
-        self.submit(to, Body::Call(method, payload.into(), reply))?;
-        let answer = answer.await.map_err(|_| stopped())??;
+        let answer = self.call_bytes(to, method, payload.into()).await?;
         serde_json::from_slice(&answer).map_err(|error| {
             Error::may_have_run(
                 ErrorKind::Internal,
@@ -184,6 +182,22 @@
         })
     }
 
+    /// Calls a method with a payload that its owner encodes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::call`].
+    pub async fn call_bytes(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        payload: Bytes,
+    ) -> Result<Bytes, Error> {
+        let (reply, answer) = oneshot::channel();
+        self.submit(to, Body::Call(method, payload, reply))?;
+        answer.await.map_err(|_| stopped())?
+    }
+
     fn submit(&self, to: SocketAddr, body: Body) -> Result<(), Error> {
         self.commands
             .try_send(Command { to, body })
--- a/tests/integration/gateway_limits.rs
+++ b/tests/integration/gateway_limits.rs
@@ -51,10 +51,14 @@
     }
 
     fn exchange(&mut self) {
-        let said: Vec<Vec<(Arc<str>, f64)>> = self
+        let said: Vec<Vec<(Arc<str>, u64)>> = self
             .nodes
             .iter()
-            .map(|node| node.granted().map(|(a, g)| (Arc::clone(a), g)).collect())
+            .map(|node| {
+                node.granted()
+                    .map(|(a, g)| (Arc::clone(a), g as u64))
+                    .collect()
+            })
             .collect();
         for (index, node) in self.nodes.iter_mut().enumerate() {
             for (other, said) in said.iter().enumerate() {
