--- a/src/gateway/scaler.rs
+++ b/src/gateway/scaler.rs
@@ -29,11 +29,11 @@
 
 /// Part of the time that endpoints are busy when all of them serve: bursts and the loss of a domain
 /// have to fit into the rest.
-const BUSY_ALL: f64 = 0.35;
+const BUSY_ALL: f64 = 0.33;
 
 /// Part of the time that endpoints which can't be reclaimed would be busy alone: all others may be
 /// reclaimed within seconds, and none be had for a while.
-const BUSY_STEADY: f64 = 0.6;
+const BUSY_STEADY: f64 = 0.45;
 
 /// Part of the present endpoints that are not replaced by reclaimable ones while the demand is not
 /// known.
@@ -48,6 +48,9 @@
 /// Time for which fewer endpoints have to be enough before some are given up.
 const SHRINK_AFTER: Millis = Millis(6_000);
 
+/// Part of the steady endpoints of a domain that is given up at a time.
+const SHRINK_STEP: f64 = 0.15;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
     /// Time in ms that endpoints are busy for the requests, averaged.
@@ -257,9 +260,26 @@
             }
         }
         self.shrinkable = None;
-        self.goal = Some(wanted.clone());
-        wanted
+        let goal = if fewer {
+            fewer_by_steps(goal, &wanted)
+        } else {
+            wanted
+        };
+        self.goal = Some(goal.clone());
+        goal
+    }
+}
+
+/// Returns `wanted`, but at most a part of the steady endpoints of a domain fewer than `goal`: the
+/// subjects of those that go have to be read elsewhere first.
+fn fewer_by_steps(goal: &Places, wanted: &Places) -> Places {
+    let mut steps = wanted.clone();
+    for (domain, place) in &mut steps {
+        let present = goal.get(domain).map_or(0, |place| place.steady);
+        let step = (f64::from(present) * SHRINK_STEP).ceil() as u32;
+        place.steady = place.steady.max(present.saturating_sub(step));
     }
+    steps
 }
 
 /// The orders that this node gave while it held the lease.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -27,6 +27,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Millis,
+    /// Time within which a configuration has to be in force.
+    pub config_bound: Millis,
+    /// Time after which an endpoint that leaves may get no new work.
+    pub drain_bound: Millis,
     /// Limit of repeated sends.
     pub resends: Ratio,
     /// Length of a window of the usage report.
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -17,7 +17,7 @@
 
 /// Time for which a read of the operator's records waits: a connection that went silent is noticed
 /// after it.
-const OPERATOR_WAIT: Millis = Millis(800);
+const OPERATOR_WAIT: Millis = Millis(600);
 
 /// Time for which a read of the endpoints waits: heartbeats would end every wait at once.
 const ENDPOINTS_WAIT: Millis = Millis::ZERO;
@@ -26,9 +26,9 @@
 /// and each read is paid for.
 const ENDPOINTS_PAUSE: Millis = Millis(500);
 
-/// Age of what other nodes passed on beyond which a node reads the store itself. A departure has to
-/// be known within two seconds.
-const OLDEST_NEWS: Millis = Millis(1_500);
+/// Part of the users' bound for news beyond which a node reads the store itself: what other nodes
+/// passed on is too old.
+const OLDEST_NEWS: f64 = 0.75;
 
 /// Interval at which a node looks whether it has to read.
 const READER_CHECK: Millis = Millis(150);
@@ -111,7 +111,13 @@
     fn has_to_read(&self) -> bool {
         let now = self.node.clock.now();
         let age = self.position(|position| position.age(now));
-        age.is_none_or(|age| age > OLDEST_NEWS) || self.node.is_reader()
+        let settings = &self.node.settings;
+        let bound = match self.topic {
+            Topic::Operator => settings.config_bound,
+            _ => settings.drain_bound,
+        };
+        let oldest = Millis((bound.as_f64() * OLDEST_NEWS) as u64);
+        age.is_none_or(|age| age > oldest) || self.node.is_reader()
     }
 
     /// Waits for news. The position moves on with [`Follower::taken`].
--- a/src/platform/node_file.rs
+++ b/src/platform/node_file.rs
@@ -62,6 +62,10 @@
 #[derive(Clone, Debug, Deserialize)]
 struct Bounds {
     grace_s: f64,
+    /// Time within which a configuration has to be in force everywhere.
+    config_apply_ms: f64,
+    /// Time after which an endpoint that leaves may get no new work, not the time that it drains for.
+    drain_ms: f64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
     budget_slack: f64,
@@ -135,6 +139,8 @@
         let bounds = &self.bounds;
         let times = [
             ("grace_s", bounds.grace_s),
+            ("config_apply_ms", bounds.config_apply_ms),
+            ("drain_ms", bounds.drain_ms),
             ("budget_window_s", bounds.budget_window_s),
             ("usage_window_s", bounds.usage_window_s),
             ("usage_late_s", bounds.usage_late_s),
@@ -192,6 +198,8 @@
             metrics,
             seeds: self.seeds.clone(),
             grace: seconds(bounds.grace_s),
+            config_bound: Millis(bounds.config_apply_ms as u64),
+            drain_bound: Millis(bounds.drain_ms as u64),
             resends: Ratio {
                 ratio: bounds.retry_budget_ratio,
                 window: seconds(bounds.budget_window_s),
--- a/tests/integration/gateway_documents.rs
+++ b/tests/integration/gateway_documents.rs
@@ -23,6 +23,8 @@
 max_fds = 4100
 [bounds]
 grace_s = 8
+config_apply_ms = 2000
+drain_ms = 2000
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 52
--- a/tests/integration/platform/deployment.rs
+++ b/tests/integration/platform/deployment.rs
@@ -180,7 +180,7 @@
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
              directory = \"{directory}\"\n\
              [limits]\nmemory_mb = 260\nmax_fds = 4100\n\
-             [bounds]\ngrace_s = 8\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+             [bounds]\ngrace_s = 8\nconfig_apply_ms = 2000\ndrain_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
              budget_slack = 52\nusage_window_s = 1\nusage_late_s = 10\nttl_max_s = 5\n\
              [platform]\naddress = \"{}\"\nform = \"log\"\n\
              [cloud]\naddress = \"{}\"\nduties = [\"usage_report\"]\n",
