--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -17,12 +17,19 @@
 /// Time between two reads of a node that does not hold the lease.
 const FOLLOW: Millis = Millis(500);
 
+/// As [`FOLLOW`], while a node that is heard performs the duties.
+const FOLLOW_HOLDER: Millis = Millis(1_500);
+
 /// Time between two renewals.
 const RENEW: Millis = Millis(1_000);
 
 /// Time after the end of a window until its counts have arrived from all nodes.
 const COUNTS_SETTLE: Millis = Millis(2_500);
 
+/// Part of the time after which a node counts as silent within which the others have told a new
+/// holder what began to run there.
+const TOLD: f64 = 0.75;
+
 /// What the holder keeps beside the lease.
 #[derive(Default)]
 struct Work {
@@ -32,8 +39,9 @@
     unknown: bool,
     /// Windows whose report the platform has taken.
     reported: std::collections::BTreeSet<u64>,
-    /// The fence that was held last, for the log.
+    /// The fence that is held, and since when.
     fence: Option<u64>,
+    since: Option<Millis>,
 }
 
 /// Takes part in the lease of the duties, and performs them while it holds it.
@@ -52,7 +60,7 @@
             }
             return Ok(());
         }
-        if !own && !(node.is_reader() && is_vacant(&node)) {
+        if !own && !node.is_reader() {
             sleep(FOLLOW.into()).await;
             continue;
         }
@@ -62,10 +70,13 @@
             continue;
         }
         step(&node, &mut work).await;
-        let pause = if node.state().lease.is_own() {
+        let own = node.state().lease.is_own();
+        let pause = if own {
             STEP
-        } else {
+        } else if is_vacant(&node) {
             FOLLOW
+        } else {
+            FOLLOW_HOLDER
         };
         tokio::select! {
             () = sleep(pause.into()) => {}
@@ -74,7 +85,7 @@
     }
 }
 
-/// Returns whether no node that is heard performs the duties, so that the lease has to be looked at.
+/// Returns whether no node that is heard performs the duties.
 fn is_vacant(node: &Node) -> bool {
     node.state().roster.holder(node.clock.now()).is_none()
 }
@@ -94,6 +105,7 @@
     if work.fence != fence {
         info!(node.log, "duties"; "holding" => own, "fence" => fence, "before" => work.fence);
         work.fence = fence;
+        work.since = fence.map(|_| now);
         node.state().scaler.reset();
     }
     if let Some(fence) = fence {
@@ -101,7 +113,9 @@
         if due {
             append(node, work, |number| Entry::Renew { fence, number }).await;
         }
-        if node.settings.reports_usage {
+        let wait = node.state().roster.silence().as_f64() * TOLD;
+        let told = work.since.is_some_and(|at| at + Millis(wait as u64) <= now);
+        if node.settings.reports_usage && told {
             report(node, work).await;
         }
         if node.settings.orders_endpoints {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -36,6 +36,9 @@
 /// Rounds after which the holder of the duties is told what began to run.
 const USAGE_ROUNDS: u64 = 2;
 
+/// Time after a failed call for which the store counts as away.
+const STORE_AWAY: Millis = Millis(2_000);
+
 /// What was received of the entries of other nodes, by address.
 type Received = Mutex<HashMap<SocketAddr, Since>>;
 
@@ -114,11 +117,10 @@
     received: &Received,
 ) -> Result<(), Error> {
     let since = lock(received).get(&to).copied().unwrap_or_default();
-    let question = question(node, to, since, None);
-    let asked = question.statement.config;
+    let question = question(node, to, since);
     let sent = node.clock.now();
     let answer: Answer = ask(handle, to, &question).await?;
-    let behind = answer.statement.config < asked;
+    let config = answer.statement.config;
     let incarnation = answer.statement.incarnation;
     hear(
         node,
@@ -140,10 +142,9 @@
         };
         lock(received).insert(to, seen);
     }
-    follow(&mut node.state().operator, sent, answer.operator);
-    if behind {
-        let question = self::question(node, to, since, document(node));
-        let _: Answer = ask(handle, to, &question).await?;
+    // A node that is behind reads the records before it counts as having read as far.
+    if config <= node.config_version() {
+        follow(&mut node.state().operator, sent, answer.operator);
     }
     Ok(())
 }
@@ -185,7 +186,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn question(node: &Node, to: SocketAddr, since: Since, document: Option<Vec<u8>>) -> Question {
+fn question(node: &Node, to: SocketAddr, since: Since) -> Question {
     let statement = node.statement();
     let now = node.clock.now();
     let state = node.state();
@@ -201,7 +202,7 @@
         digest: state.roster.digest(),
         entries: asks_entries.then_some(since),
         usage: (holder == Some(to)).then(|| state.usage.counts().clone()),
-        document,
+        wants_document: state.store_failed.is_some_and(|at| at + STORE_AWAY > now),
     }
 }
 
@@ -222,7 +223,8 @@
         node.install(&Bytes::from(document), "node");
     }
     let now = node.clock.now();
-    let state = &mut *node.state();
+    let mut guard = node.state();
+    let state = &mut *guard;
     state.roster.time(&statement.node, wall, now);
     for statement in news.into_iter().chain([statement]) {
         if statement.node != node.settings.node {
@@ -230,6 +232,11 @@
         }
     }
     state.spread_burdens(now);
+    let newest = state.roster.newest_config();
+    drop(guard);
+    if newest > node.config_version() {
+        node.behind.notify_one();
+    }
 }
 
 impl State {
@@ -316,18 +323,12 @@
             Arc::clone(&question.statement.node),
             question.statement.incarnation,
         );
-        hear(
-            node,
-            question.wall,
-            question.statement,
-            Vec::new(),
-            question.document,
-        );
+        hear(node, question.wall, question.statement, Vec::new(), None);
         if let Some(counts) = question.usage {
             node.state().usage.absorb(&name, incarnation, counts);
         }
         let own = node.statement();
-        let behind = config < own.config;
+        let behind = config < own.config && question.wants_document;
         let entries = question.entries.map(|since| self.entries(since));
         let now = node.clock.now();
         let (news, operator) = {
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -78,8 +78,8 @@
     pub(super) entries: Option<Since>,
     /// Requests that began to run, for the node that reports them.
     pub(super) usage: Option<Counts>,
-    /// Configuration document, for a receiver that is behind.
-    pub(super) document: Option<Vec<u8>>,
+    /// Whether the sender can't read the store and takes a newer configuration from the receiver.
+    pub(super) wants_document: bool,
 }
 
 /// What the other node answers.
@@ -93,6 +93,6 @@
     pub(super) entries: Option<Entries>,
     /// How far the sender has read the operator's records.
     pub(super) operator: Option<Progress>,
-    /// Configuration document, for an asker that is behind.
+    /// Configuration document, for an asker that is behind and wants it.
     pub(super) document: Option<Vec<u8>>,
 }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{Logger, info};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, Millis};
@@ -72,6 +72,8 @@
     pub(super) operator: Position,
     /// How far the entries of the endpoints were read.
     pub(super) endpoints: Position,
+    /// When the operator's records could last not be read.
+    pub(super) store_failed: Option<Millis>,
     pub(super) register: Register,
     pub(super) demand: Demand,
     pub(super) scaler: Scaler,
@@ -115,6 +117,8 @@
     pub(super) leaving: CancellationToken,
     /// Cancelled when the node stops serving.
     pub(super) stopped: CancellationToken,
+    /// Notified when another node has a newer configuration.
+    pub(super) behind: Notify,
     metrics: PrometheusHandle,
     state: Mutex<State>,
 }
@@ -141,6 +145,7 @@
             ),
             operator: Position::default(),
             endpoints: Position::default(),
+            store_failed: None,
             register: Register::default(),
             demand: Demand::default(),
             scaler: Scaler::default(),
@@ -161,6 +166,7 @@
             requests: AtomicUsize::new(0),
             leaving: CancellationToken::new(),
             stopped: CancellationToken::new(),
+            behind: Notify::new(),
             metrics: metrics_handle(),
             state: Mutex::new(state),
         })
@@ -274,6 +280,11 @@
         self.state().roster.wall(self.clock.wall(), now)
     }
 
+    /// Returns the version of the configuration in force; 0 without one.
+    pub(super) fn config_version(&self) -> u64 {
+        self.active.load().as_ref().map_or(0, |a| a.config.version)
+    }
+
     /// Installs a configuration unless the present one is as new; returns whether it did.
     pub(super) fn install(&self, document: &Bytes, source: &str) -> bool {
         let config = match self.documents.config(document) {
@@ -395,13 +406,17 @@
     /// Returns how many nodes may be serving and how many of them are not heard.
     pub(super) fn silence(state: &State, now: Millis) -> Silence {
         let (nodes, unheard) = state.roster.serving(now);
-        Silence { nodes, unheard }
+        Silence {
+            nodes,
+            unheard,
+            late: !state.roster.is_small(),
+        }
     }
 
     /// Returns the present statement of this node; a new one is made now and then.
     pub(super) fn statement(&self) -> Statement {
         let ready = self.is_ready();
-        let config = self.active.load().as_ref().map_or(0, |a| a.config.version);
+        let config = self.config_version();
         let leaving = self.leaving.is_cancelled();
         let now = self.clock.now();
         let state = &mut *self.state();
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -9,18 +9,43 @@
 /// rest.
 const START_LEVEL: f64 = 0.5;
 
+/// Factor of the part of the rate that a node may grant by itself, over its part of what is granted:
+/// until others have heard of it, all nodes together stay within as much of the rate.
+const OWN_PART: f64 = 1.25;
+
+/// Time over which grants are averaged.
+const AVERAGED: Millis = Millis(4_000);
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     level: f64,
     updated: Millis,
     /// Units that this node granted since it started.
     granted: f64,
+    /// What this node may grant before the others hear of it.
+    own_level: f64,
+    /// Units granted by this node and by the others lately; both fade alike.
+    own_lately: f64,
+    others_lately: f64,
+}
+
+impl Bucket {
+    /// Returns this node's part of the rate. The others are taken to use all of the rest, so that a
+    /// node that has not heard of them yet takes no more than its even part.
+    fn part(&self, rate: f64, nodes: usize) -> f64 {
+        let even = 1.0 / nodes.max(1) as f64;
+        let rest = rate * AVERAGED.as_f64() / 1_000.0 * (1.0 - even);
+        let own = self.own_lately / (self.own_lately + self.others_lately.max(rest)).max(1.0);
+        (own.max(even) * OWN_PART).min(1.0)
+    }
 }
 
 /// Token buckets of the client accounts.
 ///
 /// Each node keeps the bucket of all nodes together: it takes off what it grants itself, what the
 /// other nodes say they granted, and an equal share of the rate for each node that is not heard.
+/// Among many nodes, whose news are late, a node grants besides no more than its own part of the
+/// rate, so that an account that floods all nodes at once gets no more than its quota.
 #[derive(Debug, Default)]
 pub struct Quotas {
     buckets: HashMap<Arc<str>, Bucket>,
@@ -35,6 +60,8 @@
     pub nodes: usize,
     /// Those of them that are not heard.
     pub unheard: usize,
+    /// Whether news of the others take longer than a moment.
+    pub late: bool,
 }
 
 impl Quotas {
@@ -57,13 +84,22 @@
         let bucket = self.refill(account, quota, silence, now);
         // A request larger than the burst is granted from a full bucket, which then owes the rest.
         let needed = cost.min(quota.burst);
-        if bucket.level >= needed {
-            bucket.level -= cost;
-            bucket.granted += cost;
-            return Ok(());
+        let part = bucket.part(quota.rate, silence.nodes);
+        // A request may be larger than a node's own part, which then owes the rest.
+        let own_missing = if silence.late && bucket.own_level <= 0.0 {
+            (1.0 - bucket.own_level) / part
+        } else {
+            0.0
+        };
+        let missing = (needed - bucket.level).max(own_missing);
+        if missing > 0.0 {
+            return Err(Millis((missing / quota.rate * 1_000.0).ceil() as u64));
         }
-        let missing = needed - bucket.level;
-        Err(Millis((missing / quota.rate * 1_000.0).ceil() as u64))
+        bucket.level -= cost;
+        bucket.own_level -= cost;
+        bucket.granted += cost;
+        bucket.own_lately += cost;
+        Ok(())
     }
 
     /// Takes in what another node granted to an account since it started.
@@ -76,6 +112,7 @@
             *known = granted;
             if let Some(bucket) = self.buckets.get_mut(account) {
                 bucket.level -= news;
+                bucket.others_lately += news;
             }
         }
     }
@@ -110,11 +147,20 @@
                 level: quota.burst * START_LEVEL,
                 updated: now,
                 granted: 0.0,
+                own_level: quota.burst / silence.nodes.max(1) as f64,
+                own_lately: 0.0,
+                others_lately: 0.0,
             });
         let unheard = silence.unheard as f64 / silence.nodes.max(1) as f64;
         let rate = quota.rate * (1.0 - unheard.min(1.0));
         let elapsed = (now - bucket.updated).as_f64() / 1_000.0;
         bucket.level = (bucket.level + rate * elapsed).min(quota.burst);
+        let part = bucket.part(quota.rate, silence.nodes);
+        let own_most = quota.burst * part;
+        bucket.own_level = (bucket.own_level + quota.rate * part * elapsed).min(own_most);
+        let left = (-elapsed * 1_000.0 / AVERAGED.as_f64()).exp();
+        bucket.own_lately *= left;
+        bucket.others_lately *= left;
         bucket.updated = now;
         bucket
     }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -151,6 +151,13 @@
             .collect()
     }
 
+    /// Returns the newest version of the configuration that any node has.
+    #[must_use]
+    pub fn newest_config(&self) -> u64 {
+        let versions = self.members.values().map(|member| member.statement.config);
+        versions.max().unwrap_or(0)
+    }
+
     /// Returns the node that performs the duties, if it is heard.
     #[must_use]
     pub fn holder(&self, now: Millis) -> Option<&Member> {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -106,9 +106,13 @@
         })
     }
 
-    /// Returns whether this node has to read: for others, or because no other node's news are
-    /// recent enough.
+    /// Returns whether this node has to read: for others, because another node knows more, or because
+    /// no other node's news are recent enough.
     fn has_to_read(&self) -> bool {
+        let newest = self.node.state().roster.newest_config();
+        if self.topic == Topic::Operator && newest > self.node.config_version() {
+            return true;
+        }
         let now = self.node.clock.now();
         let age = self.position(|position| position.age(now));
         let settings = &self.node.settings;
@@ -124,7 +128,10 @@
     async fn news(&mut self) -> (News, Position) {
         loop {
             if !self.has_to_read() {
-                sleep(READER_CHECK.into()).await;
+                tokio::select! {
+                    () = sleep(READER_CHECK.into()) => {}
+                    () = self.node.behind.notified(), if self.topic == Topic::Operator => {}
+                }
                 continue;
             }
             match self.step().await {
@@ -201,6 +208,9 @@
         }
         metrics::counter!("almondpath_store_failures_total").increment(1);
         self.failed = Some(self.node.clock.now());
+        if self.topic == Topic::Operator {
+            self.node.state().store_failed = self.failed;
+        }
         let jitter = rand::rng().random_range(0.5..1.5);
         sleep(Millis((self.backoff.as_f64() * jitter) as u64).into()).await;
         self.backoff = Millis(self.backoff.0 * 2).min(LONGEST_BACKOFF);
