--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -92,7 +92,7 @@
     if !readers.contains(&node.settings.node) {
         targets.extend(reader.map(|m| m.statement.peer));
     }
-    if round % USAGE_ROUNDS == 0 {
+    if round.is_multiple_of(USAGE_ROUNDS) {
         targets.extend(roster.holder(now).map(|m| m.statement.peer));
     }
     let random = heard.choose_multiple(&mut rng, FAN_OUT - targets.len().min(1));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -147,9 +147,7 @@
             if let Some(bytes) = self.flush() {
                 return Some(Ok(bytes));
             }
-            if self.body.is_none() {
-                return None;
-            }
+            self.body.as_ref()?;
             let why = match self.part().await {
                 Part::Data(bytes) => match self.take(&bytes) {
                     Ok(()) => continue,
--- a/tests/integration/gateway_lease.rs
+++ b/tests/integration/gateway_lease.rs
@@ -143,7 +143,7 @@
         let mut now = Millis(0);
         for (step, (node, passed, fault, times)) in steps.into_iter().enumerate() {
             for _ in 0..times {
-                now = now + Millis(passed);
+                now += Millis(passed);
                 world.arrivals(step);
                 world.step(step, node, fault, now);
             }
--- a/tests/integration/gateway_limits.rs
+++ b/tests/integration/gateway_limits.rs
@@ -154,7 +154,7 @@
     for _ in 0..200 {
         if let Err(delay) = quotas.take(&account, &quota(), 70_000.0, alone, now) {
             refused += 1;
-            now = now + delay;
+            now += delay;
             let again = quotas.take(&account, &quota(), 70_000.0, alone, now);
             assert_eq!(again, Ok(()), "after {delay}");
         }
