Tell the readers, too, what began to run

Counts went to the holder alone; now also to the nodes that may hold the duties next. Ruled out: the leaving nodes, which exchange statements until they end.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -192,16 +192,17 @@
     let state = node.state();
     let own = (&node.settings.node, &node.settings.domain);
     let readers = state.roster.readers(own, now);
-    let is_reader =
-        |member: &Member| member.statement.peer == to && readers.contains(&member.statement.node);
-    let asks_entries = state.roster.is_small() || state.roster.members().any(is_reader);
-    let holder = state.roster.holder(now).map(|m| m.statement.peer);
+    let mut members = state.roster.members();
+    let asked = members.find(|member| member.statement.peer == to);
+    let is_reader = asked.is_some_and(|member| readers.contains(&member.statement.node));
+    let is_holder = asked.is_some_and(|member| member.statement.duties.is_some());
     Question {
         statement,
         wall: node.clock.wall(),
         digest: state.roster.digest(),
-        entries: asks_entries.then_some(since),
-        usage: (holder == Some(to)).then(|| state.usage.counts().clone()),
+        entries: (state.roster.is_small() || is_reader).then_some(since),
+        // A reader may hold the duties next, and then knows what began to run before.
+        usage: (is_holder || is_reader).then(|| state.usage.counts().clone()),
         wants_document: state.store_failed.is_some_and(|at| at + STORE_AWAY > now),
     }
 }
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -76,7 +76,7 @@
     pub(super) digest: Digest,
     /// What the sender has of the receiver's entries, if it asks for them.
     pub(super) entries: Option<Since>,
-    /// Requests that began to run, for the node that reports them.
+    /// Requests that began to run, for the nodes that report them or may do so next.
     pub(super) usage: Option<Counts>,
     /// Whether the sender can't read the store and takes a newer configuration from the receiver.
     pub(super) wants_document: bool,
