--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -15,6 +15,7 @@
 use crate::peer::{Handle, Handler, Method};
 
 use super::announcement::Announcement;
+use super::liveness::Liveness;
 use super::message::{
     Delta, EntryUpdate, Grants, Header, Message, Progress, Report, Request, Response, Versions,
     decode, encode,
@@ -76,9 +77,11 @@
     let node = &gossip.node;
     let mut round = 0_u64;
     let mut holder = None;
+    let mut liveness = Liveness::default();
     while !node.stopped.is_cancelled() {
         round += 1;
         gossip.start_round();
+        liveness.log_changes(&node.state().roster, &node.log, node.clock.now());
         let current = gossip.duties_holder();
         if current != holder || round.is_multiple_of(ROUNDS_PER_REPORT) {
             gossip.send_report(current);
--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod clocks;
 mod gossip;
 mod known_nodes;
+mod liveness;
 mod member;
 mod message;
 mod readers;
