Stop listing hosts without power within 6 s of their loss

Cause, three parts of one design: a node tells losses by failed calls and by claims of watchers, and both need somebody who notices. (1) A node without any contact takes itself for isolated and claims nobody dead; it dropped the others only one by one, as random probes failed after 1.6 s each. (2) The end of an isolation forgave all failed calls. Nodes talk to the readers only, so that after the loss of the readers each survivor is isolated for a moment and forgets what it has found out. (3) A node passed on what it no longer believed, so that a host that came back listed the others for 3 s more.

Failed calls are kept, but only those outside an isolation count for a claim. A failed call to a node that counted as alive makes the node contact up to 16 others of which it has not heard, in its next round.

Ruled out: late records of an earlier run (hypothesis 3); no line shows one.

The two new tests fail with the change disabled (2 of 6 nodes are listed after 6 s; 4 hosts come back with one) and pass with it.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -157,8 +157,12 @@
         let node = &self.node;
         metrics::counter!("almondpath_peer_failures_total").increment(1);
         slog::debug!(node.log, "gossip exchange failed"; "to" => %target.peer, "reason" => %error);
-        if let Some(name) = &target.node {
-            node.state().roster.record_failure(name, node.clock.now());
+        let Some(name) = &target.node else {
+            return;
+        };
+        let state = &mut *node.state();
+        if state.roster.record_failure(name, node.clock.now()) {
+            state.selector.record_loss();
         }
     }
 
--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -9,6 +9,7 @@
 mod announcement;
 mod clocks;
 mod gossip;
+mod isolation;
 mod known_nodes;
 mod liveness;
 mod member;
--- a/src/gateway/cluster/roster.rs
+++ b/src/gateway/cluster/roster.rs
@@ -8,6 +8,7 @@
 use crate::clock::Millis;
 
 use super::announcement::Announcement;
+use super::isolation::Isolation;
 use super::member::{Claim, Member, MemberUpdate};
 use super::readers::{self, Candidate};
 
@@ -20,9 +21,6 @@
 /// Time after the death of its watcher within which a node has to find another one.
 const UNWATCHED_TIMEOUT: Millis = Millis(3_000);
 
-/// Time without any contact after which a node considers itself isolated.
-const ISOLATION_TIMEOUT: Millis = Millis(1_200);
-
 /// Time for which a dead node is remembered; longer than a restart takes.
 const DEAD_RETENTION: Millis = Millis::from_secs(30);
 
@@ -37,6 +35,13 @@
 /// Maximum number of member updates in one message; each takes about 100 bytes.
 const MAX_UPDATES: usize = 256;
 
+/// Consecutive failed calls to a node.
+#[derive(Clone, Copy, Debug)]
+struct Failures {
+    since: Millis,
+    latest: Millis,
+}
+
 /// The other nodes.
 ///
 /// Each node announces which other node watches it. Only the watcher, or a node that can reach
@@ -48,11 +53,9 @@
     members: BTreeMap<Arc<str>, Member>,
     /// Version of the latest change.
     version: u64,
-    /// Nodes that this one cannot reach, and since when. A call is made twice before it fails.
-    unreachable: HashMap<Arc<str>, Millis>,
-    last_contact: Millis,
-    /// Start of the current period without isolation.
-    connected_since: Millis,
+    /// Nodes that this one cannot reach. A call is made twice before it fails.
+    unreachable: HashMap<Arc<str>, Failures>,
+    isolation: Isolation,
 }
 
 /// Failure detection.
@@ -65,8 +68,7 @@
             members: BTreeMap::new(),
             version: 0,
             unreachable: HashMap::new(),
-            last_contact: Millis::ZERO,
-            connected_since: Millis::ZERO,
+            isolation: Isolation::default(),
         }
     }
 
@@ -81,12 +83,7 @@
         if announcement.node == self.own {
             return false;
         }
-        if self.is_isolated(now) {
-            self.connected_since = now;
-            // The earlier calls failed because this node was isolated, not the others.
-            self.unreachable.clear();
-        }
-        self.last_contact = now;
+        self.isolation.record_contact(now);
         self.unreachable.remove(&announcement.node);
         let name = Arc::clone(&announcement.node);
         let known = self.members.get(&name);
@@ -98,6 +95,7 @@
             None => Claim::initial(),
         };
         let changes = known.is_some_and(|known| known.claim != claim);
+        self.hear_of(&name);
         self.merge(announcement, claim, uptime, now);
         if changes {
             self.mark_claimed_locally(&name);
@@ -108,18 +106,25 @@
         !was_alive
     }
 
-    /// Records a failed call to a node.
-    pub fn record_failure(&mut self, node: &Arc<str>, now: Millis) {
-        self.unreachable.entry(Arc::clone(node)).or_insert(now);
+    /// Records a failed call to a node; returns whether the node counted as alive before.
+    pub fn record_failure(&mut self, node: &Arc<str>, now: Millis) -> bool {
+        let known = self.members.get(node);
+        let was_alive = known.is_some_and(|member| self.is_alive(member, now));
+        let failures = self.unreachable.entry(Arc::clone(node));
+        let first = Failures {
+            since: now,
+            latest: now,
+        };
+        failures.or_insert(first).latest = now;
+        was_alive
     }
 
     /// Claims nodes as dead that have been silent for too long, and forgets those that have been
     /// dead for long.
     pub fn tick(&mut self, now: Millis) {
+        self.isolation.tick(self.members.keys().cloned(), now);
         // After an isolation, a node first gives the others time to make contact.
-        let recently_isolated =
-            self.is_isolated(now) || self.connected_since + self.failure_timeout() > now;
-        let dead: Vec<Arc<str>> = if recently_isolated {
+        let dead: Vec<Arc<str>> = if self.isolation.is_recent(self.failure_timeout(), now) {
             Vec::new()
         } else {
             let members = self.members.iter();
@@ -146,6 +151,7 @@
         for name in expired {
             self.members.remove(&name);
             self.unreachable.remove(&name);
+            self.isolation.clear(&name);
         }
     }
 
@@ -158,15 +164,13 @@
         if member.announcement.watcher.as_ref() == Some(&self.own) {
             return member.announced_at + timeout <= now && !member.had_contact(timeout, now);
         }
-        let since = self.unreachable.get(&member.announcement.node);
-        let unreachable = since.is_some_and(|since| *since + timeout <= now);
+        let failures = self.unreachable.get(&member.announcement.node);
+        let unreachable = failures.is_some_and(|failures| {
+            // During an isolation, calls fail because of this node.
+            failures.since + timeout <= now && !self.isolation.was_isolated_at(failures.latest)
+        });
         unreachable && self.unwatched_since(member).is_some()
     }
-
-    /// Returns whether there has been no contact with any node for [`ISOLATION_TIMEOUT`].
-    fn is_isolated(&self, now: Millis) -> bool {
-        self.last_contact + ISOLATION_TIMEOUT <= now
-    }
 }
 
 /// Exchange of updates.
@@ -193,6 +197,7 @@
         let members = self.members.values();
         let mut changed: Vec<&Member> = members
             .filter(|member| member.version > since && wanted(member))
+            .filter(|member| !self.isolation.is_unheard(&member.announcement.node))
             .collect();
         changed.sort_unstable_by_key(|member| member.version);
         let complete = changed.len() <= MAX_UPDATES;
@@ -241,6 +246,17 @@
         }
     }
 
+    /// Records news of a node. Other nodes have to learn of it if there was none since an isolation.
+    fn hear_of(&mut self, node: &str) {
+        if !self.isolation.clear(node) {
+            return;
+        }
+        if let Some(member) = self.members.get_mut(node) {
+            self.version += 1;
+            member.version = self.version;
+        }
+    }
+
     /// Merges an announcement and a claim, each only if it is newer than the known one.
     fn merge(&mut self, announcement: Announcement, claim: Claim, uptime: Millis, now: Millis) {
         let name = Arc::clone(&announcement.node);
@@ -253,6 +269,7 @@
             self.version += 1;
             // Earlier failed calls were to a previous run.
             self.unreachable.remove(&name);
+            self.isolation.clear(&name);
             let member = Member {
                 announcement,
                 claim,
@@ -285,6 +302,7 @@
             changed = true;
         }
         if changed {
+            self.isolation.clear(&name);
             self.version += 1;
             known.version = self.version;
         }
@@ -309,15 +327,24 @@
         self.members.values().filter(move |m| self.is_alive(m, now))
     }
 
-    /// Returns whether a node counts as alive: it is claimed to be alive, this node can reach it,
-    /// and it has not been without a watcher for too long.
+    /// Returns the nodes that count as alive although this node had no contact with them lately.
+    pub fn alive_without_contact(&self, now: Millis) -> impl Iterator<Item = &Member> {
+        let period = self.failure_timeout();
+        self.alive(now)
+            .filter(move |member| !member.had_contact(period, now))
+    }
+
+    /// Returns whether a node counts as alive: it is claimed to be alive, this node can reach it and
+    /// has heard of it since the last isolation, and it has not been without a watcher for too long.
     #[must_use]
     pub fn is_alive(&self, member: &Member, now: Millis) -> bool {
         let unwatched = || {
             let since = self.unwatched_since(member);
             since.is_some_and(|at| at.max(member.announced_at) + UNWATCHED_TIMEOUT <= now)
         };
-        member.claim.alive && !self.is_unreachable(&member.announcement.node) && !unwatched()
+        let name = &member.announcement.node;
+        let is_heard = !self.is_unreachable(name) && !self.isolation.is_unheard(name);
+        member.claim.alive && is_heard && !unwatched()
     }
 
     /// Returns whether the last call to a node failed.
@@ -338,7 +365,7 @@
             return Some(member.announced_at);
         };
         let dead_since = (!known.claim.alive).then_some(known.claimed_at);
-        dead_since.or(self.unreachable.get(watcher).copied())
+        dead_since.or(self.unreachable.get(watcher).map(|failures| failures.since))
     }
 
     /// Returns whether the cluster is small.
--- a/src/gateway/cluster/selector.rs
+++ b/src/gateway/cluster/selector.rs
@@ -19,6 +19,10 @@
 /// may have healed.
 const HEALING_TARGETS: usize = 16;
 
+/// Number of nodes that count as alive to contact in one round after a call failed to a node that did,
+/// too: more hosts may have been lost with it.
+const ALARM_TARGETS: usize = 16;
+
 /// Number of preferred nodes to contact in one round while no reader is known.
 const BOOTSTRAP_TARGETS: usize = 3;
 
@@ -43,6 +47,8 @@
     round: u64,
     /// Whether a node that did not count as alive was in contact since the last round.
     healing: bool,
+    /// Whether a call failed to a node that counted as alive since the last round.
+    alarmed: bool,
     /// The node that watches this one.
     watcher: Option<Arc<str>>,
 }
@@ -74,6 +80,7 @@
             rng: SmallRng::seed_from_u64(seed),
             round: 0,
             healing: false,
+            alarmed: false,
             watcher: None,
         }
     }
@@ -89,6 +96,11 @@
         self.healing = true;
     }
 
+    /// Records a failed call to a node that counted as alive.
+    pub fn record_loss(&mut self) {
+        self.alarmed = true;
+    }
+
     /// Returns the nodes to contact in the next round.
     pub fn next(&mut self, view: &View<'_>, now: Millis) -> Vec<Target> {
         self.round += 1;
@@ -100,6 +112,11 @@
             let alive = view.roster.alive(now).choose(&mut self.rng);
             targets.extend(alive.map(|member| target(member, false)));
         }
+        if std::mem::take(&mut self.alarmed) {
+            let suspects = view.roster.alive_without_contact(now);
+            let suspects = suspects.choose_multiple(&mut self.rng, ALARM_TARGETS);
+            targets.extend(suspects.into_iter().map(|member| target(member, false)));
+        }
         let dead_limit = if std::mem::take(&mut self.healing) {
             HEALING_TARGETS
         } else {
--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -26,6 +26,12 @@
 /// Maximum control traffic of a node at the design size, in bytes per second.
 const MAX_BYTES_PER_SECOND: f64 = 2_000.0;
 
+/// Time after which a call to a host without power fails; it is made twice, each with its timeout.
+const HANGING_CALL_MS: u64 = 1_600;
+
+/// Time after which the directory must not list a host that is off: twice the users' `contact_ms`.
+const DIRECTORY_LIMIT_MS: u64 = 6_000;
+
 /// Size of a message without its content: the framing of a call and of its response, in bytes.
 const FRAMING_BYTES: usize = 120;
 
@@ -56,7 +62,11 @@
     selector: Selector,
     started: u64,
     up: bool,
+    /// Whether the host has power; calls to a host without power hang.
+    powered: bool,
     next_round: u64,
+    /// Calls that hang, by node, and when they fail.
+    hanging: HashMap<usize, u64>,
     /// Versions of the other nodes' state that this node has, by name, with their incarnations.
     received: HashMap<Arc<str>, (u64, u64)>,
     /// Versions up to which other nodes have this node's claims, with their incarnations.
@@ -68,6 +78,12 @@
     fn uptime(&self, now: u64) -> Millis {
         Millis(now - self.started)
     }
+
+    fn record_failure(&mut self, node: &Arc<str>, now: Millis) {
+        if self.roster.record_failure(node, now) {
+            self.selector.record_loss();
+        }
+    }
 }
 
 /// A simulated network of nodes in virtual time, each with an address of its own.
@@ -108,6 +124,8 @@
             selector: Selector::new(number as u64),
             started: 0,
             up: true,
+            powered: true,
+            hanging: HashMap::new(),
             next_round: (number as u64 * 37) % 300,
             received: HashMap::new(),
             claims_sent: HashMap::new(),
@@ -122,10 +140,17 @@
         self.nodes[node].up = false;
     }
 
+    fn power_off(&mut self, node: usize) {
+        self.kill(node);
+        self.nodes[node].powered = false;
+    }
+
     fn start(&mut self, node: usize) {
         let now = self.now;
         let node = &mut self.nodes[node];
         node.up = true;
+        node.powered = true;
+        node.hanging.clear();
         node.started = now;
         node.next_round = now + (node.peer.port() as u64 * 13) % 100;
         node.announcement.incarnation += 1;
@@ -142,6 +167,7 @@
         while self.now < end {
             self.now += 10;
             for node in 0..self.nodes.len() {
+                self.fail_hanging_calls(node);
                 if self.nodes[node].up && self.nodes[node].next_round <= self.now {
                     self.round(node);
                 }
@@ -149,6 +175,18 @@
         }
     }
 
+    fn fail_hanging_calls(&mut self, index: usize) {
+        let now = self.now;
+        let hanging = self.nodes[index].hanging.iter();
+        let failed = hanging.filter(|(_, due)| **due <= now).map(|(to, _)| *to);
+        for to in failed.collect::<Vec<_>>() {
+            let name = Arc::clone(&self.nodes[to].name);
+            let node = &mut self.nodes[index];
+            node.hanging.remove(&to);
+            node.record_failure(&name, Millis(now));
+        }
+    }
+
     fn round(&mut self, index: usize) {
         let now = Millis(self.now);
         let node = &mut self.nodes[index];
@@ -175,8 +213,11 @@
             let to = self.by_peer[&target.peer];
             if self.nodes[to].up && self.partitions[to] == self.partitions[index] {
                 self.exchange(index, to, target.wants_delta);
+            } else if !self.nodes[to].powered {
+                let due = self.now + HANGING_CALL_MS;
+                self.nodes[index].hanging.entry(to).or_insert(due);
             } else if let Some(name) = &target.node {
-                self.nodes[index].roster.record_failure(name, now);
+                self.nodes[index].record_failure(name, now);
             }
         }
     }
@@ -378,6 +419,58 @@
     }
 }
 
+/// Guards against a directory that lists hosts without power: the last node that was left named
+/// them for 7 s, and four nodes that were left for 6.4 s.
+#[test]
+fn hosts_without_power_are_not_listed_for_long() {
+    struct Case {
+        nodes: usize,
+        left: usize,
+    }
+    let cases = [
+        Case { nodes: 6, left: 1 },
+        Case { nodes: 6, left: 2 },
+        Case { nodes: 8, left: 1 },
+        Case { nodes: 8, left: 3 },
+        Case { nodes: 8, left: 4 },
+        Case { nodes: 83, left: 1 },
+        Case {
+            nodes: 83,
+            left: 40,
+        },
+    ];
+    for Case { nodes, left } in cases {
+        for first in 0..nodes.min(8) {
+            let mut network = Network::new(nodes);
+            network.run(10_000 + first as u64 * 30);
+            for off in left..nodes {
+                network.power_off((first + off) % nodes);
+            }
+            network.run(DIRECTORY_LIMIT_MS);
+            let (_, listed) = network.detection_errors();
+            assert_eq!(listed, 0, "{left} of {nodes} nodes from {first} are left");
+        }
+    }
+}
+
+/// Guards against a node that lists hosts without power again once one of them is back.
+#[test]
+fn a_host_that_returns_does_not_bring_back_the_others() {
+    let mut network = Network::new(6);
+    network.run(10_000);
+    for off in 1..6 {
+        network.power_off(off);
+    }
+    network.run(DIRECTORY_LIMIT_MS);
+    network.start(1);
+    for _ in 0..60 {
+        network.run(100);
+        let (_, listed) = network.detection_errors();
+        assert_eq!(listed, 0, "at {} ms", network.now);
+    }
+    network.converge(1, "the node that returned is known");
+}
+
 /// Guards against halves of a cluster that do not rejoin after a network partition has healed.
 #[test]
 fn a_network_partition_is_detected_and_heals() {
