Keep an account within its quota while the owner of its bucket changes

Cause, by the log lines of the timeline: (1) a node that shuts down stayed a candidate in its own view only, so that it decided on its own requests beside the new owner, each with the full rate. (2) A node reported what it granted itself and nothing else, so that after two changes of the owner within a window nobody knew the grants of the first one; the level of the bucket was not passed on at all, and every new owner started from an estimate, whose error adds up.

Change: a node is starting, established or leaving; leaving ones own a bucket only where all are, in every view. The owner reports its level, its own recent grants and those of the owners before it to the next two owners, each round and at once (at most every 25 ms) while the account exhausts its quota. Besides, all grants of the last window, whoever made them, are bounded by what the quota allows. After a lower quota this bound follows one window later, since what the earlier quota allowed would use it up.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -5,22 +5,23 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use tokio::time::sleep;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 use crate::gateway::changelog::Position;
 use crate::gateway::node::State;
-use crate::gateway::{Config, GrantReport, Node, quota};
+use crate::gateway::{Config, Grant, GrantReport, Node, Quotas, Run, Slot, quota};
 use crate::membership;
 use crate::peer::{Handle, Handler, Method};
 
 use super::announcement::Announcement;
 use super::liveness::Liveness;
 use super::message::{
-    Delta, EntryUpdate, Grants, Header, Message, Progress, Report, Request, Response, Versions,
-    decode, encode,
+    Delta, EntryUpdate, Header, Message, Progress, Report, Request, Response, Versions, decode,
+    encode,
 };
-use super::roster::OWNERSHIP_DELAY;
+use super::phase::OWNERSHIP_DELAY;
 use super::selector::{Target, View};
 
 /// Time between two rounds in a small cluster, and of a node that has just started.
@@ -35,8 +36,11 @@
 /// Rounds between two reports to the holder of the duties.
 const ROUNDS_PER_REPORT: u64 = 2;
 
-/// Rounds between two reports of grants to the next owners of buckets.
-const ROUNDS_PER_GRANT_REPORT: u64 = 2;
+/// Minimum time between two reports of grants that have to be reported at once.
+const GRANT_REPORT_PAUSE: Millis = Millis(25);
+
+/// Number of nodes that may own a bucket next to which its grants are reported.
+const GRANT_REPORT_TARGETS: usize = 2;
 
 /// Maximum size of a configuration that nodes pass on to each other, in bytes. A larger one is read
 /// from the store, to which the link has more bandwidth.
@@ -75,6 +79,7 @@
         exchanges: Mutex::default(),
     });
     let node = &gossip.node;
+    let _reporting = AbortOnDropHandle::new(tokio::spawn(report_grants(Arc::clone(&gossip))));
     let mut round = 0_u64;
     let mut holder = None;
     let mut liveness = Liveness::default();
@@ -87,9 +92,7 @@
             gossip.send_report(current);
         }
         holder = current;
-        if round.is_multiple_of(ROUNDS_PER_GRANT_REPORT) {
-            gossip.send_grants();
-        }
+        gossip.send_grants(|_, _| true);
         let leaving = node.leaving.is_cancelled();
         tokio::select! {
             () = sleep(interval(node).into()) => {}
@@ -100,6 +103,23 @@
     Ok(())
 }
 
+/// Reports grants that the next owners of a bucket have to learn of at once.
+async fn report_grants(gossip: Arc<Gossip>) {
+    let node = &gossip.node;
+    while !node.stopped.is_cancelled() {
+        node.grants_unreported.notified().await;
+        let active = node.active.load_full();
+        gossip.send_grants(|quotas, account| {
+            let account = active
+                .as_ref()
+                .and_then(|a| a.config.account_by_name(account));
+            let quota = account.and_then(|account| Some((&account.name, account.quota.as_ref()?)));
+            quota.is_some_and(|(name, quota)| quotas.has_to_report(name, quota))
+        });
+        sleep(GRANT_REPORT_PAUSE.into()).await;
+    }
+}
+
 fn interval(node: &Node) -> Millis {
     let joining = node.clock.now() - node.started < JOIN_PERIOD;
     if joining || node.state().roster.is_small() {
@@ -271,31 +291,29 @@
         }
     }
 
-    /// Reports the units that this node granted as the owner of buckets to their next owners.
-    fn send_grants(self: &Arc<Self>) {
+    /// Reports the grants of the buckets that this node owns to their next owners.
+    fn send_grants<F>(self: &Arc<Self>, wanted: F)
+    where
+        F: Fn(&Quotas, &str) -> bool,
+    {
         let node = &self.node;
         let now = node.clock.now();
-        let uptime = now - node.started;
-        let mut by_owner: HashMap<SocketAddr, Vec<(Arc<str>, u64)>> = HashMap::new();
+        let phase = node.phase(now);
+        let mut by_owner: HashMap<SocketAddr, Vec<GrantReport>> = HashMap::new();
         {
-            let state = node.state();
-            for (account, units) in state.quotas.granted_as_owner(now) {
-                let owners = state.roster.owners(uptime, account, now, 2);
-                let others = owners.into_iter().flatten();
-                for owner in others {
-                    let granted = by_owner.entry(owner).or_default();
-                    granted.push((Arc::clone(account), units as u64));
+            let state = &mut *node.state();
+            for report in state.quotas.reports(wanted, now) {
+                let account = &report.account;
+                let owners = state
+                    .roster
+                    .owners(phase, account, now, GRANT_REPORT_TARGETS);
+                for owner in owners.into_iter().flatten() {
+                    by_owner.entry(owner).or_default().push(report.clone());
                 }
             }
         }
-        for (to, granted) in by_owner {
-            let grants = Grants {
-                node: Arc::clone(&node.settings.node),
-                incarnation: node.incarnation,
-                uptime,
-                granted,
-            };
-            self.send(to, Message::Grants(grants), "grants");
+        for (to, reports) in by_owner {
+            self.send(to, Message::Grants(reports), "grants");
         }
     }
 
@@ -386,35 +404,40 @@
         I: IntoIterator<Item = (&'a Announcement, Millis)>,
     {
         for (announcement, uptime) in announcements {
-            self.merge_grants(
-                (&announcement.node, announcement.incarnation),
-                uptime,
-                &announcement.granted,
-                config,
-                now,
-            );
+            let run = Run {
+                node: Arc::clone(&announcement.node),
+                incarnation: announcement.incarnation,
+            };
+            let has_just_started = uptime < OWNERSHIP_DELAY;
+            let reports = announcement.granted.iter().map(|(account, units)| {
+                let slot = Slot {
+                    age: Millis::ZERO,
+                    units: *units,
+                };
+                let grant = Grant {
+                    run: run.clone(),
+                    units: *units,
+                    recent: has_just_started.then_some(slot).into_iter().collect(),
+                };
+                GrantReport {
+                    account: Arc::clone(account),
+                    level: None,
+                    grants: vec![grant],
+                }
+            });
+            self.merge_grants(reports, config, now);
         }
     }
 
-    /// Merges the grants of a run of a node, which is identified by name and incarnation.
-    fn merge_grants(
-        &mut self,
-        (node, incarnation): (&Arc<str>, u64),
-        uptime: Millis,
-        granted: &[(Arc<str>, u64)],
-        config: Option<&Config>,
-        now: Millis,
-    ) {
-        for (name, units) in granted {
-            let account = config.and_then(|config| config.account_by_name(name));
+    /// Merges reports of grants to accounts.
+    fn merge_grants<I>(&mut self, reports: I, config: Option<&Config>, now: Millis)
+    where
+        I: IntoIterator<Item = GrantReport>,
+    {
+        for report in reports {
+            let account = config.and_then(|config| config.account_by_name(&report.account));
             let quota = account.and_then(|account| account.quota.as_ref());
-            let report = GrantReport {
-                node,
-                incarnation,
-                recently_started: uptime < OWNERSHIP_DELAY,
-                units: *units,
-            };
-            self.quotas.merge(&report, name, quota, now);
+            self.quotas.merge(&report, quota, now);
         }
     }
 
@@ -506,13 +529,11 @@
             .record(node, incarnation, report.demand, now);
     }
 
-    fn record_grants(&self, grants: &Grants) {
+    fn record_grants(&self, reports: Vec<GrantReport>) {
         let now = self.node.clock.now();
         let active = self.node.active.load();
         let config = active.as_ref().map(|active| &active.config);
-        let run = (&grants.node, grants.incarnation);
-        let state = &mut *self.node.state();
-        state.merge_grants(run, grants.uptime, &grants.granted, config, now);
+        self.node.state().merge_grants(reports, config, now);
     }
 }
 
@@ -537,8 +558,8 @@
                 self.record_report(report);
                 encode(&())
             }
-            Message::Grants(grants) => {
-                self.record_grants(&grants);
+            Message::Grants(reports) => {
+                self.record_grants(reports);
                 encode(&())
             }
         }
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 use crate::gateway::changelog::EntryState;
-use crate::gateway::quota::GrantRequest;
+use crate::gateway::quota::{GrantReport, GrantRequest};
 use crate::gateway::scaler::Demand;
 use crate::gateway::usage::Counts;
 
@@ -24,7 +24,7 @@
     /// Counters for the node that performs the duties; acknowledged without content.
     Report(Report),
     /// Grants for the next owner of the buckets; acknowledged without content.
-    Grants(Grants),
+    Grants(Vec<GrantReport>),
 }
 
 /// The state of the sender, which is part of each request and response.
@@ -131,15 +131,6 @@
     pub(super) demand: Vec<(Arc<str>, Demand)>,
 }
 
-/// The units that a node has granted as the owner of buckets since its start, by account.
-#[derive(Debug, Serialize, Deserialize)]
-pub(in crate::gateway) struct Grants {
-    pub(super) node: Arc<str>,
-    pub(super) incarnation: u64,
-    pub(super) uptime: Millis,
-    pub(super) granted: Vec<(Arc<str>, u64)>,
-}
-
 /// Encodes a message or a response.
 pub(in crate::gateway) fn encode<T>(message: &T) -> Result<Bytes, Error>
 where
--- a/src/gateway/cluster/roster.rs
+++ b/src/gateway/cluster/roster.rs
@@ -10,6 +10,7 @@
 use super::announcement::Announcement;
 use super::isolation::Isolation;
 use super::member::{Claim, Member, MemberUpdate};
+use super::phase::Phase;
 use super::readers::{self, Candidate};
 
 /// Time without contact after which a node counts as dead in a small cluster.
@@ -24,10 +25,6 @@
 /// Time for which a dead node is remembered; longer than a restart takes.
 const DEAD_RETENTION: Millis = Millis::from_secs(30);
 
-/// Uptime from which a node owns buckets of accounts: by then it has learned of the other nodes and
-/// of what they granted.
-pub(in crate::gateway) const OWNERSHIP_DELAY: Millis = Millis(5_000);
-
 /// Maximum number of other nodes in a small cluster. In a larger one, rounds are longer and nodes do
 /// not announce their requests in flight.
 const MAX_SMALL_CLUSTER_NODES: usize = 16;
@@ -429,36 +426,31 @@
 
     /// Returns up to `limit` nodes that may own the bucket of an account, in order of preference.
     ///
-    /// The first one that responds is the owner. `None` stands for this node, whose uptime is
-    /// `uptime`. Nodes that have just started come last, so that they own buckets only where all
-    /// nodes have just started.
+    /// The first one that responds is the owner. `None` stands for this node, whose phase is `phase`.
+    /// Nodes that have just started own buckets only where none has been running for longer, and
+    /// nodes that are shutting down only where there is no other one.
     #[must_use]
     pub fn owners(
         &self,
-        uptime: Millis,
+        phase: Phase,
         account: &str,
         now: Millis,
         limit: usize,
     ) -> Vec<Option<SocketAddr>> {
         let seed = xxh3_64(account.as_bytes());
-        let others = self.alive(now).filter(|m| !m.announcement.leaving);
-        let others = others.map(|member| {
+        let others = self.alive(now).map(|member| {
             let announcement = &member.announcement;
-            (
-                &announcement.node,
-                member.uptime(now),
-                Some(announcement.peer),
-            )
+            let phase = Phase::new(member.uptime(now), announcement.leaving);
+            (&announcement.node, phase, Some(announcement.peer))
         });
         let mut owners: Vec<_> = others
-            .chain([(&self.own, uptime, None)])
-            .map(|(name, uptime, peer)| {
+            .chain([(&self.own, phase, None)])
+            .map(|(name, phase, peer)| {
                 let score = xxh3_64_with_seed(name.as_bytes(), seed);
-                (uptime >= OWNERSHIP_DELAY, score, peer)
+                (phase, score, peer)
             })
             .collect();
-        owners
-            .sort_unstable_by_key(|(is_established, score, _)| Reverse((*is_established, *score)));
+        owners.sort_unstable_by_key(|(phase, score, _)| Reverse((*phase, *score)));
         owners.truncate(limit);
         owners.into_iter().map(|(_, _, peer)| peer).collect()
     }
--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -194,6 +194,7 @@
             "account" => over.map(|over| &*over.account),
             "units" => over.map(|over| over.units),
             "level" => over.map(|over| over.denial.level as i64),
+            "headroom" => over.map(|over| over.denial.headroom as i64),
             "rate" => over.map(|over| over.denial.rate as i64),
             "decider" => over.map(|over| format!("{:?}", over.decider)),
             "retry_after_ms" => self.refusal.retry_after.map(|delay| delay.0),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -58,7 +58,9 @@
 pub use self::load::Load;
 pub use self::node::{Adapters, Node};
 pub use self::prefix_cache::PrefixCache;
-pub use self::quota::{Denial, GrantReport, Quotas, Reachability, Tolerance};
+pub use self::quota::{
+    Denial, Grant, GrantReport, Level, Quotas, Reachability, Run, Slot, Tolerance,
+};
 pub use self::refusal::{Reason, Refusal};
 pub use self::registration::{Identity, Registration};
 pub use self::request_metadata::{Prompt, RequestMetadata, Segment};
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -11,7 +11,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use rand::Rng;
 use slog::{Logger, info};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, Millis};
@@ -20,7 +20,7 @@
 
 use super::changelog::{Changelog, EntryState, Position};
 use super::cluster::{
-    Announcement, Clocks, Inflight, KnownNodes, OWNERSHIP_DELAY, Roster, Selector,
+    Announcement, Clocks, Inflight, KnownNodes, OWNERSHIP_DELAY, Phase, Roster, Selector,
 };
 use super::fleet::{Fleet, Transition};
 use super::quota::{OwnerBackoff, Quotas, Reachability};
@@ -28,8 +28,8 @@
 use super::upstream::Upstream;
 use super::usage::Usage;
 use super::{
-    Account, Body, Cloud, Config, Dialect, Documents, Lease, RetryBudget, Settings, Store, cluster,
-    duties, follower, server,
+    Account, Body, Cloud, Config, Dialect, Documents, Lease, RetryBudget, Run, Settings, Store,
+    cluster, duties, follower, server,
 };
 
 /// Time within which another node has to respond to a call.
@@ -215,6 +215,8 @@
     pub(super) peer_handle: OnceLock<peer::Handle>,
     /// Number of callers' requests in flight.
     pub(super) requests: AtomicUsize,
+    /// Notified when grants have to be reported to the next owners of a bucket at once.
+    pub(super) grants_unreported: Notify,
     /// Cancelled when the node begins to shut down.
     pub(super) leaving: CancellationToken,
     /// Cancelled when the node stops serving.
@@ -236,7 +238,10 @@
             started,
             fleet: Fleet::default(),
             quotas: Quotas::new(
-                Arc::clone(&settings.node),
+                Run {
+                    node: Arc::clone(&settings.node),
+                    incarnation,
+                },
                 settings.quota_tolerance,
                 started,
             ),
@@ -277,6 +282,7 @@
             started,
             peer_handle: OnceLock::new(),
             requests: AtomicUsize::new(0),
+            grants_unreported: Notify::new(),
             leaving: CancellationToken::new(),
             stopped: CancellationToken::new(),
             metrics: metrics_handle(),
@@ -367,12 +373,7 @@
             state.demand_reports.prune(now);
             let fleet = &state.fleet;
             state.changelog.retain(|id| fleet.find(id).is_some());
-            let roster = &state.roster;
-            state.quotas.retain_nodes(|name, incarnation| {
-                roster.members().any(|m| {
-                    &*m.announcement.node == name && m.announcement.incarnation == incarnation
-                })
-            });
+            state.quotas.prune(now);
         }
         Ok(())
     }
@@ -393,6 +394,11 @@
             && self.state().fleet.has_ready()
     }
 
+    /// Returns where this node is between its start and its end.
+    pub(super) fn phase(&self, now: Millis) -> Phase {
+        Phase::new(now - self.started, self.leaving.is_cancelled())
+    }
+
     /// Returns the wall time as the median of all nodes' clocks.
     pub(super) fn wall_time(&self) -> Millis {
         let now = self.clock.now();
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -6,12 +6,15 @@
 //! each cost a fraction of a second's quota, no node's share would admit a single request.
 
 mod bucket;
+mod history;
 mod ownership;
 mod quotas;
 mod tolerance;
+mod window_limit;
 
 pub use self::bucket::Denial;
-pub use self::quotas::{GrantReport, Quotas, Reachability};
+pub use self::history::{Grant, Run, Slot};
+pub use self::quotas::{GrantReport, Level, Quotas, Reachability};
 pub use self::tolerance::Tolerance;
 
 pub(super) use self::ownership::{Decider, GrantRequest, OwnerBackoff, respond, take};
--- a/src/gateway/quota/ownership.rs
+++ b/src/gateway/quota/ownership.rs
@@ -108,9 +108,9 @@
 /// node.
 fn candidates(node: &Node, account: &str) -> Vec<Option<SocketAddr>> {
     let now = node.clock.now();
+    let phase = node.phase(now);
     let state = node.state();
-    let uptime = now - node.started;
-    let owners = state.roster.owners(uptime, account, now, MAX_OWNERS);
+    let owners = state.roster.owners(phase, account, now, MAX_OWNERS);
     let is_backed_off = |owner: &Option<SocketAddr>| {
         owner.is_some_and(|address| state.owner_backoff.is_backed_off(address, now))
     };
@@ -125,7 +125,11 @@
     let now = node.clock.now();
     let state = &mut *node.state();
     let reachability = state.reachability(now);
-    state.quotas.take(account, quota, cost, reachability, now)
+    state.quotas.take(account, quota, cost, reachability, now)?;
+    if state.quotas.has_to_report(account, quota) {
+        node.grants_unreported.notify_one();
+    }
+    Ok(())
 }
 
 async fn request_decision(
--- a/src/gateway/quota/quotas.rs
+++ b/src/gateway/quota/quotas.rs
@@ -1,11 +1,15 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Millis;
 use crate::gateway::Quota;
 
 use super::bucket::{Bucket, Denial, Limit};
+use super::history::{Grant, History, Run, Slot};
 use super::tolerance::Tolerance;
+use super::window_limit::WindowLimit;
 
 /// Share of the burst in a new bucket; a previous owner may have granted the rest.
 const INITIAL_LEVEL_SHARE: f64 = 0.5;
@@ -14,8 +18,12 @@
 /// [`INITIAL_LEVEL_SHARE`].
 const INITIAL_RATE_SHARE: f64 = 0.5;
 
-/// Time constant of the exponential decay of other nodes' grants.
-const DECAY_TIME: Millis = Millis(4_000);
+/// Time within which grants reduce the initial level of a bucket.
+const RECENT_TIME: Millis = Millis(4_000);
+
+/// Units granted since the last report, as a share of the allowance, from which the next owners of an
+/// overdrawn bucket are told at once.
+const PROMPT_REPORT_SHARE: f64 = 0.1;
 
 /// Idle time after which a bucket is replaced by a new one: another node may have owned it since.
 const MAX_IDLE_TIME: Millis = Millis(2_000);
@@ -41,63 +49,54 @@
     }
 }
 
-/// A sum of units that decays exponentially.
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingSum {
-    units: f64,
-    updated: Millis,
-}
-
-impl DecayingSum {
-    fn add(&mut self, units: f64, now: Millis) {
-        self.units = self.at(now) + units;
-        self.updated = now;
-    }
-
-    fn at(&self, now: Millis) -> f64 {
-        self.units * (-(now - self.updated).as_f64() / DECAY_TIME.as_f64()).exp()
-    }
+/// What a node that owns or owned an account's bucket reports to the next owners.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantReport {
+    /// The account.
+    pub account: Arc<str>,
+    /// State of the sender's bucket; none if the sender does not own it.
+    pub level: Option<Level>,
+    /// Grants of the sender and of the owners before it.
+    pub grants: Vec<Grant>,
 }
 
-/// The units that another node reports to have granted to an account since it started.
-#[derive(Clone, Copy, Debug)]
-pub struct GrantReport<'a> {
-    /// Name of the node.
-    pub node: &'a Arc<str>,
-    /// Wall time of its start.
-    pub incarnation: u64,
-    /// Whether it started so recently that all its grants are recent.
-    pub recently_started: bool,
-    /// Units granted.
-    pub units: u64,
+/// The level of a bucket some time ago.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Level {
+    /// Units in the bucket.
+    pub units: f64,
+    /// Time since then.
+    pub age: Millis,
 }
 
 /// Token buckets of the client accounts.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    node: Arc<str>,
+    /// This run of this node.
+    run: Run,
     tolerance: Tolerance,
     started: Millis,
-    /// Buckets that this node owns on behalf of all reachable nodes.
+    /// Buckets that this node owns on behalf of all reachable nodes, or may own next.
     owned: HashMap<Arc<str>, Bucket>,
     /// Buckets with this node's own share of each quota, used while no owner responds.
     local: HashMap<Arc<str>, Bucket>,
     /// Units that this node granted since it started.
     granted: HashMap<Arc<str>, f64>,
-    /// Units granted by each other node to each account, as last reported; by node, incarnation and
-    /// account.
-    remote_grants: HashMap<(Arc<str>, u64, Arc<str>), f64>,
-    /// Units recently granted by other nodes, by account.
-    recent_remote_grants: HashMap<Arc<str>, DecayingSum>,
+    /// Units granted when each account was last reported.
+    reported: HashMap<Arc<str>, f64>,
+    /// Recent grants of all nodes.
+    histories: HashMap<Arc<str>, History>,
+    /// Units that all nodes together may grant in a window.
+    window_limits: HashMap<Arc<str>, WindowLimit>,
 }
 
 /// Decisions.
 impl Quotas {
     /// Creates the quotas of a node that starts now.
     #[must_use]
-    pub fn new(node: Arc<str>, tolerance: Tolerance, now: Millis) -> Self {
+    pub fn new(run: Run, tolerance: Tolerance, now: Millis) -> Self {
         Self {
-            node,
+            run,
             tolerance,
             started: now,
             ..Self::default()
@@ -121,15 +120,15 @@
             return Ok(());
         }
         let limit = self.limit(quota, reachability.reachable_share());
-        let unused = |bucket: &Bucket| bucket.updated() + MAX_IDLE_TIME <= now;
-        if self.owned.get(account).is_none_or(unused) {
+        let headroom = self.headroom(account, quota, now);
+        if self.outdated_bucket(account, now) {
             let level = self.initial_level(account, &limit, now);
             self.owned
                 .insert(Arc::clone(account), Bucket::new(level, now));
         }
         let bucket = self.owned.get_mut(account).expect("it was inserted");
-        bucket.take(&limit, cost, now)?;
-        self.record_grant(account, cost);
+        bucket.take(&limit, headroom, cost, now)?;
+        self.record_grant(account, cost, now);
         Ok(())
     }
 
@@ -154,10 +153,11 @@
         // Many nodes may decide without an owner at the same time, and even without an allowance,
         // the bucket of each may be overdrawn by a whole request.
         limit.allowance = 0.0;
+        let headroom = self.headroom(account, quota, now);
         let bucket = self.local.entry(Arc::clone(account));
         let bucket = bucket.or_insert_with(|| Bucket::new(limit.burst * INITIAL_LEVEL_SHARE, now));
-        bucket.take(&limit, cost, now)?;
-        self.record_grant(account, cost);
+        bucket.take(&limit, headroom, cost, now)?;
+        self.record_grant(account, cost, now);
         Ok(())
     }
 
@@ -170,56 +170,75 @@
         }
     }
 
-    /// Returns the level of a bucket that this node starts to own: a share of the burst, less what
-    /// other nodes recently granted beyond a share of the rate.
+    /// Returns the units that all nodes together may still grant in the current window, as far as
+    /// this node knows their grants.
+    ///
+    /// A new owner's bucket is an estimate, and every change of the owner adds its error. The window
+    /// bounds the sum of these errors.
+    fn headroom(&mut self, account: &Arc<str>, quota: &Quota, now: Millis) -> f64 {
+        let window = self.tolerance.window;
+        if window == Millis::ZERO {
+            return f64::INFINITY;
+        }
+        let units = self.tolerance.units_in_window(quota) + self.tolerance.allowance(quota);
+        let limit = self.window_limits.entry(Arc::clone(account)).or_default();
+        let history = self.histories.get(account);
+        let recent = history.map_or(0.0, |history| history.recent(window, now));
+        limit.update(units, window, now) - recent
+    }
+
+    /// Returns whether there is no bucket for an account whose level is known.
+    fn outdated_bucket(&self, account: &Arc<str>, now: Millis) -> bool {
+        let outdated = |bucket: &Bucket| bucket.updated() + MAX_IDLE_TIME <= now;
+        self.owned.get(account).is_none_or(outdated)
+    }
+
+    /// Returns the level of a bucket that this node starts to own without knowing the previous
+    /// owner's: a share of the burst, less what others recently granted beyond a share of the rate.
     fn initial_level(&self, account: &Arc<str>, limit: &Limit, now: Millis) -> f64 {
-        let recent = self
-            .recent_remote_grants
-            .get(account)
-            .map_or(0.0, |units| units.at(now));
-        let passed = DECAY_TIME.min(now - self.started).as_f64();
+        let history = self.histories.get(account);
+        let recent = history.map_or(0.0, |history| {
+            history.recent_of_others(&self.run, RECENT_TIME, now)
+        });
+        let passed = RECENT_TIME.min(now - self.started).as_f64();
         let expected = limit.rate * INITIAL_RATE_SHARE * passed / 1_000.0;
         let most = limit.burst * INITIAL_LEVEL_SHARE;
         (most - (recent - expected).max(0.0)).max(-limit.allowance)
     }
 
-    fn record_grant(&mut self, account: &Arc<str>, cost: f64) {
+    fn record_grant(&mut self, account: &Arc<str>, cost: f64, now: Millis) {
         *self.granted.entry(Arc::clone(account)).or_default() += cost;
+        let history = self.histories.entry(Arc::clone(account)).or_default();
+        history.add(&self.run, cost, self.tolerance.window, now);
     }
 }
 
 /// Exchange with other nodes.
 impl Quotas {
-    /// Merges the report of another node's grants to an account; `quota` is the account's, if
-    /// known.
-    pub fn merge(
-        &mut self,
-        report: &GrantReport<'_>,
-        account: &Arc<str>,
-        quota: Option<&Quota>,
-        now: Millis,
-    ) {
-        if *report.node == self.node {
+    /// Merges another node's report; `quota` is the account's, if known.
+    pub fn merge(&mut self, report: &GrantReport, quota: Option<&Quota>, now: Millis) {
+        let account = &report.account;
+        let history = self.histories.entry(Arc::clone(account)).or_default();
+        let others = report.grants.iter().filter(|grant| grant.run != self.run);
+        let window = self.tolerance.window;
+        let added = others.flat_map(|grant| history.merge(grant, window, now));
+        let added: Vec<Slot> = added.collect();
+        let Some(limit) = quota.map(|quota| self.limit(quota, 1.0)) else {
             return;
+        };
+        if let Some(bucket) = self.owned.get_mut(account) {
+            bucket.deduct(&added, &limit, now);
         }
-        let units = report.units as f64;
-        let (node, incarnation) = (Arc::clone(report.node), report.incarnation);
-        let entry = (node, incarnation, Arc::clone(account));
-        // Grants from before the first report of a long-running node are not recent.
-        let before = if report.recently_started { 0.0 } else { units };
-        let known = self.remote_grants.entry(entry).or_insert(before);
-        let new_units = units - *known;
-        if new_units <= 0.0 {
+        let Some(level) = report.level else {
             return;
-        }
-        *known = units;
-        self.recent_remote_grants
-            .entry(Arc::clone(account))
-            .or_default()
-            .add(new_units, now);
-        let limit = quota.map(|quota| self.limit(quota, 1.0));
-        if let (Some(bucket), Some(limit)) = (self.owned.get_mut(account), limit) {
-            bucket.deduct(new_units, &limit);
+        };
+        let refilled = level.units + limit.rate * level.age.as_f64() / 1_000.0;
+        let level = refilled.min(limit.burst);
+        if self.outdated_bucket(account, now) {
+            self.owned
+                .insert(Arc::clone(account), Bucket::new(level, now));
+        } else if let Some(bucket) = self.owned.get_mut(account) {
+            bucket.lower(level, &limit, now);
         }
     }
 
@@ -230,20 +249,53 @@
             .map(|(account, units)| (account, *units))
     }
 
-    /// Returns the units that this node granted since it started, for the accounts whose buckets it
-    /// owns now.
-    pub fn granted_as_owner(&self, now: Millis) -> impl Iterator<Item = (&Arc<str>, f64)> {
-        let owned = self.owned.iter();
-        let used = owned.filter(move |(_, bucket)| bucket.updated() + MAX_IDLE_TIME > now);
-        used.filter_map(|(account, _)| Some((account, *self.granted.get(account)?)))
+    /// Returns whether the next owners of an account's bucket have to learn at once of what this node
+    /// granted: the account exhausts its quota, so that grants that get lost would exceed it.
+    #[must_use]
+    pub fn has_to_report(&self, account: &str, quota: &Quota) -> bool {
+        let is_overdrawn = |bucket: &Bucket| bucket.level() < 0.0;
+        let most = self.tolerance.allowance(quota) * PROMPT_REPORT_SHARE;
+        self.owned.get(account).is_some_and(is_overdrawn) && self.unreported(account) > most
     }
 
-    /// Drops the reports of nodes for which `keep` returns false, by name and incarnation.
-    pub fn retain_nodes<F>(&mut self, mut keep: F)
+    fn unreported(&self, account: &str) -> f64 {
+        let granted = self.granted.get(account).copied().unwrap_or(0.0);
+        granted - self.reported.get(account).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the reports for the next owners of the buckets that this node decided on lately.
+    pub fn reports<F>(&mut self, wanted: F, now: Millis) -> Vec<GrantReport>
     where
-        F: FnMut(&str, u64) -> bool,
+        F: Fn(&Self, &str) -> bool,
     {
-        self.remote_grants
-            .retain(|(node, incarnation, _), _| keep(node, *incarnation));
+        let used = self.owned.iter();
+        let used = used.filter(|(_, bucket)| bucket.was_used(MAX_IDLE_TIME, now));
+        let wanted = used.filter(|(account, _)| wanted(self, account));
+        let reports: Vec<GrantReport> = wanted
+            .filter_map(|(account, bucket)| self.report(account, bucket, now))
+            .collect();
+        for GrantReport { account, .. } in &reports {
+            let granted = self.granted.get(account).copied().unwrap_or(0.0);
+            self.reported.insert(Arc::clone(account), granted);
+        }
+        reports
+    }
+
+    fn report(&self, account: &Arc<str>, bucket: &Bucket, now: Millis) -> Option<GrantReport> {
+        let history = self.histories.get(account)?;
+        Some(GrantReport {
+            account: Arc::clone(account),
+            level: Some(Level {
+                units: bucket.level(),
+                age: now - bucket.updated(),
+            }),
+            grants: history.grants(self.tolerance.window, now),
+        })
+    }
+
+    /// Forgets grants of other nodes that are too old to matter.
+    pub fn prune(&mut self, now: Millis) {
+        let run = &self.run;
+        self.histories.retain(|_, history| history.prune(run, now));
     }
 }
--- a/src/gateway/quota/tolerance.rs
+++ b/src/gateway/quota/tolerance.rs
@@ -17,10 +17,15 @@
 }
 
 impl Tolerance {
+    /// Returns the units that a quota allows in a window.
+    #[must_use]
+    pub fn units_in_window(&self, quota: &Quota) -> f64 {
+        quota.rate * self.window.as_f64() / 1_000.0 + quota.burst
+    }
+
     /// Returns the units by which an account may overdraw its bucket.
     #[must_use]
     pub fn allowance(&self, quota: &Quota) -> f64 {
-        let in_window = quota.rate * self.window.as_f64() / 1_000.0 + quota.burst;
-        (in_window * self.overage + self.slack) * ALLOWANCE_SHARE
+        (self.units_in_window(quota) * self.overage + self.slack) * ALLOWANCE_SHARE
     }
 }
--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
-use almondpath::gateway::cluster::{Clocks, Selector, View};
+use almondpath::gateway::cluster::{Clocks, Phase, Selector, View};
 use almondpath::gateway::{Announcement, Roster};
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
@@ -608,7 +608,8 @@
             };
             roster.record_contact(announcement, uptime(name, recently_started), Millis(0));
         }
-        let owners = roster.owners(uptime(own, recently_started), account, Millis(10), 2);
+        let phase = Phase::new(uptime(own, recently_started), false);
+        let owners = roster.owners(phase, account, Millis(10), 2);
         let first = owners[0].map_or_else(|| port(own), |address| address.port());
         format!("n{}", first - 7_000)
     };
@@ -623,6 +624,38 @@
     }
 }
 
+/// Guards against nodes that shut down and each decide on their own requests: an account got its full
+/// quota from each of them, beside the new owner.
+#[test]
+fn a_node_that_shuts_down_owns_no_bucket_beside_the_others() {
+    let long = Millis(20_000);
+    let rosters = ["n0", "n1", "n2"].map(|own| {
+        let mut roster = Roster::new(own.into());
+        for (port, name) in ["n0", "n1", "n2"].iter().enumerate() {
+            let announcement = Announcement {
+                peer: SocketAddr::from(([127, 0, 0, 1], port as u16)),
+                leaving: true,
+                ..announcement(name, "a")
+            };
+            roster.record_contact(announcement, long, Millis(0));
+        }
+        roster
+    });
+    let owner = |own: usize, phase: Phase, account: &str| {
+        let owners = rosters[own].owners(phase, account, Millis(10), 1);
+        owners[0].map_or(own, |address| usize::from(address.port()))
+    };
+    for account in ["one", "two", "three", "four"] {
+        let owners = [0, 1, 2].map(|own| owner(own, Phase::Leaving, account));
+        assert_eq!(owners, [owners[0]; 3], "all shut down, {account}");
+        for own in [0, 1, 2] {
+            for phase in [Phase::Starting, Phase::Established] {
+                assert_eq!(owner(own, phase, account), own, "{phase:?}, {account}");
+            }
+        }
+    }
+}
+
 /// Guards against usage that is counted in the wrong window by a node whose clock jumped.
 #[test]
 fn a_clock_that_jumped_is_corrected_by_the_median() {
--- a/tests/integration/gateway_limits.rs
+++ b/tests/integration/gateway_limits.rs
@@ -4,7 +4,8 @@
 
 use almondpath::clock::Millis;
 use almondpath::gateway::{
-    Denial, GrantReport, Quota, Quotas, Reachability, RetryBudget, RetryLimit, Tolerance,
+    Denial, Grant, GrantReport, Quota, Quotas, Reachability, RetryBudget, RetryLimit, Run, Slot,
+    Tolerance,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -45,6 +46,19 @@
     (quota.rate * seconds + quota.burst) * (1.0 + TOLERANCE.overage) + TOLERANCE.slack
 }
 
+/// Returns the run of a node that started at this time.
+fn run(node: usize, started: u64) -> Run {
+    Run {
+        node: format!("n{node}").into(),
+        incarnation: started + 1,
+    }
+}
+
+const fn slot(units: u64) -> Slot {
+    let age = Millis::ZERO;
+    Slot { age, units }
+}
+
 const fn reachability(nodes: usize, unreachable: usize) -> Reachability {
     Reachability { nodes, unreachable }
 }
@@ -79,10 +93,24 @@
     }
 
     fn new_nodes(nodes: usize, started: Millis) -> Vec<Quotas> {
-        let new_node = |node| Quotas::new(format!("n{node}").into(), TOLERANCE, started);
+        let new_node = |node| Quotas::new(run(node, started.0), TOLERANCE, started);
         (0..nodes).map(new_node).collect()
     }
 
+    /// Sends the reports of the bucket's owner to the next two owners, as nodes do; `all` of them,
+    /// or those that are due.
+    fn report(&mut self, owner: usize, all: bool, now: Millis) {
+        let quota = self.quota;
+        let wanted = |quotas: &Quotas, account: &str| all || quotas.has_to_report(account, &quota);
+        let reports = self.nodes[owner].reports(wanted, now);
+        for next in 1..=2 {
+            let next = (owner + next) % self.nodes.len();
+            for report in &reports {
+                self.nodes[next].merge(report, Some(&quota), now);
+            }
+        }
+    }
+
     /// Sends requests beyond the quota to the nodes in turn. `exchanging` enables the exchange of
     /// grant reports between all nodes.
     fn overload<F>(&mut self, from_ms: u64, until_ms: u64, exchanging: bool, decider: F)
@@ -118,30 +146,36 @@
         }
     }
 
-    /// Exchanges the grant reports of the nodes within each group of this size.
+    /// Exchanges what the nodes within each group of this size granted since they started.
     fn exchange(&mut self, group: usize, recently_started: bool, now: Millis) {
-        let granted_units: Vec<u64> = self
-            .nodes
-            .iter()
-            .map(|node| node.granted().map(|(_, units)| units as u64).sum())
+        let reports: Vec<GrantReport> = (0..self.nodes.len())
+            .map(|node| {
+                let granted = self.nodes[node].granted();
+                let units = granted.map(|(_, units)| units as u64).sum();
+                self.startup_report(node, units, recently_started)
+            })
             .collect();
         for (index, node) in self.nodes.iter_mut().enumerate() {
             let first = index / group * group;
-            let others =
-                (first..granted_units.len().min(first + group)).filter(|other| *other != index);
+            let others = (first..reports.len().min(first + group)).filter(|other| *other != index);
             for other in others {
-                let name: Arc<str> = format!("n{other}").into();
-                let report = GrantReport {
-                    node: &name,
-                    incarnation: u64::from(recently_started),
-                    recently_started,
-                    units: granted_units[other],
-                };
-                node.merge(&report, &self.account, Some(&self.quota), now);
+                node.merge(&reports[other], Some(&self.quota), now);
             }
         }
     }
 
+    fn startup_report(&self, node: usize, units: u64, recent: bool) -> GrantReport {
+        GrantReport {
+            account: Arc::clone(&self.account),
+            level: None,
+            grants: vec![Grant {
+                run: run(node, 1),
+                units,
+                recent: recent.then_some(slot(units)).into_iter().collect(),
+            }],
+        }
+    }
+
     /// Returns the most units that were granted in any window.
     fn max_in_window(&self) -> f64 {
         let ends = self.granted.iter().map(|(at, _)| *at);
@@ -220,6 +254,78 @@
     }
 }
 
+/// Guards against a new owner of a bucket that forgets what earlier owners granted in the first half
+/// of the window, beyond the quota.
+#[test]
+fn a_new_owner_accounts_for_grants_of_the_whole_window() {
+    for rate in RATES {
+        let mut deployment = Deployment::new(1, rate, rate / 40.0);
+        let start = 10_000;
+        let quota = deployment.quota;
+        let units = (quota.rate * WINDOW_MS as f64 / 1_000.0 + quota.burst) as u64;
+        let age = Millis(WINDOW_MS - 1_500);
+        let earlier = GrantReport {
+            account: Arc::clone(&deployment.account),
+            level: None,
+            grants: vec![Grant {
+                run: run(1, 1),
+                units,
+                recent: vec![Slot { age, units }],
+            }],
+        };
+        deployment.nodes[0].merge(&earlier, Some(&quota), Millis(start));
+        deployment.granted.push((start - age.0, units as f64));
+        deployment.overload(start, start + 6_000, false, |_, _| {
+            Decider::Owner(0, reachability(1, 0))
+        });
+        deployment.check(&format!("{rate} a second"), 12_000);
+    }
+}
+
+/// Guards against an account that gets more than its quota while the nodes restart in turn: each
+/// new owner of the bucket knew the grants of the owner before it only.
+#[test]
+fn owners_that_change_every_second_stay_within_a_quota() {
+    struct Case {
+        name: &'static str,
+        /// Whether an owner hands its bucket over before it stops.
+        hands_over: bool,
+    }
+    let cases = [
+        Case {
+            name: "planned",
+            hands_over: true,
+        },
+        Case {
+            name: "killed",
+            hands_over: false,
+        },
+    ];
+    for case in cases {
+        for rate in RATES {
+            for first_change in (4_000..6_000).step_by(130) {
+                let mut deployment = Deployment::new(8, rate, rate / 40.0);
+                let all = reachability(8, 0);
+                for start in (0..24_000_u64).step_by(10) {
+                    let owner = start.saturating_sub(first_change - 1_000) / 1_000 % 8;
+                    deployment.overload(start, start + 10, false, |_, _| {
+                        Decider::Owner(owner as usize, all)
+                    });
+                    let end = Millis(start + 10);
+                    let next = end.0.saturating_sub(first_change - 1_000) / 1_000 % 8;
+                    let hands_over = next != owner && case.hands_over;
+                    let all_due = hands_over || end.0.is_multiple_of(500);
+                    if all_due || end.0.is_multiple_of(30) {
+                        deployment.report(owner as usize, all_due, end);
+                    }
+                }
+                let name = format!("{}, {rate} a second, from {first_change} ms", case.name);
+                deployment.check(&name, 20_000);
+            }
+        }
+    }
+}
+
 /// Guards against nodes that each act as the only node after all were killed at once, while an
 /// account sends requests to all of them; a simulated day of heavy load has both. The number of
 /// nodes that know each other doubles every 250 ms.
@@ -259,7 +365,7 @@
     let sizes = [800.0, 2_500.0, 9_200.0, 9_200.0, 23_000.0];
     for (seed, rate) in [(1, 29_000.0), (2, 120_000.0), (3, 700_000.0)] {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut quotas = Quotas::new("own".into(), TOLERANCE, Millis::ZERO);
+        let mut quotas = Quotas::new(Run::default(), TOLERANCE, Millis::ZERO);
         let (account, quota): (Arc<str>, Quota) = ("account".into(), quota(rate));
         let mut level = quota.burst;
         let (mut at, mut requests) = (0.0, 0);
@@ -289,10 +395,9 @@
 /// its quota for 6 s after a restart.
 #[test]
 fn own_grants_are_not_deducted_twice() {
-    let own: Arc<str> = "own".into();
     let account: Arc<str> = "account".into();
     let quota = quota(100_000.0);
-    let mut quotas = Quotas::new(Arc::clone(&own), TOLERANCE, Millis::ZERO);
+    let mut quotas = Quotas::new(run(0, 0), TOLERANCE, Millis::ZERO);
     let mut granted = 0;
     while quotas
         .take(&account, &quota, 10_000.0, reachability(1, 0), Millis(0))
@@ -300,12 +405,15 @@
     {
         granted += 10_000;
         let report = GrantReport {
-            node: &own,
-            incarnation: 1,
-            recently_started: true,
-            units: granted,
+            account: Arc::clone(&account),
+            level: None,
+            grants: vec![Grant {
+                run: run(0, 0),
+                units: granted,
+                recent: vec![slot(granted)],
+            }],
         };
-        quotas.merge(&report, &account, Some(&quota), Millis(0));
+        quotas.merge(&report, Some(&quota), Millis(0));
     }
     let expected = quota.burst * 0.5 + TOLERANCE.allowance(&quota);
     assert!(granted as f64 >= expected, "{granted} of {expected}");
@@ -326,6 +434,27 @@
     assert!(take(delay.0 + 2).is_ok());
 }
 
+/// Guards against an account that gets nothing for seconds after its quota was lowered, because of
+/// what the earlier quota allowed.
+#[test]
+fn an_account_whose_quota_was_lowered_still_gets_the_lower_one() {
+    let mut deployment = Deployment::new(1, 400_000.0, 10_000.0);
+    let owner = |_: usize, _: u64| Decider::Owner(0, reachability(1, 0));
+    deployment.overload(0, 12_000, false, owner);
+    deployment.quota = quota(100_000.0);
+    // The bucket first makes up for what was overdrawn under the earlier quota.
+    deployment.overload(12_000, 14_000, false, owner);
+    for start in (14_000..24_000).step_by(2_000) {
+        let end = start + 2_000;
+        deployment.overload(start, end, false, owner);
+        let granted = deployment.granted.iter();
+        let within = granted.filter(|(at, _)| (start..end).contains(at));
+        let units: f64 = within.map(|(_, units)| units).sum();
+        let least = deployment.quota.rate * 2.0 * 0.8;
+        assert!(units >= least, "from {start} ms: {units} of {least}");
+    }
+}
+
 /// Guards against retry delays that are too short for the retry to be granted.
 #[test]
 fn a_denied_request_is_granted_after_its_retry_delay() {
