Send no new requests to an endpoint whose responses say that it leaves

No code read the header; only the entry in the store counted, which may lag or never say so.

Change: the adapter decodes the header, and any response of the endpoint, a refusal or failure too, marks that run of it as leaving at this node, for good, as a departure in the store does; a later entry that says `ready` does not bring it back. Its requests in flight go on. The response to a misdirected request (421) comes from another endpoint and is left out. Other nodes learn by their own responses; the rule binds each by itself.

Fleet::record_departure gets its first caller by this.

Test: an_endpoint_that_leaves_by_its_responses_gets_no_new_work (a response, a failure, a refusal, a stream).

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -31,6 +31,8 @@
     pub not_executed: bool,
     /// Whether the response has the signature header of an endpoint.
     pub signed: bool,
+    /// Whether the endpoint states that it is leaving.
+    pub leaving: bool,
     /// Load of the endpoint.
     pub load: Option<Load>,
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -196,7 +196,7 @@
         transitions
     }
 
-    /// Records that another node has seen an endpoint leave.
+    /// Records that an endpoint is leaving, as learned from elsewhere than its entry.
     pub fn record_departure(&mut self, identity: &Identity, now: Millis) -> Option<Transition> {
         let Some(key) = self.find(&identity.id) else {
             self.early_departures.insert(identity.clone(), now);
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -142,6 +142,10 @@
         }
     };
     let metadata = node.dialect.parse_response(response.headers());
+    // A misdirected request was answered by another endpoint than the chosen one.
+    if metadata.leaving && response.status() != StatusCode::MISDIRECTED_REQUEST {
+        reservation.record_leaving();
+    }
     if let Some(failure) = reject(call, &metadata, &response) {
         reservation.record_head(true, metadata.load);
         return Err(failure);
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -155,6 +155,20 @@
         }
     }
 
+    /// Records that the endpoint stated in a response that it is leaving.
+    ///
+    /// Its entry in the store may not say so yet, and may never do.
+    pub(super) fn record_leaving(&self) {
+        let now = self.node.clock.now();
+        let transition = {
+            let fleet = &mut self.node.state().fleet;
+            let endpoint = fleet.get(self.key);
+            let identity = endpoint.map(|endpoint| endpoint.registration.identity.clone());
+            identity.and_then(|identity| fleet.record_departure(&identity, now))
+        };
+        self.node.log_transition(transition, "response");
+    }
+
     /// Records that the endpoint could not be reached, broke the connection or did not respond.
     pub(super) fn record_no_response(&self) {
         let now = self.node.clock.now();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -36,6 +36,8 @@
 const NOT_EXECUTED: &str = "x-almondpath-not-executed";
 /// Marks a response as sent by an endpoint.
 const SIGNATURE: &str = "x-almondpath-engine-signature";
+/// `1` if the endpoint is leaving.
+const LEAVING: &str = "server-leaving";
 /// Running requests, waiting requests and slots of the endpoint, separated by commas.
 const LOAD: &str = "x-almondpath-engine-load";
 
@@ -183,6 +185,7 @@
             id: text(headers, ATTEMPT).map(Arc::from),
             not_executed: headers.contains_key(NOT_EXECUTED),
             signed: headers.contains_key(SIGNATURE),
+            leaving: text(headers, LEAVING) == Some("1"),
             load: load(headers),
         }
     }
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -163,6 +163,60 @@
     assert!(stays.received().len() >= 12);
 }
 
+/// Guards against new requests at an endpoint whose responses say that it leaves, while its entry in
+/// the store still says that it is ready.
+#[tokio::test]
+async fn an_endpoint_that_leaves_by_its_responses_gets_no_new_work() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        service: &'static str,
+        leaving: Behaviour,
+    }
+    let stream = Behaviour::Stream(3, 1);
+    let case = |name, path, service, leaving| Case {
+        name,
+        path,
+        service,
+        leaving,
+    };
+    let cases = [
+        case("a response", "/safe/x", "app", OK),
+        case("a failure", "/unsafe/x", "app", Behaviour::Respond(500, 0)),
+        case("a refusal", "/unsafe/x", "app", Behaviour::Decline),
+        case("a stream", "/stream/x", "llm", stream),
+    ];
+    for case in cases {
+        let good = if case.service == "llm" { stream } else { OK };
+        let engines = vec![
+            Engine::start("e0", case.service, good).await,
+            Engine::start("e1", case.service, good).await,
+        ];
+        let deployment = Deployment::start(1, engines).await;
+        let request = Request::new(case.path);
+        // The choice between equal endpoints is deterministic, so a first request reveals it.
+        status(&deployment, 0, &request).await;
+        let (leaves, stays) = match &deployment.engines[..] {
+            [e0, e1] if e1.received().is_empty() => (e0, e1),
+            [e0, e1] => (e1, e0),
+            _ => panic!("two engines"),
+        };
+        leaves.set_behaviour(case.leaving);
+        leaves.add_header("Server-Leaving", "1");
+        status(&deployment, 0, &request).await;
+        assert_eq!(leaves.received().len(), 2, "{}", case.name);
+        let entry = leaves.entry("ready", 9);
+        deployment.store.put("keyed.servers", &leaves.id, &entry);
+        deployment.wait_for_propagation().await;
+        let (before, others) = (leaves.received().len(), stays.received().len());
+        for _ in 0..8 {
+            assert_eq!(status(&deployment, 0, &request).await, 200, "{}", case.name);
+        }
+        assert_eq!(leaves.received().len(), before, "{}", case.name);
+        assert_eq!(stays.received().len(), others + 8, "{}", case.name);
+    }
+}
+
 /// Guards against requests that depend on the store.
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_unavailable() {
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -61,6 +61,8 @@
     pub(crate) service: String,
     pub(crate) address: SocketAddr,
     behaviour: Arc<Mutex<Behaviour>>,
+    /// Header lines that all responses have in addition.
+    headers: Arc<Mutex<String>>,
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
 }
 
@@ -72,6 +74,7 @@
             service: service.to_owned(),
             address: listener.local_addr().expect("a bound address"),
             behaviour: Arc::new(Mutex::new(behaviour)),
+            headers: Arc::default(),
             received: Arc::default(),
         };
         let serving = engine.clone();
@@ -88,6 +91,12 @@
         *self.behaviour.lock().expect("no panic") = behaviour;
     }
 
+    /// Adds a header to all responses from now on.
+    pub(crate) fn add_header(&self, name: &str, value: &str) {
+        let line = format!("{name}: {value}\r\n");
+        self.headers.lock().expect("no panic").push_str(&line);
+    }
+
     pub(crate) fn received(&self) -> Vec<ReceivedRequest> {
         self.received.lock().expect("no panic").clone()
     }
@@ -136,9 +145,10 @@
         index: usize,
     ) -> bool {
         let id = request.header("x-almondpath-attempt-id").unwrap_or("none");
+        let added = self.headers.lock().expect("no panic").clone();
         let head = |status: u16, id: &str, rest: &str| {
             format!(
-                "HTTP/1.1 {status} X\r\nX-Almondpath-Attempt-Id: {id}\r\n\
+                "HTTP/1.1 {status} X\r\nX-Almondpath-Attempt-Id: {id}\r\n{added}\
                  X-Almondpath-Engine-Signature: {}.1\r\nX-Almondpath-Engine-Load: 1,0,8\r\n{rest}\r\n",
                 self.id
             )
@@ -180,9 +190,10 @@
                 false
             }
             Behaviour::Decline => {
-                let text =
-                    "HTTP/1.1 503 X\r\nX-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-                write(stream, text).await
+                let text = format!(
+                    "HTTP/1.1 503 X\r\n{added}X-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                write(stream, &text).await
             }
             Behaviour::Misdirected => {
                 let text = "HTTP/1.1 421 X\r\nX-Almondpath-Instance-Id: other\r\nContent-Length: 0\r\n\r\n";
