Remember that an endpoint leaves for as long as its entry is present

Callers would have seen: requests at an endpoint that said more than a minute ago that it is leaving and still works (DRAIN).

Cause: an endpoint without requests was forgotten 60 s after it began to leave, also while its entry was present; the next change of the entry registered it as ready. With departures learned from responses, whose entries may say `ready` all the while, this is no longer a rare order of records.

Change: it is forgotten 60 s after its entry was removed or went missing. The departure of a leaving endpoint is certain, so that its missing entry counts as removed and is passed on as such; otherwise nodes that do not read the store would keep it for ever.

Test: a_departure_is_remembered_until_the_entry_is_gone. With the earlier condition, the endpoint is ready again after 300 s; with the change it is not, and it is forgotten after the entry is gone.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -43,6 +43,9 @@
     pub lifecycle: Lifecycle,
     /// When the lifecycle stage last changed.
     pub lifecycle_since: Millis,
+    /// When its entry was removed, went missing or was replaced by that of a later run; none while
+    /// it is present in the store, as far as this node knows.
+    pub unlisted_at: Option<Millis>,
     /// Since when its entry has been missing, although the endpoint may still be alive.
     pub missing_since: Option<Millis>,
     /// Requests of this node that are in flight.
@@ -74,6 +77,7 @@
         Self {
             lifecycle: Lifecycle::Ready,
             lifecycle_since: now,
+            unlisted_at: None,
             missing_since: None,
             inflight: 0,
             last_received: Millis::ZERO,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -8,7 +8,7 @@
 use super::endpoint::{Endpoint, Key, Lifecycle};
 use super::{Identity, Registration};
 
-/// Time for which an endpoint is remembered that no longer serves and has no requests.
+/// Time for which an endpoint without requests is remembered after its entry was removed.
 const RETENTION: Millis = Millis::from_secs(60);
 
 /// Time after the return of the store within which endpoints whose entries expired register again.
@@ -96,6 +96,13 @@
         })
     }
 
+    /// Returns whether the endpoint with this id is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let endpoint = self.find(id).and_then(|key| self.get(key));
+        endpoint.is_some_and(|endpoint| endpoint.lifecycle == Lifecycle::Leaving)
+    }
+
     /// Returns whether any endpoint accepts new requests.
     #[must_use]
     pub fn has_ready(&self) -> bool {
@@ -130,6 +137,7 @@
             known.deregistered.cancel();
             known.lifecycle = Lifecycle::Gone;
             known.lifecycle_since = now;
+            known.unlisted_at = Some(now);
             return inserted(self.insert(registration, memory_tokens, now));
         }
         if known.lifecycle == Lifecycle::Leaving && !registration.leaving {
@@ -139,6 +147,7 @@
         let is_new =
             known.registration.differs_from(&registration) || known.missing_since.is_some();
         known.missing_since = None;
+        known.unlisted_at = None;
         if known.lifecycle == Lifecycle::Gone {
             // Its entry had expired.
             known.deregistered = tokio_util::sync::CancellationToken::new();
@@ -161,18 +170,20 @@
         let key = self.find(id)?;
         let known = &mut self.endpoints[key];
         known.deregistered.cancel();
+        known.unlisted_at.get_or_insert(now);
         Self::transition(known, Lifecycle::Leaving, now)
     }
 
     /// Records that the entry of an endpoint is missing, which may be because it expired while the
     /// store was unavailable. The endpoint counts as gone unless it registers again in time.
     ///
-    /// Returns whether this is new; a missing entry changes nothing for an endpoint that leaves.
+    /// Returns whether other nodes have to learn of it. For an endpoint that leaves, they do not.
     pub fn mark_missing(&mut self, id: &str, now: Millis) -> bool {
         let Some(key) = self.find(id) else {
             return false;
         };
         let known = &mut self.endpoints[key];
+        known.unlisted_at.get_or_insert(now);
         let is_new = known.lifecycle == Lifecycle::Ready && known.missing_since.is_none();
         if is_new {
             known.missing_since = Some(now);
@@ -210,12 +221,14 @@
         Self::transition(known, Lifecycle::Leaving, now)
     }
 
-    /// Forgets endpoints that stopped serving long ago.
+    /// Forgets endpoints that no longer serve and whose entries were removed long ago.
+    ///
+    /// As long as its entry is present, a leaving endpoint could register again.
     pub fn prune(&mut self, now: Millis) {
         self.endpoints.retain(|_, endpoint| {
             endpoint.lifecycle == Lifecycle::Ready
                 || endpoint.inflight > 0
-                || endpoint.lifecycle_since + RETENTION > now
+                || endpoint.unlisted_at.is_none_or(|at| at + RETENTION > now)
         });
         let endpoints = &self.endpoints;
         self.by_id.retain(|_, key| endpoints.contains_key(*key));
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -437,6 +437,11 @@
     /// Applies the new state of an endpoint's entry.
     pub(super) fn apply_entry(&self, id: &str, state: EntryState, source: &str) {
         let now = self.clock.now();
+        // An endpoint that leaves does not register again, so that its entry was removed.
+        let state = match state {
+            EntryState::Missing if self.state().fleet.is_leaving(id) => EntryState::Removed,
+            state => state,
+        };
         match &state {
             EntryState::Present(document) => {
                 if !self.apply_registration(id, document, source) {
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -106,6 +106,34 @@
     }
 }
 
+/// Guards against an endpoint that takes minutes to leave and becomes ready again, because its
+/// departure is forgotten while its entry is still present; and against state that only grows.
+#[test]
+fn a_departure_is_remembered_until_the_entry_is_gone() {
+    let mut fleet = Fleet::default();
+    for id in ["removed", "missing", "listed"] {
+        fleet.register(registration(id, 10, 3), MEMORY_TOKENS, Millis(0));
+        let identity = registration(id, 10, 3).identity;
+        fleet.record_departure(&identity, Millis(10));
+    }
+    fleet.prune(Millis(300_000));
+    let changed = Registration {
+        slots: 32,
+        ..registration("listed", 10, 9)
+    };
+    fleet.register(changed, MEMORY_TOKENS, Millis(300_010));
+    assert_eq!(lifecycle(&fleet, "listed"), Some(Lifecycle::Leaving));
+
+    fleet.remove("removed", Millis(301_000));
+    fleet.mark_missing("missing", Millis(301_000));
+    fleet.prune(Millis(360_000));
+    assert_eq!(lifecycle(&fleet, "removed"), Some(Lifecycle::Leaving));
+    fleet.prune(Millis(362_000));
+    assert_eq!(lifecycle(&fleet, "removed"), None);
+    assert_eq!(lifecycle(&fleet, "missing"), None);
+    assert_eq!(lifecycle(&fleet, "listed"), Some(Lifecycle::Leaving));
+}
+
 /// Guards against a late registration that is passed on in place of the departure, so that nodes
 /// which do not read the store themselves keep sending requests. On 5 of 40 simulated days of a
 /// search for faults, endpoints that had announced their departure got new requests.
