Stop taking departures after an outage of the store for expired entries

Cause: an entry that is absent within 3 s of the last failed read counted as possibly expired, and the 2.5 s in which it may come back began when it was noticed, not at the end of the outage. They were checked once a second, and counted anew at each node that got the news from another one.

Change: the 2.5 s begin at the end of the outage, and only entries absent within them count as possibly expired; the check runs every 250 ms; nodes pass on how long ago the outage ended.

Ruled out: that entries come back later than that; the users' pages say about two seconds.

Test: an_endpoint_that_leaves_soon_after_an_outage_gets_no_new_work. With the earlier condition, requests are served by the endpoint 2 s after its removal; with the change they are refused at once.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -234,7 +234,8 @@
         let node = &self.node;
         for update in delta.entries {
             let id = Arc::clone(&update.id);
-            node.apply_entry(&id, update.into_state(), "node");
+            let outage_end = sent - update.missing_for.unwrap_or_default();
+            node.apply_entry(&id, update.into_state(), outage_end, "node");
         }
         // The operator's position is adopted only once this node has the configuration as well.
         let has_config = config <= node.config_version();
@@ -506,6 +507,10 @@
         let (entries_version, entries, complete) =
             state.changelog.changes_since(have.entries, MAX_ENTRIES);
         let endpoints = progress(&state.endpoints_position, now);
+        let entries = entries.into_iter().map(|(id, entry)| {
+            let missing_for = state.fleet.missing_for(&id, now).unwrap_or_default();
+            EntryUpdate::new(id, entry, missing_for)
+        });
         Delta {
             versions: Versions {
                 incarnation: node.incarnation,
@@ -513,7 +518,7 @@
                 entries: entries_version,
             },
             members,
-            entries: entries.into_iter().map(EntryUpdate::new).collect(),
+            entries: entries.collect(),
             endpoints: endpoints.filter(|_| complete),
             operator: progress(&state.operator_position, now),
         }
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -88,13 +88,14 @@
     pub(super) id: Arc<str>,
     /// The content of the entry, if it is present.
     document: Option<Vec<u8>>,
-    /// Whether an absent entry may merely have expired.
-    missing: bool,
+    /// Time since the end of the outage of the store, if an absent entry may merely have expired.
+    pub(super) missing_for: Option<Millis>,
 }
 
 impl EntryUpdate {
-    pub(super) fn new((id, state): (Arc<str>, EntryState)) -> Self {
-        let missing = state == EntryState::Missing;
+    /// Creates the update of an entry; `missing_for` is used only for one that is missing.
+    pub(super) fn new(id: Arc<str>, state: EntryState, missing_for: Millis) -> Self {
+        let missing_for = (state == EntryState::Missing).then_some(missing_for);
         let document = match state {
             EntryState::Present(document) => Some(document.into()),
             EntryState::Removed | EntryState::Missing => None,
@@ -102,14 +103,14 @@
         Self {
             id,
             document,
-            missing,
+            missing_for,
         }
     }
 
     pub(super) fn into_state(self) -> EntryState {
         match self.document {
             Some(document) => EntryState::Present(document.into()),
-            None if self.missing => EntryState::Missing,
+            None if self.missing_for.is_some() => EntryState::Missing,
             None => EntryState::Removed,
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -12,7 +12,7 @@
 const RETENTION: Millis = Millis::from_secs(60);
 
 /// Time after the return of the store within which endpoints whose entries expired register again.
-const MISSING_TIMEOUT: Millis = Millis(2_500);
+pub(super) const MISSING_TIMEOUT: Millis = Millis(2_500);
 
 /// A change of an endpoint's lifecycle, as this node sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -175,22 +175,31 @@
     }
 
     /// Records that the entry of an endpoint is missing, which may be because it expired while the
-    /// store was unavailable. The endpoint counts as gone unless it registers again in time.
+    /// store was unavailable until `since`. The endpoint counts as gone unless it registers again in
+    /// time.
     ///
     /// Returns whether other nodes have to learn of it. For an endpoint that leaves, they do not.
-    pub fn mark_missing(&mut self, id: &str, now: Millis) -> bool {
+    pub fn mark_missing(&mut self, id: &str, since: Millis) -> bool {
         let Some(key) = self.find(id) else {
             return false;
         };
         let known = &mut self.endpoints[key];
-        known.unlisted_at.get_or_insert(now);
+        known.unlisted_at.get_or_insert(since);
         let is_new = known.lifecycle == Lifecycle::Ready && known.missing_since.is_none();
         if is_new {
-            known.missing_since = Some(now);
+            known.missing_since = Some(since);
         }
         is_new
     }
 
+    /// Returns the time since the end of the outage in which an endpoint's entry may have expired, if
+    /// the entry is missing.
+    #[must_use]
+    pub fn missing_for(&self, id: &str, now: Millis) -> Option<Millis> {
+        let endpoint = self.find(id).and_then(|key| self.get(key))?;
+        endpoint.missing_since.map(|since| now - since)
+    }
+
     /// Marks endpoints as gone whose entries have been missing for too long; returns the
     /// transitions.
     pub fn expire_missing(&mut self, now: Millis) -> Vec<Transition> {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -12,7 +12,7 @@
 use crate::error::Error;
 
 use super::changelog::{EntryState, Position};
-use super::fleet::Fleet;
+use super::fleet::{Fleet, MISSING_TIMEOUT};
 use super::{Node, Page, Record, Topic};
 
 /// Time for which a read waits for records, as a fraction of the time limit for updates of the
@@ -40,9 +40,6 @@
 /// Maximum pause after a failure: the return of the store has to be noticed within a second.
 const MAX_BACKOFF: Millis = Millis(800);
 
-/// Time after a failure of the store during which an absent entry may merely have expired.
-const POSSIBLE_EXPIRY_PERIOD: Millis = Millis(3_000);
-
 /// Time for which the store may report an end before the known position; after that, the topic is
 /// read again from the start.
 const ROLLBACK_TIMEOUT: Millis = Millis(4_000);
@@ -89,11 +86,11 @@
         }
     }
 
-    /// Returns whether entries may have expired because the store was unavailable.
-    fn may_have_expired(&self) -> bool {
+    /// Returns until when the store was unavailable, if entries may have expired for that reason: an
+    /// entry that is absent later than [`MISSING_TIMEOUT`] after that was removed.
+    fn recent_outage(&self) -> Option<Millis> {
         let now = self.node.clock.now();
-        self.failed_at
-            .is_some_and(|at| at + POSSIBLE_EXPIRY_PERIOD > now)
+        self.failed_at.filter(|at| *at + MISSING_TIMEOUT > now)
     }
 
     /// Calls `access` with the position in the topic.
@@ -267,36 +264,54 @@
     let mut follower = Follower::new(Arc::clone(&node), Topic::Endpoints);
     loop {
         let (batch, at) = follower.next().await;
-        let absent_state = if follower.may_have_expired() {
-            EntryState::Missing
-        } else {
-            EntryState::Removed
-        };
+        let absence = Absence::new(&follower);
         match batch {
             Batch::Snapshot(records) => {
                 let present: HashSet<_> = records.iter().filter_map(|r| r.key.clone()).collect();
-                apply_entries(&node, records, &absent_state);
+                apply_entries(&node, records, &absence);
                 let absent = absent_ids(&node.state().fleet, &present);
                 for id in absent {
-                    node.apply_entry(&id, absent_state.clone(), "list");
+                    node.apply_entry(&id, absence.state.clone(), absence.outage_end, "list");
                 }
             }
-            Batch::Records(records) => apply_entries(&node, records, &absent_state),
+            Batch::Records(records) => apply_entries(&node, records, &absence),
         }
         follower.advance(at);
         sleep(ENDPOINTS_PAUSE.into()).await;
     }
 }
 
-fn apply_entries(node: &Node, records: Vec<Record>, absent_state: &EntryState) {
+/// What the absence of an entry means.
+struct Absence {
+    state: EntryState,
+    /// Until when the store was unavailable.
+    outage_end: Millis,
+}
+
+impl Absence {
+    fn new(follower: &Follower) -> Self {
+        match follower.recent_outage() {
+            Some(outage_end) => Self {
+                state: EntryState::Missing,
+                outage_end,
+            },
+            None => Self {
+                state: EntryState::Removed,
+                outage_end: Millis::ZERO,
+            },
+        }
+    }
+}
+
+fn apply_entries(node: &Node, records: Vec<Record>, absence: &Absence) {
     for record in records {
         let Some(id) = record.key else {
             continue;
         };
         let state = record
             .value
-            .map_or_else(|| absent_state.clone(), EntryState::Present);
-        node.apply_entry(&id, state, "record");
+            .map_or_else(|| absence.state.clone(), EntryState::Present);
+        node.apply_entry(&id, state, absence.outage_end, "record");
     }
 }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -35,6 +35,9 @@
 /// Time within which another node has to respond to a call.
 const PEER_TIMEOUT: Millis = Millis(800);
 
+/// Interval at which endpoints are checked whose entries are missing.
+const EXPIRY_INTERVAL: Millis = Millis(250);
+
 /// Interval at which unused connections and outdated state are dropped.
 const UPKEEP_INTERVAL: Millis = Millis(1_000);
 
@@ -358,15 +361,20 @@
     }
 
     async fn upkeep(self: Arc<Self>) -> eyre::Result<()> {
+        let mut cleaned = Millis::ZERO;
         while !self.stopped.is_cancelled() {
-            tokio::time::sleep(UPKEEP_INTERVAL.into()).await;
+            tokio::time::sleep(EXPIRY_INTERVAL.into()).await;
             let now = self.clock.now();
-            self.upstream.prune(IDLE_CONNECTION_TIMEOUT);
             let expired = self.state().fleet.expire_missing(now);
             for transition in expired {
                 // The other nodes learned of the missing entry and reach the same conclusion.
                 self.log_transition(Some(transition), "lapsed");
             }
+            if now - cleaned < UPKEEP_INTERVAL {
+                continue;
+            }
+            cleaned = now;
+            self.upstream.prune(IDLE_CONNECTION_TIMEOUT);
             let state = &mut *self.state();
             state.fleet.prune(now);
             state.clocks.prune(now);
@@ -434,8 +442,15 @@
         true
     }
 
-    /// Applies the new state of an endpoint's entry.
-    pub(super) fn apply_entry(&self, id: &str, state: EntryState, source: &str) {
+    /// Applies the new state of an endpoint's entry. If the entry may have expired, the store was
+    /// unavailable until `outage_end`.
+    pub(super) fn apply_entry(
+        &self,
+        id: &str,
+        state: EntryState,
+        outage_end: Millis,
+        source: &str,
+    ) {
         let now = self.clock.now();
         // An endpoint that leaves does not register again, so that its entry was removed.
         let state = match state {
@@ -453,7 +468,7 @@
                 self.log_transition(transition, source);
             }
             EntryState::Missing => {
-                if !self.state().fleet.mark_missing(id, now) {
+                if !self.state().fleet.mark_missing(id, outage_end) {
                     return;
                 }
             }
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -217,6 +217,33 @@
     }
 }
 
+/// Guards against an endpoint that leaves some time after an outage of the store, and whose removal is
+/// taken for an expiry during the outage, so that it keeps getting requests.
+#[tokio::test]
+async fn an_endpoint_that_leaves_soon_after_an_outage_gets_no_new_work() {
+    let deployment = engine_per_service(2, OK).await;
+    let engine = &deployment.engines[0];
+    let down = crate::platform::Faults {
+        down: true,
+        ..Default::default()
+    };
+    deployment.store.set_faults(down);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment
+        .store
+        .set_faults(crate::platform::Faults::default());
+    // Entries that expired are back within two seconds.
+    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    deployment.store.remove("keyed.servers", &engine.id);
+    deployment.wait_for_propagation().await;
+    let before = engine.received().len();
+    for number in 0..6 {
+        let request = Request::new("/unsafe/x");
+        assert_eq!(status(&deployment, number % 2, &request).await, 503);
+    }
+    assert_eq!(engine.received().len(), before);
+}
+
 /// Guards against requests that depend on the store.
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_unavailable() {
