Send no requests to an endpoint before the retry delay that it stated is over

No code read the header of an endpoint's response.

Change: the adapter decodes the delay, which may have a fraction; the endpoint gets no request from this node until it is over, retries and resumed streams included. A shorter delay stated later does not shorten it; a new run of the endpoint starts without. If all endpoints of a service want none, the caller is refused at once and told when the first of them wants some. Our own Retry-After is rounded up to hundredths: rounded down, callers that obey came back up to 10 ms early and were refused again.

Test: an_endpoint_that_states_a_retry_delay_gets_no_request_until_then.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -33,6 +33,8 @@
     pub signed: bool,
     /// Whether the endpoint states that it is leaving.
     pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this node, if it declined one.
+    pub retry_after: Option<Millis>,
     /// Load of the endpoint.
     pub load: Option<Load>,
 }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -58,6 +58,8 @@
     pub remote_pending_tokens: u64,
     /// Requests of the other nodes that are in flight, as last announced.
     pub remote_inflight: u32,
+    /// Until when it wants no requests from this node.
+    pub declines_until: Millis,
     /// Its health, judged by the outcomes of requests.
     pub health: Health,
     /// Prompt prefixes that it is assumed to have cached.
@@ -84,6 +86,7 @@
             pending_tokens: 0,
             remote_pending_tokens: 0,
             remote_inflight: 0,
+            declines_until: Millis::ZERO,
             health: Health::default(),
             prefixes: PrefixCache::new(memory_tokens),
             deregistered: CancellationToken::new(),
@@ -110,6 +113,12 @@
         self.sent_since_load = 0;
     }
 
+    /// Records that the endpoint wants no requests from this node for some time. A shorter time than
+    /// one that was stated earlier has no effect.
+    pub fn record_retry_after(&mut self, delay: Millis, now: Millis) {
+        self.declines_until = self.declines_until.max(now + delay);
+    }
+
     /// Records the time from a request to the first event of its response, before which the
     /// endpoint had to prefill `tokens` tokens.
     pub fn record_first_event(&mut self, tokens: u64, elapsed: Millis) {
@@ -141,6 +150,12 @@
         }
     }
 
+    /// Returns whether the endpoint wants no requests from this node for now.
+    #[must_use]
+    pub fn is_declining(&self, now: Millis) -> bool {
+        now < self.declines_until
+    }
+
     /// Returns the input tokens of a prompt that the endpoint is not assumed to have cached.
     #[must_use]
     pub fn uncached_tokens(&self, prompt: &Prompt) -> u64 {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -103,6 +103,14 @@
         endpoint.is_some_and(|endpoint| endpoint.lifecycle == Lifecycle::Leaving)
     }
 
+    /// Returns the time until an endpoint of a service wants requests from this node again, if all of
+    /// them currently want none.
+    #[must_use]
+    pub fn declined_for(&self, service: &str, now: Millis) -> Option<Millis> {
+        let ends = self.ready(service).map(|(_, e)| e.declines_until);
+        ends.min().filter(|end| *end > now).map(|end| end - now)
+    }
+
     /// Returns whether any endpoint accepts new requests.
     #[must_use]
     pub fn has_ready(&self) -> bool {
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -65,7 +65,8 @@
     for (key, endpoint) in fleet.ready(query.service) {
         let tried = query.tried.contains(&endpoint.registration.identity.id);
         let full = endpoint.inflight >= query.max_connections;
-        if tried || full || endpoint.health.is_blocked(now, endpoint.inflight) {
+        let declining = endpoint.is_declining(now);
+        if tried || full || declining || endpoint.health.is_blocked(now, endpoint.inflight) {
             continue;
         }
         let choice = estimate(key, endpoint, query, home == Some(key), now);
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -65,7 +65,8 @@
     }
     let Some(choice) = choose_endpoint(call, attempts, now) else {
         "no endpoint accepts requests".clone_into(&mut attempts.reason);
-        attempts.retry_after = Some(NO_ENDPOINT_RETRY_AFTER);
+        let declined_for = call.node.state().fleet.declined_for(&call.service, now);
+        attempts.retry_after = declined_for.or(Some(NO_ENDPOINT_RETRY_AFTER));
         return None;
     };
     let max_wait_ms = left.as_f64() * MAX_WAIT_SHARE;
@@ -146,6 +147,11 @@
     if metadata.leaving && response.status() != StatusCode::MISDIRECTED_REQUEST {
         reservation.record_leaving();
     }
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(delay) = metadata.retry_after
+    {
+        reservation.record_retry_after(delay);
+    }
     if let Some(failure) = reject(call, &metadata, &response) {
         reservation.record_head(true, metadata.load);
         return Err(failure);
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -169,6 +169,16 @@
         self.node.log_transition(transition, "response");
     }
 
+    /// Records that the endpoint wants no requests from this node for some time.
+    pub(super) fn record_retry_after(&self, delay: Millis) {
+        let now = self.node.clock.now();
+        if let Some(endpoint) = self.node.state().fleet.get_mut(self.key) {
+            endpoint.record_retry_after(delay, now);
+        }
+        slog::info!(self.node.log, "endpoint declines"; "endpoint" => &*self.endpoint,
+            "retry_after_ms" => delay.0);
+    }
+
     /// Records that the endpoint could not be reached, broke the connection or did not respond.
     pub(super) fn record_no_response(&self) {
         let now = self.node.clock.now();
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -126,7 +126,9 @@
 }
 
 fn insert_retry_after(headers: &mut HeaderMap, delay: Millis) {
-    let seconds = format!("{:.2}", delay.as_f64() / 1_000.0);
+    // Rounded up: a caller that returns too early is refused again.
+    let hundredths = delay.0.div_ceil(10);
+    let seconds = format!("{}.{:02}", hundredths / 100, hundredths % 100);
     if let Ok(value) = header::HeaderValue::from_str(&seconds) {
         headers.insert(header::RETRY_AFTER, value);
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -56,6 +56,9 @@
     "kv-fetch",
 ];
 
+/// Longest retry delay of an endpoint that is taken at its word; a longer one is cut to it.
+const MAX_RETRY_AFTER: Millis = Millis::from_secs(24 * 60 * 60);
+
 /// Hop-by-hop headers, and `expect`.
 const HOP_BY_HOP: &[&str] = &[
     "connection",
@@ -102,6 +105,13 @@
     })
 }
 
+/// Returns the retry delay of a response, in seconds that may have a fraction.
+fn retry_after(headers: &HeaderMap) -> Option<Millis> {
+    let seconds: f64 = text(headers, header::RETRY_AFTER.as_str())?.parse().ok()?;
+    let delay = Millis((seconds * 1_000.0) as u64);
+    (seconds > 0.0).then(|| delay.min(MAX_RETRY_AFTER))
+}
+
 fn load(headers: &HeaderMap) -> Option<Load> {
     let mut numbers = text(headers, LOAD)?
         .split(',')
@@ -186,6 +196,7 @@
             not_executed: headers.contains_key(NOT_EXECUTED),
             signed: headers.contains_key(SIGNATURE),
             leaving: text(headers, LEAVING) == Some("1"),
+            retry_after: retry_after(headers),
             load: load(headers),
         }
     }
--- a/tests/integration/gateway_outcomes.rs
+++ b/tests/integration/gateway_outcomes.rs
@@ -1,6 +1,6 @@
 //! Responses to callers, and executions at endpoints, when endpoints misbehave.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::platform::{Behaviour, Deployment, Engine, Request, Response};
 
@@ -119,6 +119,50 @@
     assert_eq!(pair.runs(&response.id), 0);
 }
 
+/// Guards against requests at an endpoint that has asked this node to stay away for some time.
+#[tokio::test]
+async fn an_endpoint_that_states_a_retry_delay_gets_no_request_until_then() {
+    let engines = vec![
+        Engine::start("e0", "app", OK).await,
+        Engine::start("e1", "app", OK).await,
+    ];
+    let deployment = Deployment::start(1, engines).await;
+    let gateway = &deployment.gateways[0];
+    let request = Request::new("/unsafe/x");
+    for engine in &deployment.engines {
+        engine.set_behaviour(Behaviour::Decline);
+        engine.add_header("Retry-After", "1.5");
+    }
+    let declined_at = Instant::now();
+    let response = gateway.send(&request).await.expect("a response");
+    assert_eq!(response.status, 503);
+    for engine in &deployment.engines {
+        engine.set_behaviour(OK);
+    }
+    let received = || -> Vec<usize> {
+        let engines = deployment.engines.iter();
+        engines.map(|engine| engine.received().len()).collect()
+    };
+    let before = received();
+    assert_eq!(before, [1, 1]);
+    while declined_at.elapsed() < Duration::from_millis(1_300) {
+        let response = gateway.send(&request).await.expect("a response");
+        assert_eq!(response.status, 503);
+        let delay = response.headers["retry-after"].to_str().expect("text");
+        let delay: f64 = delay.parse().expect("seconds");
+        let left = 1.5 - declined_at.elapsed().as_secs_f64();
+        assert!(
+            (left..left + 0.25).contains(&delay),
+            "{delay} s, {left} s left"
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(received(), before);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let response = gateway.send(&request).await.expect("a response");
+    assert_eq!(response.status, 200);
+}
+
 /// Guards against a surplus response that is taken for the response to the next request.
 #[tokio::test]
 async fn a_duplicate_response_is_discarded() {
