Refuse prompt segments that crash one endpoint after the other

Each node saw one or two of these requests, sent them on to the next endpoint, and kept nothing. Class: a request that is retried without asking why the last attempt failed.

Change: a node records requests that an endpoint broke off before their first event, with the segments that they share with others, and announces them. A segment is quarantined at all nodes for 10 minutes when three requests with it crashed three endpoints, they were at 0.6 of all endpoints that crashed since, and no request with it had a first event from 2 s before on, at any node; 1 s is left for other nodes to object. Requests with such a segment are refused at once, with the time that is left; retries and resumed streams stop, too. Times are the median of the nodes' clocks. All lists are bounded.

--- a/src/gateway/cluster/announcement.rs
+++ b/src/gateway/cluster/announcement.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::Evidence;
+
 /// The requests that a node has in flight at one endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Inflight {
@@ -43,6 +45,8 @@
     pub granted: Vec<(Arc<str>, u64)>,
     /// Requests in flight at endpoints; announced only in a small cluster.
     pub inflight: Vec<Inflight>,
+    /// What this node knows of prompt segments that crash endpoints.
+    pub evidence: Evidence,
 }
 
 impl Announcement {
--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -85,6 +85,7 @@
     let mut liveness = Liveness::default();
     while !node.stopped.is_cancelled() {
         round += 1;
+        node.review_crashes();
         gossip.start_round();
         liveness.log_changes(&node.state().roster, &node.log, node.clock.now());
         let current = gossip.duties_holder();
@@ -240,6 +241,7 @@
         // The operator's position is adopted only once this node has the configuration as well.
         let has_config = config <= node.config_version();
         let now = node.clock.now();
+        let wall = node.wall_time();
         let state = &mut *node.state();
         state.merge_announced_grants(
             delta
@@ -249,6 +251,9 @@
             node.active.load().as_ref().map(|active| &active.config),
             now,
         );
+        for update in &delta.members {
+            state.quarantine.merge(&update.announcement.evidence, wall);
+        }
         state.roster.apply(delta.members, now);
         state.update_remote_inflight(now);
         adopt_position(&mut state.endpoints_position, sent, delta.endpoints);
@@ -357,7 +362,9 @@
     let now = node.clock.now();
     let active = node.active.load();
     let config = active.as_ref().map(|active| &active.config);
+    let wall = node.wall_time();
     let state = &mut *node.state();
+    state.quarantine.merge(&header.announcement.evidence, wall);
     state
         .clocks
         .record(&header.announcement.node, header.wall, now);
--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -110,6 +110,11 @@
     }
     let limit = preliminary.active.config.limits.body_bytes;
     let timeout = metadata.timeout.unwrap_or(preliminary.route.timeout);
+    if let Some(delay) = node.quarantined_for(metadata.prompt.as_ref()) {
+        return Err(Refusal::new(Reason::Quarantined)
+            .with_retry_after(delay)
+            .into());
+    }
     let body = read_body(body, limit, timeout.min(preliminary.route.timeout)).await?;
     // Reading the body may have taken long; the configuration in force now decides.
     let admission = resolve(node, metadata, head)?;
--- a/src/gateway/forward/call.rs
+++ b/src/gateway/forward/call.rs
@@ -6,10 +6,10 @@
 use slog::info;
 
 use crate::clock::Millis;
-use crate::gateway::{Account, Node, RequestMetadata, RetryPolicy, Route};
+use crate::gateway::{Account, Crash, Node, RequestMetadata, RetryPolicy, Route};
 
 use super::attempts::Attempts;
-use super::reservation::InflightGuard;
+use super::reservation::{InflightGuard, Reservation};
 
 /// An admitted request, whose body was read.
 pub(super) struct Call {
@@ -69,6 +69,31 @@
     pub(super) fn record_first_event(&self) {
         let elapsed = self.node.clock.now() - self.arrived;
         self.attempts().first_event.get_or_insert(elapsed);
+        if let Some(prompt) = &self.metadata.prompt {
+            let wall = self.node.wall_time();
+            let quarantine = &mut self.node.state().quarantine;
+            quarantine.record_success(prompt.shared_ids(), wall);
+        }
+    }
+
+    /// Records that an endpoint broke off the request before its first event.
+    pub(super) fn record_crash(&self, reservation: &Reservation) {
+        let Some(prompt) = &self.metadata.prompt else {
+            return;
+        };
+        let Some(request) = prompt.segments.last() else {
+            return;
+        };
+        if !reservation.is_prefilling() {
+            return;
+        }
+        let crash = Crash {
+            endpoint: reservation.endpoint_run(),
+            request: request.id,
+            segments: prompt.shared_ids().collect(),
+            at: self.node.wall_time(),
+        };
+        self.node.state().quarantine.record_crash(crash);
     }
 
     /// Logs and counts the request. Only the first call has an effect.
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -59,6 +59,11 @@
     if left < MIN_TIME_LEFT || attempts.delivered >= call.route.max_attempts {
         return None;
     }
+    if let Some(delay) = call.node.quarantined_for(call.metadata.prompt.as_ref()) {
+        "a prompt segment is quarantined".clone_into(&mut attempts.reason);
+        attempts.retry_after = Some(delay);
+        return None;
+    }
     if attempts.delivered > 0 && !take_retry(call, now) {
         "retry budget exhausted".clone_into(&mut attempts.reason);
         return None;
@@ -136,7 +141,7 @@
         .upstream
         .send(reservation.key, address, max_idle, request);
     let (response, connection) = tokio::select! {
-        sent = sending => sent.map_err(|error| connection_failure(&reservation, &error))?,
+        sent = sending => sent.map_err(|error| connection_failure(call, &reservation, &error))?,
         reason = reservation.until_unresponsive(call.is_retryable(), head_timeout(call, left)) => {
             reservation.record_no_response();
             return Err(Failure::new(Verdict::MayHaveRun, reason));
@@ -194,7 +199,10 @@
 }
 
 /// Converts the error of a request that got no response head.
-fn connection_failure(reservation: &Reservation, error: &Error) -> Failure {
+fn connection_failure(call: &Call, reservation: &Reservation, error: &Error) -> Failure {
+    if error.verdict() != Verdict::NotRun {
+        call.record_crash(reservation);
+    }
     reservation.record_no_response();
     let mut failure = Failure::new(error.verdict(), error.message());
     failure.delivered = error.verdict() != Verdict::NotRun;
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -274,7 +274,10 @@
             frame = body.frame() => match frame {
                 None => Chunk::End,
                 Some(Ok(frame)) => Chunk::Data(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => Chunk::Failed(format!("reading the stream failed: {error}")),
+                Some(Err(error)) => {
+                    self.call.record_crash(&self.reservation);
+                    Chunk::Failed(format!("reading the stream failed: {error}"))
+                }
             },
             () = sleep(left.into()) => Chunk::DeadlineExceeded,
             () = sleep(stall.into()), if resumes && self.started => {
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -3,6 +3,7 @@
 
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
 use crate::gateway::endpoint::Key;
@@ -90,6 +91,19 @@
         self.prefilling = false;
     }
 
+    /// Returns a hash of the endpoint's id and run.
+    pub(super) fn endpoint_run(&self) -> u64 {
+        let state = self.node.state();
+        let endpoint = state.fleet.get(self.key);
+        let born = endpoint.map_or(0, |endpoint| endpoint.registration.identity.born);
+        xxh3_64_with_seed(self.endpoint.as_bytes(), born)
+    }
+
+    /// Returns whether the first event of the response is still missing.
+    pub(super) fn is_prefilling(&self) -> bool {
+        self.prefilling
+    }
+
     /// Records that data of the response arrived.
     pub(super) fn record_data(&self) {
         let now = self.node.clock.now();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod load;
 mod node;
 mod prefix_cache;
+mod quarantine;
 mod quota;
 mod refusal;
 mod registration;
@@ -58,6 +59,7 @@
 pub use self::load::Load;
 pub use self::node::{Adapters, Node};
 pub use self::prefix_cache::PrefixCache;
+pub use self::quarantine::{Crash, Evidence, Finding, Quarantine, Quarantined, Success};
 pub use self::quota::{
     Denial, Grant, GrantReport, Level, Quotas, Reachability, Run, Slot, Tolerance,
 };
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -28,8 +28,8 @@
 use super::upstream::Upstream;
 use super::usage::Usage;
 use super::{
-    Account, Body, Cloud, Config, Dialect, Documents, Lease, RetryBudget, Run, Settings, Store,
-    cluster, duties, follower, server,
+    Account, Body, Cloud, Config, Dialect, Documents, Lease, Prompt, Quarantine, RetryBudget, Run,
+    Settings, Store, cluster, duties, follower, server,
 };
 
 /// Time within which another node has to respond to a call.
@@ -77,6 +77,7 @@
     started: Millis,
     pub(super) fleet: Fleet,
     pub(super) quotas: Quotas,
+    pub(super) quarantine: Quarantine,
     /// Retry budgets, by service.
     pub(super) retry_budgets: HashMap<Arc<str>, RetryBudget>,
     /// Requests started by each account, for the usage reports.
@@ -168,6 +169,7 @@
             let counters_only = Announcement {
                 granted: announced.granted.clone(),
                 inflight: announced.inflight.clone(),
+                evidence: announced.evidence.clone(),
                 ..fresh.clone()
             };
             let due = *at + COUNTERS_INTERVAL <= now;
@@ -248,6 +250,7 @@
                 settings.quota_tolerance,
                 started,
             ),
+            quarantine: Quarantine::default(),
             retry_budgets: HashMap::new(),
             usage: Usage::new(settings.usage_window, settings.open_windows()),
             roster: Roster::new(Arc::clone(&settings.node)),
@@ -516,6 +519,25 @@
         }
     }
 
+    /// Returns the time for which requests with any of these prompt segments are refused.
+    pub(super) fn quarantined_for(&self, prompt: Option<&Prompt>) -> Option<Millis> {
+        let wall = self.wall_time();
+        self.state()
+            .quarantine
+            .refused_for(prompt?.shared_ids(), wall)
+    }
+
+    /// Quarantines the prompt segments that crash endpoints.
+    pub(super) fn review_crashes(&self) {
+        let wall = self.wall_time();
+        let findings = self.state().quarantine.review(wall);
+        for finding in findings {
+            slog::warn!(self.log, "prompt segment quarantined";
+                "segment" => format!("{:x}", finding.segment),
+                "endpoints" => finding.endpoints, "requests" => finding.requests);
+        }
+    }
+
     /// Returns whether this node reads the store on behalf of others.
     pub(super) fn is_reader(&self) -> bool {
         let readers = self.state().readers(&self.settings, self.clock.now());
@@ -549,6 +571,7 @@
         let leaving = self.leaving.is_cancelled();
         let now = self.clock.now();
         let boot = self.clock.since_boot();
+        let wall = self.wall_time();
         let state = &mut *self.state();
         let holder = state.lease.valid_holder(boot);
         let fresh = Announcement {
@@ -565,6 +588,7 @@
             duties_fence: holder.map(|holder| holder.fence),
             granted: state.startup_grants(now),
             inflight: state.announced_inflight(),
+            evidence: state.quarantine.evidence(wall),
         };
         state.announce(fresh, now)
     }
--- /dev/null
+++ b/src/gateway/quarantine/quarantine.rs
@@ -0,0 +1,252 @@
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use crate::clock::Millis;
+
+use super::crash::{Crash, Evidence, Quarantined, Success};
+
+/// Number of different requests with a segment that must have crashed.
+const MIN_REQUESTS: usize = 3;
+
+/// Number of endpoints that requests with a segment must have crashed.
+const MIN_ENDPOINTS: usize = 3;
+
+/// Share of all crashed endpoints, since its first crash, that requests with the segment must have
+/// crashed: other requests at the endpoints had many different segments.
+const MIN_CRASH_SHARE: f64 = 0.6;
+
+/// A crash says nothing about segments with a success this short a time before it, or any time
+/// after it: when many endpoints crash at once, segments in wide use are in all of the crashes.
+const SUCCESS_PERIOD: Millis = Millis(2_000);
+
+/// Time for which other nodes can report successes before a segment is quarantined.
+const OBJECTION_PERIOD: Millis = Millis(1_000);
+
+/// Time for which a crash counts.
+const CRASH_RETENTION: Millis = Millis::from_secs(60);
+
+/// Duration of a quarantine; requests with the segment are not tried in the meantime.
+const DURATION: Millis = Millis::from_secs(600);
+
+/// Time for which a node announces its crashes to the others, which then remember them.
+const ANNOUNCEMENT_PERIOD: Millis = Millis::from_secs(10);
+
+/// Maximum number of crashes, successes or quarantined segments in one announcement.
+const MAX_ANNOUNCED: usize = 16;
+
+/// Maximum number of crashes that are remembered.
+const MAX_CRASHES: usize = 512;
+
+/// Maximum number of segments whose successes are remembered.
+const MAX_SUCCESSES: usize = 4_096;
+
+/// Maximum number of segments in quarantine.
+const MAX_QUARANTINED: usize = 64;
+
+/// Maximum number of shared segments of a request that are considered.
+const MAX_SEGMENTS: usize = 8;
+
+/// A segment that is quarantined from now on, with the evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The segment.
+    pub segment: u64,
+    /// Number of endpoints that requests with it crashed.
+    pub endpoints: usize,
+    /// Number of requests that crashed.
+    pub requests: usize,
+}
+
+/// Finds and refuses prompt segments that crash endpoints. Times are wall times of the cluster.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    /// Crashes of all nodes.
+    crashes: Vec<Crash>,
+    /// Crashes that this node has seen itself.
+    own_crashes: Vec<Crash>,
+    /// Latest success of each segment at this node.
+    own_successes: HashMap<u64, Millis>,
+    /// Latest success of each suspected segment at other nodes.
+    successes: HashMap<u64, Millis>,
+    quarantined: BTreeMap<u64, Millis>,
+}
+
+/// Observations.
+impl Quarantine {
+    /// Records that the first event of a request with these shared segments arrived.
+    pub fn record_success<I>(&mut self, segments: I, now: Millis)
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        for segment in segments.into_iter().take(MAX_SEGMENTS) {
+            record_latest(&mut self.own_successes, segment, now);
+        }
+    }
+
+    /// Records that a request was broken off at an endpoint before its first event.
+    pub fn record_crash(&mut self, mut crash: Crash) {
+        crash.segments.truncate(MAX_SEGMENTS);
+        if crash.segments.is_empty() || !self.insert(crash.clone()) {
+            return;
+        }
+        self.own_crashes.push(crash);
+        if self.own_crashes.len() > MAX_ANNOUNCED {
+            self.own_crashes.remove(0);
+        }
+    }
+
+    fn insert(&mut self, crash: Crash) -> bool {
+        let same =
+            |known: &Crash| (known.endpoint, known.request) == (crash.endpoint, crash.request);
+        if self.crashes.iter().any(same) {
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        true
+    }
+}
+
+/// Records a time unless a later one is known; forgets the older half when there are too many.
+fn record_latest(times: &mut HashMap<u64, Millis>, segment: u64, at: Millis) {
+    let latest = times.entry(segment).or_insert(at);
+    *latest = at.max(*latest);
+    if times.len() > MAX_SUCCESSES {
+        let mut all: Vec<Millis> = times.values().copied().collect();
+        all.sort_unstable();
+        let median = all[all.len() / 2];
+        times.retain(|_, at| *at > median);
+    }
+}
+
+/// Exchange with other nodes.
+impl Quarantine {
+    /// Returns what the other nodes have to know.
+    #[must_use]
+    pub fn evidence(&self, now: Millis) -> Evidence {
+        let own = self.own_crashes.iter();
+        let recent = own.filter(|crash| crash.at + ANNOUNCEMENT_PERIOD > now);
+        let suspects = self.suspects();
+        let successes = suspects.into_iter().filter_map(|segment| {
+            let at = *self.own_successes.get(&segment)?;
+            Some(Success { segment, at })
+        });
+        let quarantined = self.quarantined.iter();
+        let quarantined = quarantined.map(|(segment, until)| Quarantined {
+            segment: *segment,
+            until: *until,
+        });
+        Evidence {
+            crashes: recent.cloned().collect(),
+            successes: successes.take(MAX_ANNOUNCED).collect(),
+            quarantined: quarantined.take(MAX_ANNOUNCED).collect(),
+        }
+    }
+
+    /// Merges what another node announced.
+    pub fn merge(&mut self, evidence: &Evidence, now: Millis) {
+        for crash in &evidence.crashes {
+            let is_recent = crash.at + CRASH_RETENTION > now;
+            if is_recent && crash.segments.len() <= MAX_SEGMENTS {
+                self.insert(crash.clone());
+            }
+        }
+        for success in &evidence.successes {
+            record_latest(&mut self.successes, success.segment, success.at);
+        }
+        for Quarantined { segment, until } in &evidence.quarantined {
+            if *until > now && self.quarantined.len() < MAX_QUARANTINED {
+                let known = self.quarantined.entry(*segment).or_insert(*until);
+                *known = (*known).max(*until).min(now + DURATION);
+            }
+        }
+    }
+
+    /// Returns the segments that at least two requests that crashed have in common, in order.
+    fn suspects(&self) -> Vec<u64> {
+        let mut requests: BTreeMap<u64, HashSet<u64>> = BTreeMap::new();
+        for crash in &self.crashes {
+            for segment in &crash.segments {
+                requests.entry(*segment).or_default().insert(crash.request);
+            }
+        }
+        let suspects = requests.into_iter().filter(|(_, all)| all.len() > 1);
+        suspects.map(|(segment, _)| segment).collect()
+    }
+}
+
+/// Decisions.
+impl Quarantine {
+    /// Returns the time for which requests with any of these segments are refused.
+    #[must_use]
+    pub fn refused_for<I>(&self, segments: I, now: Millis) -> Option<Millis>
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        if self.quarantined.is_empty() {
+            return None;
+        }
+        let untils = segments
+            .into_iter()
+            .filter_map(|s| self.quarantined.get(&s));
+        let until = untils.max().filter(|until| **until > now)?;
+        Some(*until - now)
+    }
+
+    /// Quarantines the segments that crash endpoints, and forgets what is too old to matter.
+    pub fn review(&mut self, now: Millis) -> Vec<Finding> {
+        self.forget(now);
+        let suspects = self.suspects().into_iter();
+        let findings: Vec<Finding> = suspects
+            .filter(|segment| !self.quarantined.contains_key(segment))
+            .filter_map(|segment| self.judge(segment, now))
+            .collect();
+        for finding in &findings {
+            if self.quarantined.len() < MAX_QUARANTINED {
+                self.quarantined.insert(finding.segment, now + DURATION);
+            }
+        }
+        findings
+    }
+
+    fn judge(&self, segment: u64, now: Millis) -> Option<Finding> {
+        let success = self.latest_success(segment);
+        let counts = |crash: &&Crash| success.is_none_or(|at| crash.at > at + SUCCESS_PERIOD);
+        let involved = self
+            .crashes
+            .iter()
+            .filter(|c| c.segments.contains(&segment));
+        let mut involved: Vec<&Crash> = involved.filter(counts).collect();
+        involved.sort_unstable_by_key(|crash| crash.at);
+        let decisive = involved.get(MIN_REQUESTS - 1)?;
+        if decisive.at + OBJECTION_PERIOD > now {
+            return None;
+        }
+        let first = involved[0].at;
+        let since = self.crashes.iter().filter(|crash| crash.at >= first);
+        let all: HashSet<u64> = since.map(|crash| crash.endpoint).collect();
+        let endpoints: HashSet<u64> = involved.iter().map(|crash| crash.endpoint).collect();
+        let requests: HashSet<u64> = involved.iter().map(|crash| crash.request).collect();
+        let is_common = endpoints.len() as f64 >= all.len() as f64 * MIN_CRASH_SHARE;
+        let is_certain = requests.len() >= MIN_REQUESTS && endpoints.len() >= MIN_ENDPOINTS;
+        (is_certain && is_common).then_some(Finding {
+            segment,
+            endpoints: endpoints.len(),
+            requests: requests.len(),
+        })
+    }
+
+    fn latest_success(&self, segment: u64) -> Option<Millis> {
+        let own = self.own_successes.get(&segment);
+        own.max(self.successes.get(&segment)).copied()
+    }
+
+    fn forget(&mut self, now: Millis) {
+        self.crashes
+            .retain(|crash| crash.at + CRASH_RETENTION > now);
+        self.own_crashes
+            .retain(|crash| crash.at + CRASH_RETENTION > now);
+        self.quarantined.retain(|_, until| *until > now);
+    }
+}
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     NoEndpoint,
     /// No endpoint is expected to respond in time, or the node has too many requests in flight.
     Overload,
+    /// Requests with a part of this prompt crashed endpoints.
+    Quarantined,
     /// Endpoints declined to run the request, and it can't be retried.
     Declined,
     /// The deadline passed before the request ran.
@@ -50,6 +52,7 @@
             Self::NoConfig => "no_config",
             Self::NoEndpoint => "no_endpoint",
             Self::Overload => "overload",
+            Self::Quarantined => "quarantined",
             Self::Declined => "declined",
             Self::Expired => "expired",
             Self::Lost => "lost",
@@ -70,9 +73,12 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Quota => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfig | Self::NoEndpoint | Self::Overload | Self::Declined | Self::Expired => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfig
+            | Self::NoEndpoint
+            | Self::Overload
+            | Self::Quarantined
+            | Self::Declined
+            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::SlowCaller => StatusCode::REQUEST_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/request_metadata.rs
+++ b/src/gateway/request_metadata.rs
@@ -37,6 +37,11 @@
         self.segments.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Returns the ids of the segments that other requests may share.
+    pub fn shared_ids(&self) -> impl Iterator<Item = u64> + '_ {
+        self.shared_segments().iter().map(|segment| segment.id)
+    }
+
     /// Returns the tokens of the segment that no other request shares.
     #[must_use]
     pub fn unique_tokens(&self) -> u64 {
--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -7,7 +7,7 @@
 
 use almondpath::clock::Millis;
 use almondpath::gateway::cluster::{Clocks, Phase, Selector, View};
-use almondpath::gateway::{Announcement, Roster};
+use almondpath::gateway::{Announcement, Evidence, Roster};
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -50,6 +50,7 @@
         duties_fence: None,
         granted: Vec::new(),
         inflight: Vec::new(),
+        evidence: Evidence::default(),
     }
 }
 
--- /dev/null
+++ b/tests/integration/gateway_quarantine.rs
@@ -0,0 +1,240 @@
+//! Prompt segments that crash endpoints, and the requests that share an endpoint with them.
+
+use almondpath::clock::Millis;
+use almondpath::gateway::{Crash, Quarantine};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const ENDPOINTS: usize = 9;
+
+/// Time from sending a request to its first event.
+const PREFILL_MS: u64 = 150;
+
+/// Time from the crash of an endpoint to its return.
+const DOWN_MS: u64 = 4_000;
+
+/// Time within which nodes learn of each other's evidence.
+const EXCHANGE_MS: u64 = 500;
+
+/// Interval at which nodes review the evidence.
+const REVIEW_MS: u64 = 250;
+
+/// Time after the fifth crash from which at most [`MAX_LATE`] requests with the segment may reach
+/// endpoints.
+const BOUND_MS: u64 = 3_000;
+const MAX_LATE: usize = 3;
+
+const DEADLY: u64 = 999_999;
+
+#[derive(Clone)]
+struct Request {
+    node: usize,
+    unique: u64,
+    shared: Vec<u64>,
+    sent: u64,
+    endpoint: usize,
+    attempts: u32,
+}
+
+impl Request {
+    fn is_deadly(&self) -> bool {
+        self.shared.contains(&DEADLY)
+    }
+}
+
+/// A simulated deployment whose nodes send requests to endpoints at random.
+struct Deployment {
+    nodes: Vec<Quarantine>,
+    rng: SmallRng,
+    /// When each endpoint is back, and its run.
+    endpoints: Vec<(u64, u64)>,
+    pending: Vec<Request>,
+    crashes: Vec<u64>,
+    /// Times at which deadly requests reached endpoints.
+    deadly_sent: Vec<u64>,
+    refused_sound: usize,
+    next_unique: u64,
+}
+
+impl Deployment {
+    fn new(nodes: usize, seed: u64) -> Self {
+        Self {
+            nodes: (0..nodes).map(|_| Quarantine::default()).collect(),
+            rng: SmallRng::seed_from_u64(seed),
+            endpoints: vec![(0, 0); ENDPOINTS],
+            pending: Vec::new(),
+            crashes: Vec::new(),
+            deadly_sent: Vec::new(),
+            refused_sound: 0,
+            next_unique: 10_000,
+        }
+    }
+
+    fn request(&mut self, shared: Vec<u64>, now: u64) {
+        self.next_unique += 1;
+        let request = Request {
+            node: self.rng.random_range(0..self.nodes.len()),
+            unique: self.next_unique,
+            shared,
+            sent: now,
+            endpoint: 0,
+            attempts: 0,
+        };
+        self.send(request, now);
+    }
+
+    fn sound_request(&mut self, now: u64) {
+        let first = self.rng.random_range(0..4);
+        let second = self.rng.random_range(100..192);
+        self.request(vec![first, second], now);
+    }
+
+    fn send(&mut self, mut request: Request, now: u64) {
+        let node = &self.nodes[request.node];
+        let shared = request.shared.iter().copied();
+        if node.refused_for(shared, Millis(now)).is_some() {
+            self.refused_sound += usize::from(!request.is_deadly());
+            return;
+        }
+        let up: Vec<usize> = (0..ENDPOINTS)
+            .filter(|endpoint| self.endpoints[*endpoint].0 <= now)
+            .collect();
+        if up.is_empty() || request.attempts >= 2 {
+            return;
+        }
+        request.endpoint = up[self.rng.random_range(0..up.len())];
+        request.attempts += 1;
+        request.sent = now;
+        if request.is_deadly() {
+            self.deadly_sent.push(now);
+        }
+        self.pending.push(request);
+    }
+
+    fn crash(&mut self, endpoint: usize, now: u64) {
+        self.crashes.push(now);
+        let (back, run) = &mut self.endpoints[endpoint];
+        *back = now + DOWN_MS;
+        *run += 1;
+        let name = endpoint as u64 + *run * 100;
+        let all = std::mem::take(&mut self.pending);
+        let (broken, rest) = all.into_iter().partition(|r| r.endpoint == endpoint);
+        self.pending = rest;
+        let broken: Vec<Request> = broken;
+        for request in broken {
+            self.nodes[request.node].record_crash(Crash {
+                endpoint: name,
+                request: request.unique,
+                segments: request.shared.clone(),
+                at: Millis(now),
+            });
+            self.send(request, now);
+        }
+    }
+
+    fn advance(&mut self, now: u64) {
+        while let Some(index) = self.pending.iter().position(|r| r.sent + PREFILL_MS <= now) {
+            if self.pending[index].is_deadly() {
+                self.crash(self.pending[index].endpoint, now);
+                continue;
+            }
+            let request = self.pending.swap_remove(index);
+            self.nodes[request.node].record_success(request.shared, Millis(now));
+        }
+        if now.is_multiple_of(EXCHANGE_MS) {
+            let nodes = self.nodes.iter();
+            let evidence: Vec<_> = nodes.map(|node| node.evidence(Millis(now))).collect();
+            for (index, node) in self.nodes.iter_mut().enumerate() {
+                let others = evidence.iter().enumerate().filter(|(i, _)| *i != index);
+                others.for_each(|(_, evidence)| node.merge(evidence, Millis(now)));
+            }
+        }
+        if now.is_multiple_of(REVIEW_MS) {
+            for node in &mut self.nodes {
+                node.review(Millis(now));
+            }
+        }
+    }
+}
+
+/// Guards against a prompt segment that crashes one endpoint after the other, and against refusing
+/// requests that only share an endpoint or other segments with it.
+#[test]
+fn a_segment_that_crashes_endpoints_is_quarantined_alone() {
+    struct Case {
+        name: &'static str,
+        nodes: usize,
+        /// Pause between two requests with the segment, in milliseconds.
+        pause: u64,
+        segments: fn(u64) -> Vec<u64>,
+    }
+    let case = |name, nodes, pause, segments| Case {
+        name,
+        nodes,
+        pause,
+        segments,
+    };
+    let cases = [
+        case("second segment", 8, 900, |n| vec![n % 4, DEADLY]),
+        case("first segment", 6, 900, |n| vec![DEADLY, 100 + n % 92]),
+        case("added segment", 8, 400, |n| {
+            vec![n % 4, DEADLY, 100 + n % 92]
+        }),
+        case("only segment", 8, 900, |_| vec![DEADLY]),
+        case("rare", 8, 3_000, |n| vec![n % 4, DEADLY]),
+        case("frequent", 8, 200, |n| vec![n % 4, DEADLY]),
+        case("many nodes", 40, 700, |n| vec![n % 4, DEADLY]),
+    ];
+    for case in cases {
+        for seed in 0..20 {
+            let name = format!("{}, seed {seed}", case.name);
+            let mut deployment = Deployment::new(case.nodes, seed);
+            for now in (0..60_000).step_by(10) {
+                if now % 50 == 0 {
+                    deployment.sound_request(now);
+                }
+                if now > 4_000 && now.is_multiple_of(case.pause) {
+                    deployment.request((case.segments)(now / case.pause), now);
+                }
+                deployment.advance(now);
+            }
+            let fifth = deployment
+                .crashes
+                .get(4)
+                .copied()
+                .unwrap_or(u64::MAX - BOUND_MS);
+            let sent = deployment.deadly_sent.iter();
+            let late = sent.filter(|at| **at > fifth + BOUND_MS).count();
+            assert!(
+                late <= MAX_LATE,
+                "{name}: {late} late, {:?}",
+                deployment.crashes
+            );
+            assert_eq!(
+                deployment.refused_sound, 0,
+                "{name}: sound requests refused"
+            );
+        }
+    }
+}
+
+/// Guards against refusing sound requests after endpoints crashed for another reason.
+#[test]
+fn segments_of_requests_at_endpoints_that_crash_together_stay_allowed() {
+    for seed in 0..20 {
+        let mut deployment = Deployment::new(8, seed);
+        for now in (0..60_000).step_by(10) {
+            if now % 50 == 0 {
+                deployment.sound_request(now);
+            }
+            if now > 4_000 && now.is_multiple_of(7_000) {
+                (0..ENDPOINTS).for_each(|endpoint| deployment.crash(endpoint, now));
+            }
+            if now.is_multiple_of(1_300) {
+                deployment.crash(seed as usize % ENDPOINTS, now);
+            }
+            deployment.advance(now);
+        }
+        assert_eq!(deployment.refused_sound, 0, "seed {seed}");
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -15,6 +15,7 @@
 mod gateway_lease;
 mod gateway_limits;
 mod gateway_outcomes;
+mod gateway_quarantine;
 mod gateway_scaler;
 mod gateway_serving;
 #[allow(dead_code, reason = "not every feature uses every helper")]
