Take a refusal as "not run" only if it surely answers the request

Callers would have seen: "not run, try again" for a request that an endpoint runs (REFUSED), or a request that must not be repeated run at a second endpoint (TWICE), when a faulty endpoint writes an earlier refusal once more on a kept connection.

Cause: a refusal without an attempt id was believed on any connection. One with the id of another request was already told apart, and connections are closed after a refusal, so that the same connection can't repeat its own; but an endpoint may write a refusal of another connection.

Change: on a connection that carried a request before, a refusal counts only with the id of the request; otherwise the request may have run (502, or a retry where the route allows one). Same cause elsewhere: an endpoint's own 408, 429 or 503 that does not state that the request was not run was passed on, and callers take these as a promise; it becomes 502, too, without the endpoint's signature.

Ruled out: that this costs sound refusals; endpoints echo the id in their responses by the users' pages. The engine double did not in its refusals, and does now.

Test: a_refusal_that_may_be_of_another_request_promises_nothing (seven refusals). Before: 200 from a second endpoint after the first had run it. Now 502 and one run.

--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -157,7 +157,7 @@
     {
         reservation.record_retry_after(delay);
     }
-    if let Some(failure) = reject(call, &metadata, &response) {
+    if let Some(failure) = reject(call, &metadata, &response, connection.is_reused()) {
         reservation.record_head(true, metadata.load);
         return Err(failure);
     }
@@ -209,12 +209,24 @@
     failure
 }
 
+/// Returns whether callers take a status as a guarantee that the request has not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the failure if a response must not be sent to the caller: it belongs to another request,
 /// states that the request did not run, or does not come from an endpoint.
 fn reject(
     call: &Call,
     metadata: &ResponseMetadata,
     response: &Response<Incoming>,
+    reused: bool,
 ) -> Option<Failure> {
     if metadata.id.is_some() && metadata.id != call.metadata.id {
         return Some(Failure::new(
@@ -222,7 +234,18 @@
             "the response belongs to another request",
         ));
     }
-    if metadata.not_executed || response.status() == StatusCode::MISDIRECTED_REQUEST {
+    // Without an id, a response on a reused connection may repeat an earlier one.
+    let is_own = metadata.id.is_some() || !reused;
+    let states_not_run =
+        metadata.not_executed || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if (states_not_run && !is_own) || (promises_not_run(response.status()) && !states_not_run) {
+        let reason = format!(
+            "the endpoint responded with {}, but may have run",
+            response.status()
+        );
+        return Some(Failure::new(Verdict::MayHaveRun, reason));
+    }
+    if states_not_run {
         let reason = format!("the endpoint declined with {}", response.status());
         return Some(Failure::new(Verdict::NotRun, reason));
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -33,6 +33,25 @@
 pub struct Connection {
     key: Key,
     sender: SendRequest<Full<Bytes>>,
+    /// Whether an earlier request was sent on it.
+    reused: bool,
+}
+
+impl Connection {
+    fn new(key: Key, sender: SendRequest<Full<Bytes>>, reused: bool) -> Self {
+        Self {
+            key,
+            sender,
+            reused,
+        }
+    }
+
+    /// Returns whether an earlier request was sent on the connection, so that a response may belong
+    /// to that one.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
 }
 
 /// Pool of HTTP/1 connections to endpoints.
@@ -72,7 +91,7 @@
     ) -> Result<(Response<Incoming>, Connection), Error> {
         while let Some(mut sender) = self.take_idle(key, max_idle) {
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, Connection { key, sender })),
+                Ok(response) => return Ok((response, Connection::new(key, sender, true))),
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) => request = unsent,
@@ -82,7 +101,7 @@
         }
         let mut sender = connect(address).await?;
         match sender.try_send_request(request).await {
-            Ok(response) => Ok((response, Connection { key, sender })),
+            Ok(response) => Ok((response, Connection::new(key, sender, false))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = request_error(address, &error.into_error());
--- a/tests/integration/gateway_outcomes.rs
+++ b/tests/integration/gateway_outcomes.rs
@@ -103,6 +103,29 @@
     }
 }
 
+/// Guards against an earlier refusal that is taken for the response to a request which the endpoint
+/// runs, so that the caller is told to repeat it or it runs at a second endpoint.
+#[tokio::test]
+async fn a_refusal_that_may_be_of_another_request_promises_nothing() {
+    let refusals = [
+        "503 X\r\nX-Almondpath-Not-Executed: 1",
+        "503 X\r\nX-Almondpath-Not-Executed: 1\r\nX-Almondpath-Attempt-Id: earlier",
+        "429 X\r\nX-Almondpath-Not-Executed: 1",
+        "421 X\r\nX-Almondpath-Instance-Id: other",
+        "503 X",
+        "429 X",
+        "408 X",
+    ];
+    for refusal in refusals {
+        let pair = Pair::start("app").await;
+        let request = Request::new("/unsafe/x");
+        let response = pair.send(&request, Behaviour::Refuse(refusal), OK).await;
+        let response = response.expect(refusal);
+        assert_eq!(response.status, 502, "{refusal}");
+        assert_eq!(pair.runs(&response.id), 1, "{refusal}");
+    }
+}
+
 /// Guards against a refusal without `Retry-After`, and against refusing a request that has run.
 #[tokio::test]
 async fn a_request_that_every_endpoint_declines_has_not_run() {
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -19,6 +19,8 @@
     Decline,
     /// Responds that the request was meant for another endpoint.
     Misdirected,
+    /// Runs the request, but first writes this status line and headers, as a refusal.
+    Refuse(&'static str),
     /// Responds with the id of another request.
     WrongRequestId,
     /// Responds without the signature header.
@@ -191,13 +193,22 @@
             }
             Behaviour::Decline => {
                 let text = format!(
-                    "HTTP/1.1 503 X\r\n{added}X-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 503 X\r\nX-Almondpath-Attempt-Id: {id}\r\n{added}X-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 );
                 write(stream, &text).await
             }
             Behaviour::Misdirected => {
-                let text = "HTTP/1.1 421 X\r\nX-Almondpath-Instance-Id: other\r\nContent-Length: 0\r\n\r\n";
-                write(stream, text).await
+                let text = format!(
+                    "HTTP/1.1 421 X\r\nX-Almondpath-Attempt-Id: {id}\r\nX-Almondpath-Instance-Id: other\r\nContent-Length: 0\r\n\r\n"
+                );
+                write(stream, &text).await
+            }
+            Behaviour::Refuse(head) => {
+                write(
+                    stream,
+                    &format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
+                )
+                .await
             }
             Behaviour::WrongRequestId => write(stream, &plain(200, "another")).await,
             Behaviour::Unsigned => {
