Take a stream without length or chunks that ends before its first event as broken off

Cause: the end of the connection was taken for the end of the stream, unless it fell within an event.

Change: if only the connection marks the end, the stream is complete only after an event. One that ends within an event was told apart before, and is still; both now count as a crash of the request, as a reset does. An endpoint that ends between two events can't be told from one that is done.

Test: a_stream_that_ends_with_its_connection_is_complete_only_after_an_event. Before, the empty stream was passed on as complete; now it is resumed at another endpoint where the route allows it, or answered with 502.

--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::http::response::Parts;
-use hyper::{Response, header};
+use hyper::{HeaderMap, Response, header};
 use tokio::time::sleep;
 
 use crate::clock::Millis;
@@ -53,6 +53,8 @@
     reservation: Reservation,
     connection: Option<Connection>,
     body: Option<Incoming>,
+    /// Whether the body ends with its connection, so that its end says little.
+    ends_with_connection: bool,
     events: EventSplitter,
     pending: VecDeque<Bytes>,
     /// Id of the last event received.
@@ -70,6 +72,7 @@
         let (head, body) = received.response.into_parts();
         Self {
             call: Arc::clone(call),
+            ends_with_connection: ends_with_connection(&head.headers),
             head,
             reservation: received.reservation,
             connection: Some(received.connection),
@@ -118,9 +121,6 @@
                         return Ok(());
                     }
                 }
-                Chunk::End if self.events.has_partial() => {
-                    return Err("the stream ended within an event".to_owned());
-                }
                 Chunk::End => {
                     self.complete();
                     return Ok(());
@@ -144,11 +144,10 @@
                     Ok(()) => continue,
                     Err(reason) => reason,
                 },
-                Chunk::End if !self.events.has_partial() => {
+                Chunk::End => {
                     self.complete();
                     continue;
                 }
-                Chunk::End => "the stream ended within an event".to_owned(),
                 Chunk::Failed(reason) => reason,
                 Chunk::DeadlineExceeded => {
                     return Some(Err(self.abort("late", "the deadline has passed")));
@@ -254,6 +253,7 @@
         }
         self.reservation = received.reservation;
         self.connection = Some(received.connection);
+        self.ends_with_connection = ends_with_connection(received.response.headers());
         self.body = Some(received.response.into_body());
         self.events = EventSplitter::default();
         self.started = false;
@@ -261,6 +261,17 @@
         Ok(())
     }
 
+    /// Returns what the end of the body means: the stream is broken off within an event, and, if only
+    /// the connection marks the end, before the first one.
+    fn end_of_body(&self) -> Chunk {
+        let is_empty = self.ends_with_connection && !self.started;
+        if !self.events.has_partial() && !is_empty {
+            return Chunk::End;
+        }
+        self.call.record_crash(&self.reservation);
+        Chunk::Failed("the stream ended within an event or before the first one".to_owned())
+    }
+
     /// Waits for the next chunk of the endpoint's response.
     async fn read_chunk(&mut self) -> Chunk {
         let now = self.call.node.clock.now();
@@ -272,7 +283,7 @@
         let stall = stall_timeout(&self.call);
         tokio::select! {
             frame = body.frame() => match frame {
-                None => Chunk::End,
+                None => self.end_of_body(),
                 Some(Ok(frame)) => Chunk::Data(frame.into_data().unwrap_or_default()),
                 Some(Err(error)) => {
                     self.call.record_crash(&self.reservation);
@@ -295,6 +306,12 @@
     }
 }
 
+/// Returns whether a body has neither a length nor chunks.
+fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the time without an event after which a stream resumes at another endpoint.
 fn stall_timeout(call: &Call) -> Millis {
     call.route
--- a/tests/integration/gateway_outcomes.rs
+++ b/tests/integration/gateway_outcomes.rs
@@ -236,6 +236,50 @@
     assert_eq!(pair.runs(&truncated.id), 1);
 }
 
+/// Guards against a stream without a length or chunks that looks complete, although the endpoint broke
+/// it off within an event or before the first one.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_is_complete_only_after_an_event() {
+    struct Case {
+        path: &'static str,
+        bad: Behaviour,
+        complete: bool,
+        events: u64,
+        runs: usize,
+    }
+    let case = |path, bad, complete, events, runs| Case {
+        path,
+        bad,
+        complete,
+        events,
+        runs,
+    };
+    let until_close = Behaviour::StreamUntilClose;
+    let cases = [
+        case("/stream/x", until_close(8, ""), true, 8, 1),
+        case("/resumed/x", until_close(8, ""), true, 8, 1),
+        case("/stream/x", until_close(3, "id: 3\nda"), false, 3, 1),
+        case("/resumed/x", until_close(3, "id: 3\nda"), true, 8, 2),
+        case("/resumed/x", until_close(0, ""), true, 8, 2),
+        case("/resumed/x", until_close(0, "id"), true, 8, 2),
+    ];
+    for case in cases {
+        let name = format!("{} {:?}", case.path, case.bad);
+        let pair = Pair::start("llm").await;
+        let request = Request::new(case.path);
+        let response = pair.send(&request, case.bad, Behaviour::Stream(8, 5)).await;
+        let response = response.expect(&name);
+        assert_eq!(response.complete, case.complete, "{name}");
+        assert_eq!(response.body, events(0..case.events), "{name}");
+        assert_eq!(pair.runs(&response.id), case.runs, "{name}");
+    }
+    let pair = Pair::start("llm").await;
+    let request = Request::new("/stream/x");
+    let bad = until_close(0, "");
+    let response = pair.send(&request, bad, Behaviour::Stream(8, 5)).await;
+    assert_eq!(response.expect("a response").status, 502);
+}
+
 /// Guards against a stream that starts from the beginning for a caller that resumes.
 #[tokio::test]
 async fn a_caller_resumes_after_its_last_event() {
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -15,6 +15,9 @@
     Stream(u64, u64),
     /// Streams this many events and a part of the next one, then resets the connection.
     Truncate(u64),
+    /// Streams this many events and then this text, with neither a length nor chunks, and closes the
+    /// connection regularly.
+    StreamUntilClose(u64, &'static str),
     /// Declines the request and states that it was not run.
     Decline,
     /// Responds that the request was meant for another endpoint.
@@ -191,6 +194,12 @@
                 reset(stream);
                 false
             }
+            Behaviour::StreamUntilClose(count, rest) => {
+                let events: String = (first..count).map(event).collect();
+                write(stream, &(head(200, id, "") + &events + rest)).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                false
+            }
             Behaviour::Decline => {
                 let text = format!(
                     "HTTP/1.1 503 X\r\nX-Almondpath-Attempt-Id: {id}\r\n{added}X-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
