Cut off endpoints that write bytes without end

Cause: the HTTP client skips interim heads without a limit; on 60 connections, parsing them took all of the processor time, so that timers ran late (8.8 s at a deadline of 1.5 s). Heads and events had limits. Found by reading on the way: up to 8 MiB were kept for each plain response with no limit on all of them together, and the stall timeout of a stream began anew with any bytes, not only with events.

Change: at most 1 MiB is read before the final head of a response; what large plain responses take together is limited to 64 MiB (the first 64 KiB of each are free, so that small ones are always read); a stream stalls when no event has arrived for the timeout.

Test: endless_bytes_are_cut_off_within_deadline_and_memory, eight kinds of bytes at 60 requests at a time; each response within 2 s at a deadline of 1.5 s, connections closed, less than 260 MB. Before: "interim heads: 8.8 s"; it failed the same with the other changes and without the limit on heads. The limit on all plain responses and the stall timeout were not shown to fail before: the body's case passed without them in that run.

--- a/src/gateway/forward/buffered.rs
+++ b/src/gateway/forward/buffered.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -17,6 +17,10 @@
 /// Largest response that is buffered before it is sent to the caller.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 
+/// Part of each response that does not count towards the limit of all responses together, so that
+/// small responses are read while large ones have used up the limit.
+const UNCOUNTED_BYTES: usize = 64 * 1024;
+
 /// Reads a whole response into memory and returns it for the caller.
 pub(super) async fn relay_buffered(call: &Arc<Call>, received: Received) -> Outcome {
     let Received {
@@ -51,19 +55,29 @@
 
 async fn read_body(call: &Call, body: Incoming) -> Result<Bytes, Failure> {
     let left = call.time_left(call.node.clock.now());
-    let reading = timeout(
-        left.into(),
-        Limited::new(body, MAX_BUFFERED_BYTES).collect(),
-    );
-    match reading.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => {
-            let reason = format!("reading the response failed: {error}");
-            Err(Failure::new(Verdict::MayHaveRun, reason))
+    let failed = |reason: String| Failure::new(Verdict::MayHaveRun, reason);
+    match timeout(left.into(), collect(call, body)).await {
+        Ok(read) => read.map_err(failed),
+        Err(_) => Err(failed("response incomplete at the deadline".to_owned())),
+    }
+}
+
+/// Reads a body to its end. A faulty endpoint may send bytes without end, on many responses at once.
+async fn collect(call: &Call, mut body: Incoming) -> Result<Bytes, String> {
+    let mut read = BytesMut::new();
+    let mut permits = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| format!("reading the response failed: {error}"))?;
+        let data = frame.into_data().unwrap_or_default();
+        read.extend_from_slice(&data);
+        if read.len() > MAX_BUFFERED_BYTES {
+            return Err(format!("the response exceeds {MAX_BUFFERED_BYTES} bytes"));
         }
-        Err(_) => {
-            let reason = "response incomplete at the deadline";
-            Err(Failure::new(Verdict::MayHaveRun, reason))
+        if read.len() > UNCOUNTED_BYTES {
+            let bytes = u32::try_from(data.len()).unwrap_or(u32::MAX);
+            let permit = call.node.response_buffer.try_acquire_many(bytes);
+            permits.push(permit.map_err(|_| "responses exceed the memory for them".to_owned())?);
         }
     }
+    Ok(read.freeze())
 }
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -61,6 +61,8 @@
     last_event: Option<u64>,
     /// Whether the current endpoint sent an event.
     started: bool,
+    /// When the last event arrived.
+    last_event_at: Millis,
     /// Status sent to the caller; `None` until the response is returned.
     status: Option<u16>,
     outcome: &'static str,
@@ -81,6 +83,7 @@
             pending: VecDeque::new(),
             last_event: resume_after,
             started: false,
+            last_event_at: call.node.clock.now(),
             status: None,
             outcome: "caller_gone",
         }
@@ -192,6 +195,7 @@
         }
         if !self.pending.is_empty() {
             self.reservation.record_data();
+            self.last_event_at = self.call.node.clock.now();
             if !self.started {
                 self.started = true;
                 self.reservation.record_first_event();
@@ -291,7 +295,7 @@
                 }
             },
             () = sleep(left.into()) => Chunk::DeadlineExceeded,
-            () = sleep(stall.into()), if resumes && self.started => {
+            () = sleep((self.last_event_at + stall - now).into()), if resumes && self.started => {
                 Chunk::Failed(format!("no event for {stall}"))
             }
             reason = self.reservation.until_unresponsive(true, left),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod forward;
 mod health;
 mod lease;
+mod limited_stream;
 mod load;
 mod node;
 mod prefix_cache;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -11,7 +11,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use rand::Rng;
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, Millis};
@@ -53,6 +53,10 @@
 /// Maximum number of addresses in a response to a caller.
 const MAX_ADDRESSES: usize = 64;
 
+/// Memory for large responses that are read before they are sent to the caller, in bytes; a node has
+/// about 250 MB in all.
+const RESPONSE_BUFFER_BYTES: usize = 64 * 1024 * 1024;
+
 /// The adapters that connect the gateway to a platform.
 pub struct Adapters {
     /// Interprets headers.
@@ -220,6 +224,8 @@
     pub(super) peer_handle: OnceLock<peer::Handle>,
     /// Number of callers' requests in flight.
     pub(super) requests: AtomicUsize,
+    /// Free bytes of the memory for large responses.
+    pub(super) response_buffer: Semaphore,
     /// Notified when grants have to be reported to the next owners of a bucket at once.
     pub(super) grants_unreported: Notify,
     /// Cancelled when the node begins to shut down.
@@ -288,6 +294,7 @@
             started,
             peer_handle: OnceLock::new(),
             requests: AtomicUsize::new(0),
+            response_buffer: Semaphore::new(RESPONSE_BUFFER_BYTES),
             grants_unreported: Notify::new(),
             leaving: CancellationToken::new(),
             stopped: CancellationToken::new(),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -15,6 +16,7 @@
 use crate::error::{Error, ErrorKind};
 
 use super::endpoint::Key;
+use super::limited_stream::{HeadLimit, LimitedStream};
 
 /// Timeout of connecting to an endpoint; endpoints are a few ms away.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -22,9 +24,29 @@
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
+/// The sending half of a connection.
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
+}
+
+impl Sender {
+    /// Sends a request and waits for the head of the response.
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.start();
+        let response = self.requests.try_send_request(request).await?;
+        self.head_limit.stop();
+        Ok(response)
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     since: Millis,
 }
 
@@ -32,13 +54,13 @@
 #[derive(Debug)]
 pub struct Connection {
     key: Key,
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     /// Whether an earlier request was sent on it.
     reused: bool,
 }
 
 impl Connection {
-    fn new(key: Key, sender: SendRequest<Full<Bytes>>, reused: bool) -> Self {
+    fn new(key: Key, sender: Sender, reused: bool) -> Self {
         Self {
             key,
             sender,
@@ -90,7 +112,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), Error> {
         while let Some(mut sender) = self.take_idle(key, max_idle) {
-            match sender.try_send_request(request).await {
+            match sender.send(request).await {
                 Ok(response) => return Ok((response, Connection::new(key, sender, true))),
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before anything was written.
@@ -100,7 +122,7 @@
             }
         }
         let mut sender = connect(address).await?;
-        match sender.try_send_request(request).await {
+        match sender.send(request).await {
             Ok(response) => Ok((response, Connection::new(key, sender, false))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -116,7 +138,7 @@
 
     /// Returns a connection to the pool after its response was read to the end.
     pub fn release(&self, connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.sender.requests.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -135,19 +157,19 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|_, kept| {
             kept.retain(|connection| {
-                now - connection.since < age && !connection.sender.is_closed()
+                now - connection.since < age && !connection.sender.requests.is_closed()
             });
             !kept.is_empty()
         });
     }
 
-    fn take_idle(&self, key: Key, max_idle: Millis) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, key: Key, max_idle: Millis) -> Option<Sender> {
         let now = self.clock.now();
         let mut idle_by_endpoint = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle_by_endpoint.get_mut(&key)?;
         // The connection used last is the least likely to have been closed by the endpoint.
         while let Some(connection) = kept.pop() {
-            if now - connection.since < max_idle && connection.sender.is_ready() {
+            if now - connection.since < max_idle && connection.sender.requests.is_ready() {
                 return Some(connection.sender);
             }
         }
@@ -155,7 +177,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Error> {
+async fn connect(address: SocketAddr) -> Result<Sender, Error> {
     let connect_error = |reason: String| {
         Error::not_run(
             ErrorKind::Unavailable,
@@ -169,14 +191,18 @@
     // Nagle's algorithm would only delay a request that is written at once. Failing to disable it
     // costs latency only.
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (stream, head_limit) = LimitedStream::new(stream);
+    let (requests, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| connect_error(error.to_string()))?;
     // A failure of the connection is reported by the request on it.
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Sender {
+        requests,
+        head_limit,
+    })
 }
 
 fn request_error(address: SocketAddr, error: &hyper::Error) -> Error {
--- a/tests/integration/gateway_outcomes.rs
+++ b/tests/integration/gateway_outcomes.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::harness::eventually;
 use crate::platform::{Behaviour, Deployment, Engine, Request, Response};
 
 const OK: Behaviour = Behaviour::Respond(200, 0);
@@ -126,6 +127,75 @@
     }
 }
 
+/// Guards against endpoints that write bytes without end, which are no response, hold a request beyond
+/// its deadline, or exceed the memory of the process (260 MB in its settings).
+#[tokio::test]
+async fn endless_bytes_are_cut_off_within_deadline_and_memory() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        service: &'static str,
+        start: &'static str,
+        filler: &'static str,
+    }
+    let case = |name, path, service, start, filler| Case {
+        name,
+        path,
+        service,
+        start,
+        filler,
+    };
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let cases = [
+        case("no response", "/unsafe/x", "app", "x", "x"),
+        case("a header", "/unsafe/x", "app", "HTTP/1.1 200 X\r\nA: ", "x"),
+        case(
+            "headers",
+            "/unsafe/x",
+            "app",
+            "HTTP/1.1 200 X\r\n",
+            "A: b\r\n",
+        ),
+        case("interim heads", "/unsafe/x", "app", interim, interim),
+        case("a body", "/unsafe/x", "app", "{head}", "x"),
+        case("an event", "/resumed/x", "llm", "{head}", "x"),
+        case("comments", "/stream/x", "llm", "{head}", ":\n\n"),
+        case(
+            "a stream",
+            "/resumed/x",
+            "llm",
+            "{head}id: 0\ndata: a\n\n",
+            "x",
+        ),
+    ];
+    for case in cases {
+        let endless = Behaviour::Endless(case.start, case.filler);
+        let engine = Engine::start("e0", case.service, endless).await;
+        let deployment = Deployment::start(1, vec![engine]).await;
+        let gateway = &deployment.gateways[0];
+        let mut request = Request::new(case.path);
+        request.deadline_ms = 1_500;
+        let sending = (0..60).map(|_| gateway.send(&request));
+        for response in futures::future::join_all(sending)
+            .await
+            .into_iter()
+            .flatten()
+        {
+            let success = response.status == 200 && response.complete;
+            assert!(!success, "{}: {}", case.name, response.status);
+            let limit = Duration::from_millis(2_000);
+            assert!(response.took < limit, "{}: {:?}", case.name, response.took);
+        }
+        eventually("the connections are closed", async || {
+            let received = deployment.engines[0].received();
+            received.iter().all(|request| request.disconnected)
+        })
+        .await;
+        let memory = gateway.peak_memory_kib();
+        assert!(memory < 260_000, "{}: {memory} KiB", case.name);
+    }
+}
+
 /// Guards against a refusal without `Retry-After`, and against refusing a request that has run.
 #[tokio::test]
 async fn a_request_that_every_endpoint_declines_has_not_run() {
--- a/tests/integration/platform/deployment.rs
+++ b/tests/integration/platform/deployment.rs
@@ -35,6 +35,15 @@
         assert_eq!(unsafe { libc::kill(pid, signal) }, 0);
     }
 
+    /// Returns the most memory that the process has used so far, in KiB.
+    pub(crate) fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().next());
+        kib.expect("a peak").parse().expect("a number")
+    }
+
     /// Returns whether the process exited successfully; `None` while it runs.
     pub(crate) fn exited_successfully(&mut self) -> Option<bool> {
         let status = self.child.try_wait().expect("a child");
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -18,6 +18,8 @@
     /// Streams this many events and then this text, with neither a length nor chunks, and closes the
     /// connection regularly.
     StreamUntilClose(u64, &'static str),
+    /// Writes the first text, and the second one until the gateway closes the connection.
+    Endless(&'static str, &'static str),
     /// Declines the request and states that it was not run.
     Decline,
     /// Responds that the request was meant for another endpoint.
@@ -200,6 +202,16 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 false
             }
+            Behaviour::Endless(start, filler) => {
+                let start = start.replace("{head}", &head(200, id, ""));
+                let block = filler.repeat(65_536 / filler.len());
+                let mut open = write(stream, &start).await;
+                while open {
+                    open = write(stream, &block).await;
+                }
+                self.received.lock().expect("no panic")[index].disconnected = true;
+                false
+            }
             Behaviour::Decline => {
                 let text = format!(
                     "HTTP/1.1 503 X\r\nX-Almondpath-Attempt-Id: {id}\r\n{added}X-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
