Move the state of a node to a file of its own

The state from which a node decides, with its construction, is in state.rs now; nothing else changes.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 use crate::gateway::changelog::Position;
-use crate::gateway::node::State;
+use crate::gateway::state::State;
 use crate::gateway::{Config, Grant, GrantReport, Node, Quotas, Run, Slot, quota};
 use crate::membership;
 use crate::peer::{Handle, Handler, Method};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod server;
 mod service;
 mod settings;
+mod state;
 mod store;
 mod upstream;
 mod usage;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -9,7 +9,6 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use rand::Rng;
 use slog::{Logger, info};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
@@ -18,18 +17,14 @@
 use crate::supervisor::Supervisor;
 use crate::{peer, peer::Tokens};
 
-use super::changelog::{Changelog, EntryState, Position};
-use super::cluster::{
-    Announcement, Clocks, Inflight, KnownNodes, OWNERSHIP_DELAY, Phase, Roster, Selector,
-};
-use super::fleet::{Fleet, Transition};
-use super::quota::{OwnerBackoff, Quotas, Reachability};
-use super::scaler::{Demand, DemandReports, Meter, Scaler};
+use super::changelog::EntryState;
+use super::cluster::{Announcement, Phase};
+use super::fleet::Transition;
+use super::state::State;
 use super::upstream::Upstream;
-use super::usage::Usage;
 use super::{
-    Account, Body, Cloud, Config, Dialect, Documents, Lease, Prompt, Quarantine, RetryBudget, Run,
-    Settings, Store, cluster, duties, follower, server,
+    Account, Body, Cloud, Config, Dialect, Documents, Prompt, Run, Settings, Store, cluster,
+    duties, follower, server,
 };
 
 /// Time within which another node has to respond to a call.
@@ -44,12 +39,6 @@
 /// Time after which an unused connection to an endpoint is closed.
 const IDLE_CONNECTION_TIMEOUT: Millis = Millis(4_000);
 
-/// Time after a failed read for which the store counts as unavailable.
-const STORE_FAILURE_PERIOD: Millis = Millis(2_000);
-
-/// Minimum time between two announcements that differ only in their counters.
-const COUNTERS_INTERVAL: Millis = Millis(200);
-
 /// Maximum number of addresses in a response to a caller.
 const MAX_ADDRESSES: usize = 64;
 
@@ -76,134 +65,6 @@
     pub(super) document: Bytes,
 }
 
-/// The mutable state of a node, from which it makes its decisions.
-pub(super) struct State {
-    started: Millis,
-    pub(super) fleet: Fleet,
-    pub(super) quotas: Quotas,
-    pub(super) quarantine: Quarantine,
-    /// Retry budgets, by service.
-    pub(super) retry_budgets: HashMap<Arc<str>, RetryBudget>,
-    /// Requests started by each account, for the usage reports.
-    pub(super) usage: Usage,
-    pub(super) roster: Roster,
-    pub(super) selector: Selector,
-    pub(super) clocks: Clocks,
-    /// Newest version of the configuration that any node is known to have.
-    pub(super) latest_config_version: u64,
-    /// Demand that other nodes reported to this one as the holder of the duties.
-    pub(super) demand_reports: DemandReports,
-    pub(super) lease: Lease,
-    /// Position in the operator's topic.
-    pub(super) operator_position: Position,
-    /// Position in the topic of endpoints.
-    pub(super) endpoints_position: Position,
-    /// When a read of the store last failed.
-    pub(super) store_failed_at: Option<Millis>,
-    /// Changes of the endpoints' entries, for nodes that do not read the store.
-    pub(super) changelog: Changelog,
-    pub(super) meter: Meter,
-    pub(super) scaler: Scaler,
-    pub(super) known_nodes: KnownNodes,
-    pub(super) owner_backoff: OwnerBackoff,
-    /// The latest announcement of this node, and when it was made.
-    announced: Option<(Millis, Announcement)>,
-}
-
-impl State {
-    /// Returns whether this node can read the store, as far as it knows.
-    pub(super) fn store_available(&self, now: Millis) -> bool {
-        self.store_failed_at
-            .is_none_or(|at| at + STORE_FAILURE_PERIOD <= now)
-    }
-
-    /// Returns the nodes that read the store on behalf of the others.
-    pub(super) fn readers(&self, settings: &Settings, now: Millis) -> Vec<Arc<str>> {
-        self.roster
-            .readers(&settings.domain, self.store_available(now), now)
-    }
-
-    /// Returns how many nodes may be serving and how many of them are unreachable.
-    pub(super) fn reachability(&self, now: Millis) -> Reachability {
-        self.known_nodes
-            .reachability(&self.roster, now - self.started, now)
-    }
-
-    /// Returns the demand of this node's requests on each service.
-    pub(super) fn own_demand(&self, now: Millis) -> Vec<(Arc<str>, Demand)> {
-        let busy = self.meter.busy_endpoints(now).into_iter();
-        busy.map(|(service, busy)| {
-            let endpoints = self.fleet.ready(&service);
-            let running = endpoints.map(|(_, endpoint)| endpoint.inflight).sum();
-            (service, Demand { busy, running })
-        })
-        .collect()
-    }
-
-    /// Returns the demand of all nodes' requests on a service, as known to the holder of the
-    /// duties.
-    pub(super) fn demand_of(&self, service: &str, now: Millis) -> Demand {
-        let own = self.own_demand(now);
-        let own = own.iter().filter(|(name, _)| &**name == service);
-        own.fold(
-            self.demand_reports.demand(service, now),
-            |sum, (_, demand)| sum.plus(*demand),
-        )
-    }
-
-    /// Returns the units that this node has granted, during the first seconds after its start.
-    ///
-    /// Other nodes that have just started too may become the next owners of the buckets.
-    fn startup_grants(&self, now: Millis) -> Vec<(Arc<str>, u64)> {
-        if now - self.started >= OWNERSHIP_DELAY {
-            return Vec::new();
-        }
-        let granted = self.quotas.granted();
-        granted
-            .map(|(name, units)| (Arc::clone(name), units as u64))
-            .collect()
-    }
-
-    /// Replaces this node's announcement if it has changed, and returns the current one.
-    ///
-    /// A change of counters alone replaces it only after [`COUNTERS_INTERVAL`].
-    fn announce(&mut self, mut fresh: Announcement, now: Millis) -> Announcement {
-        let mut sequence = 1;
-        if let Some((at, announced)) = &self.announced {
-            let counters_only = Announcement {
-                granted: announced.granted.clone(),
-                inflight: announced.inflight.clone(),
-                evidence: announced.evidence.clone(),
-                ..fresh.clone()
-            };
-            let due = *at + COUNTERS_INTERVAL <= now;
-            if fresh.same_content(announced) || (!due && counters_only.same_content(announced)) {
-                return announced.clone();
-            }
-            sequence = announced.sequence + 1;
-        }
-        fresh.sequence = sequence;
-        self.announced = Some((now, fresh.clone()));
-        fresh
-    }
-
-    /// Returns the requests of this node in flight at each endpoint.
-    ///
-    /// Empty in a large cluster, where the numbers would be outdated by the time they arrive.
-    fn announced_inflight(&self) -> Vec<Inflight> {
-        if !self.roster.is_small() {
-            return Vec::new();
-        }
-        let busy = self.fleet.iter().filter(|(_, e)| e.inflight > 0);
-        busy.map(|(_, endpoint)| Inflight {
-            endpoint: Arc::clone(&endpoint.registration.identity.id),
-            requests: endpoint.inflight,
-            tokens: endpoint.pending_tokens,
-        })
-        .collect()
-    }
-}
-
 /// One node of the gateway.
 pub struct Node {
     pub(super) settings: Settings,
@@ -243,43 +104,12 @@
     pub fn new(settings: Settings, adapters: Adapters, log: Logger) -> Arc<Self> {
         let clock = Clock::system();
         let incarnation = clock.wall().0;
-        let boot = clock.since_boot();
         let started = clock.now();
-        let state = State {
-            started,
-            fleet: Fleet::default(),
-            quotas: Quotas::new(
-                Run {
-                    node: Arc::clone(&settings.node),
-                    incarnation,
-                },
-                settings.quota_tolerance,
-                started,
-            ),
-            quarantine: Quarantine::default(),
-            retry_budgets: HashMap::new(),
-            usage: Usage::new(settings.usage_window, settings.open_windows()),
-            roster: Roster::new(Arc::clone(&settings.node)),
-            selector: Selector::new(rand::rng().random()),
-            clocks: Clocks::default(),
-            latest_config_version: 0,
-            demand_reports: DemandReports::default(),
-            lease: Lease::new(
-                Arc::clone(&settings.node),
-                incarnation,
-                settings.lease,
-                boot,
-            ),
-            operator_position: Position::default(),
-            endpoints_position: Position::default(),
-            store_failed_at: None,
-            changelog: Changelog::default(),
-            meter: Meter::default(),
-            scaler: Scaler::default(),
-            known_nodes: KnownNodes::default(),
-            owner_backoff: OwnerBackoff::default(),
-            announced: None,
+        let run = Run {
+            node: Arc::clone(&settings.node),
+            incarnation,
         };
+        let state = State::new(&settings, run, started, clock.since_boot());
         Arc::new(Self {
             settings,
             dialect: adapters.dialect,
