--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -21,6 +21,8 @@
     pub identity: Identity,
     /// Its service.
     pub service: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
     /// Its new lifecycle stage.
     pub lifecycle: Lifecycle,
 }
@@ -261,6 +263,7 @@
         let identity = registration.identity.clone();
         let leaving = registration.leaving || self.early_departures.contains_key(&identity);
         let service = Arc::clone(&registration.service);
+        let version = Arc::clone(&registration.version);
         let mut endpoint = Endpoint::new(registration, memory_tokens, now);
         if leaving {
             endpoint.lifecycle = Lifecycle::Leaving;
@@ -271,6 +274,7 @@
         Transition {
             identity,
             service,
+            version,
             lifecycle,
         }
     }
@@ -288,6 +292,7 @@
         Some(Transition {
             identity: endpoint.registration.identity.clone(),
             service: Arc::clone(&endpoint.registration.service),
+            version: Arc::clone(&endpoint.registration.version),
             lifecycle,
         })
     }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -344,7 +344,8 @@
         if let Some(transition) = transition {
             info!(self.log, "endpoint"; "endpoint" => &*transition.identity.id,
                 "born" => transition.identity.born, "service" => &*transition.service,
-                "standing" => ?transition.lifecycle, "source" => source);
+                "version" => &*transition.version, "standing" => ?transition.lifecycle,
+                "source" => source);
         }
     }
 
