Carry out rollout orders: bound the share of a new version and revert a worse one

Nobody acted on the order, so that the endpoints of both versions were alike. Class: an outcome that the system owns and that no part of it observes.

Change: while a version is on trial, each node sends it at most 0.8 of the share and of its part of the slack that the settings allow. Nodes count failures, slow first events and slow gaps by route and version, report the counters to the holder of the duties, and run the sequential test of crate::rollout on them. A version found worse is reverted at once by the node that finds it, and by gossip everywhere. A version with enough evidence is promoted before the deadline and recorded as completed; otherwise the rollout is reverted at its deadline. The status is recorded by a conditional append; a node that starts reads it. The response times and the timing of attempts move from node/rollouts to crate::rollout, where both users of them find them.

Tests: gateway_rollouts. On the code before, both tests with real processes fail (no request to the version, no status).

--- a/src/gateway/cluster/announcement.rs
+++ b/src/gateway/cluster/announcement.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::Evidence;
+use crate::gateway::rollout::Progress;
 
 /// The requests that a node has in flight at one endpoint.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -47,6 +48,8 @@
     pub inflight: Vec<Inflight>,
     /// What this node knows of prompt segments that crash endpoints.
     pub evidence: Evidence,
+    /// The latest rollout of each service.
+    pub rollouts: Vec<Progress>,
 }
 
 impl Announcement {
--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -86,6 +86,7 @@
     while !node.stopped.is_cancelled() {
         round += 1;
         node.review_crashes();
+        node.review_rollouts();
         gossip.start_round();
         liveness.log_changes(&node.state().roster, &node.log, node.clock.now());
         let current = gossip.duties_holder();
@@ -238,6 +239,9 @@
             let outage_end = sent - update.missing_for.unwrap_or_default();
             node.apply_entry(&id, update.into_state(), outage_end, "node");
         }
+        for update in &delta.members {
+            node.merge_rollouts(&update.announcement);
+        }
         // The operator's position is adopted only once this node has the configuration as well.
         let has_config = config <= node.config_version();
         let now = node.clock.now();
@@ -285,6 +289,7 @@
                 incarnation: node.incarnation,
                 usage: state.usage.counts().clone(),
                 demand: state.own_demand(now),
+                rollouts: state.rollouts.reports(),
             };
             let readers = state.readers(&node.settings, now);
             let readers = readers.iter().filter_map(|name| state.roster.member(name));
@@ -359,6 +364,7 @@
 
 /// Applies the header of another node's request or response.
 fn apply_header(node: &Node, header: Header) {
+    node.merge_rollouts(&header.announcement);
     let now = node.clock.now();
     let active = node.active.load();
     let config = active.as_ref().map(|active| &active.config);
@@ -379,6 +385,27 @@
     state.update_remote_inflight(now);
 }
 
+impl Node {
+    /// Adopts what another node knows of rollouts.
+    fn merge_rollouts(&self, announcement: &Announcement) {
+        if announcement.rollouts.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let new = {
+            let state = &mut *self.state();
+            let (nodes, _) = state.roster.count_serving(now);
+            let running_since = Millis(self.incarnation);
+            state
+                .rollouts
+                .merge_progress(&announcement.rollouts, nodes, running_since)
+        };
+        for progress in new {
+            self.log_rollout(&progress, "node");
+        }
+    }
+}
+
 /// Adopts the position of another node after its changes have been applied. The node responded
 /// after `sent`.
 fn adopt_position(position: &mut Position, sent: Millis, progress: Option<Progress>) {
@@ -535,6 +562,7 @@
         let now = self.node.clock.now();
         let state = &mut *self.node.state();
         let (node, incarnation) = (report.node, report.incarnation);
+        state.rollouts.merge(&node, incarnation, &report.rollouts);
         state.usage.merge(&node, incarnation, report.usage);
         state
             .demand_reports
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -8,6 +8,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::gateway::changelog::EntryState;
 use crate::gateway::quota::{GrantReport, GrantRequest};
+use crate::gateway::rollout;
 use crate::gateway::scaler::Demand;
 use crate::gateway::usage::Counts;
 
@@ -123,13 +124,16 @@
     pub(super) age: Millis,
 }
 
-/// The requests that a node has started, and the demand of its requests on each service.
+/// The requests that a node has started, the demand of its requests on each service, and its evidence
+/// on rollouts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::gateway) struct Report {
     pub(super) node: Arc<str>,
     pub(super) incarnation: u64,
     pub(super) usage: Counts,
     pub(super) demand: Vec<(Arc<str>, Demand)>,
+    /// What the responses say of versions on trial.
+    pub(super) rollouts: Vec<rollout::Report>,
 }
 
 /// Encodes a message or a response.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -8,6 +8,7 @@
 use crate::error::Error;
 
 use super::lease::{DutyRecord, Totals};
+use super::rollout::Control;
 use super::scaler::Scaler;
 use super::{Append, Holder, Node, Order, OrderOutcome, Page, Scale, Topic};
 
@@ -40,6 +41,7 @@
     fence: Option<u64>,
     /// When this node acquired the lease.
     held_since: Option<Millis>,
+    rollouts: Control,
 }
 
 /// Takes part in the lease of the duties, and performs them while this node holds it.
@@ -124,6 +126,11 @@
         if node.settings.reports_usage && reports_received {
             report_usage(node, duty).await;
         }
+        if reports_received {
+            duty.rollouts
+                .step(node, || valid_holder(node).is_some())
+                .await;
+        }
         if node.settings.orders_endpoints {
             order_endpoints(node).await;
         }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Returns the remaining time for which the endpoint is slow after its start.
+    #[must_use]
+    pub fn cold_left(&self, now: Millis) -> Millis {
+        self.registration.cold - (now - self.lifecycle_since)
+    }
+
     /// Returns whether the endpoint wants no requests from this node for now.
     #[must_use]
     pub fn is_declining(&self, now: Millis) -> bool {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -98,6 +98,14 @@
         })
     }
 
+    /// Returns whether an endpoint accepts new requests and its entry is present.
+    #[must_use]
+    pub fn is_ready(&self, key: Key) -> bool {
+        self.get(key).is_some_and(|endpoint| {
+            endpoint.lifecycle == Lifecycle::Ready && endpoint.missing_since.is_none()
+        })
+    }
+
     /// Returns whether the endpoint with this id is leaving.
     #[must_use]
     pub fn is_leaving(&self, id: &str) -> bool {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -2,7 +2,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -210,6 +209,14 @@
         });
     }
 
+    /// Reads how the known rollouts ended, which their orders do not say.
+    async fn read_rollout_status(&mut self) {
+        while let Err(error) = self.node.read_rollout_status().await {
+            self.back_off(&error).await;
+        }
+        self.record_success();
+    }
+
     fn record_success(&mut self) {
         if self.backoff > INITIAL_BACKOFF {
             info!(self.node.log, "store regained"; "topic" => ?self.topic);
@@ -239,19 +246,28 @@
 pub(super) async fn operator(node: Arc<Node>) -> eyre::Result<()> {
     let mut follower = Follower::new(Arc::clone(&node), Topic::Operator);
     loop {
-        let (Batch::Snapshot(records) | Batch::Records(records), at) = follower.next().await;
-        for record in records {
-            if let (Some(key), Some(value)) = (&record.key, &record.value) {
-                apply_operator_record(&node, key, value);
-            }
+        let (batch, at) = follower.next().await;
+        let is_fresh = matches!(batch, Batch::Records(_));
+        let (Batch::Snapshot(records) | Batch::Records(records)) = batch;
+        for record in &records {
+            apply_operator_record(&node, record, is_fresh);
+        }
+        if !is_fresh {
+            follower.read_rollout_status().await;
         }
         follower.advance(at);
     }
 }
 
-fn apply_operator_record(node: &Node, key: &str, value: &Bytes) {
-    if key == node.documents.config_key() {
+/// Applies a record of the operator's topic. `is_fresh` is whether it was written just now.
+fn apply_operator_record(node: &Node, record: &Record, is_fresh: bool) {
+    let (Some(key), Some(value)) = (&record.key, &record.value) else {
+        return;
+    };
+    if **key == *node.documents.config_key() {
         node.install(value, "store");
+    } else {
+        node.apply_order(key, value, record.offset, is_fresh);
     }
 }
 
--- a/src/gateway/forward/buffered.rs
+++ b/src/gateway/forward/buffered.rs
@@ -38,6 +38,7 @@
         }
     };
     call.node.upstream.release(connection);
+    reservation.record_events(1);
     reservation.record_completed();
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -4,7 +4,9 @@
 
 use crate::clock::Millis;
 use crate::gateway::endpoint::Key;
+use crate::gateway::rollout::Versions;
 use crate::gateway::{Endpoint, Fleet, Prompt};
+use crate::rollout::endpoints_in_use;
 
 /// Share of the uncached shared tokens that is counted at the home endpoint of a prefix: the other
 /// nodes send the prefix there as well, so that it is likely cached although this node has not sent
@@ -30,6 +32,10 @@
     pub domain: &'a str,
     /// Prompt, on requests to model engines.
     pub prompt: Option<&'a Prompt>,
+    /// Versions whose endpoints may get the request.
+    pub versions: &'a Versions,
+    /// Share of a service's endpoints of one version among which [`Versions::Sample`] chooses.
+    pub sample_share: f64,
     /// Endpoints that the request was sent to already.
     pub tried: &'a [Arc<str>],
     /// Maximum number of requests that this node may have in flight at one endpoint.
@@ -57,12 +63,13 @@
 /// prefilling the prefix again.
 #[must_use]
 pub fn choose(fleet: &Fleet, query: &Query<'_>, now: Millis) -> Option<Choice> {
+    let candidates = candidates(fleet, query);
     let home = query
         .prompt
         .and_then(Prompt::affinity_key)
-        .and_then(|affinity_key| home_endpoint(fleet, query.service, affinity_key));
+        .and_then(|affinity_key| home_endpoint(&candidates, affinity_key));
     let mut best: Option<(f64, Choice)> = None;
-    for (key, endpoint) in fleet.ready(query.service) {
+    for (key, endpoint) in candidates {
         let tried = query.tried.contains(&endpoint.registration.identity.id);
         let full = endpoint.inflight >= query.max_connections;
         let declining = endpoint.is_declining(now);
@@ -78,6 +85,18 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Returns the endpoints of the versions that may get the request.
+fn candidates<'a>(fleet: &'a Fleet, query: &Query<'a>) -> Vec<(Key, &'a Endpoint)> {
+    let ready = fleet.ready(query.service);
+    let admitted = ready.filter(|(_, e)| query.versions.admits(&e.registration.version));
+    let mut candidates: Vec<_> = admitted.collect();
+    if matches!(query.versions, Versions::Sample(_)) {
+        candidates.sort_unstable_by_key(|(_, endpoint)| &endpoint.registration.identity);
+        candidates.truncate(endpoints_in_use(query.sample_share, candidates.len()));
+    }
+    candidates
+}
+
 fn estimate(key: Key, endpoint: &Endpoint, query: &Query<'_>, home: bool, now: Millis) -> Choice {
     let Some(prompt) = query.prompt else {
         return Choice {
@@ -109,18 +128,16 @@
     let far = f64::from(u8::from(&*endpoint.registration.domain != query.domain))
         * CROSS_DOMAIN_PENALTY_MS;
     let failing = endpoint.health.failure_ratio(now) * FAILURE_PENALTY_MS;
-    let cold =
-        (endpoint.registration.cold.as_f64() - (now - endpoint.lifecycle_since).as_f64()).max(0.0);
-    far + failing + cold * 0.1
+    far + failing + endpoint.cold_left(now).as_f64() * 0.1
 }
 
 /// Returns the home endpoint of a prefix by rendezvous hashing: when the fleet changes, only the
 /// prefixes of the endpoints that joined or left move.
-fn home_endpoint(fleet: &Fleet, service: &str, affinity_key: u64) -> Option<Key> {
-    fleet
-        .ready(service)
+fn home_endpoint(candidates: &[(Key, &Endpoint)], affinity_key: u64) -> Option<Key> {
+    candidates
+        .iter()
         .max_by_key(|(_, endpoint)| {
             xxh3_64_with_seed(endpoint.registration.identity.id.as_bytes(), affinity_key)
         })
-        .map(|(key, _)| key)
+        .map(|(key, _)| *key)
 }
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
+use rand::Rng;
 
 use crate::clock::Millis;
 use crate::error::Error;
@@ -80,7 +81,7 @@
         attempts.retry_after = Some(Millis((choice.first_event_ms - max_wait_ms) as u64 + 100));
         return None;
     }
-    let reservation = Reservation::acquire(&call.node, &choice)?;
+    let reservation = Reservation::acquire(&call.node, &choice, &call.route.name)?;
     attempts.record_sent(&reservation.endpoint, choice);
     Some(reservation)
 }
@@ -97,15 +98,31 @@
 }
 
 fn choose_endpoint(call: &Call, attempts: &Attempts, now: Millis) -> Option<Choice> {
+    let wall = call.node.wall_time();
     let state = call.node.state();
-    let query = Query {
+    let is_first = attempts.endpoints.is_empty();
+    let draw = rand::rng().random();
+    let preference = state
+        .rollouts
+        .preference(&call.service, is_first, draw, wall);
+    let query = |versions| Query {
         service: &call.service,
         domain: &call.node.settings.domain,
         prompt: call.metadata.prompt.as_ref(),
+        versions,
+        sample_share: call.node.settings.exposure_limit.max_draw(),
         tried: &attempts.endpoints,
         max_connections: connection_limit(call, state.roster.count_serving(now).0),
     };
-    choose(&state.fleet, &query, now)
+    let choose_among = |versions| choose(&state.fleet, &query(versions), now);
+    let choice = choose_among(&preference.first);
+    let choice = choice.or_else(|| choose_among(preference.fallback.as_ref()?));
+    choice.or_else(|| {
+        let mut ready = state.fleet.ready(&call.service);
+        let is_left = ready.any(|(_, e)| preference.first.admits(&e.registration.version));
+        let last_resort = preference.last_resort.as_ref().filter(|_| !is_left)?;
+        choose_among(last_resort)
+    })
 }
 
 /// Returns this node's share of the connections that an endpoint of the service accepts.
@@ -121,7 +138,7 @@
 /// Sends a request to an endpoint and waits for the head of its response.
 pub(super) async fn dispatch(
     call: &Call,
-    reservation: Reservation,
+    mut reservation: Reservation,
     resume_after: Option<u64>,
 ) -> Result<Received, Failure> {
     let node = &call.node;
@@ -141,7 +158,7 @@
         .upstream
         .send(reservation.key, address, max_idle, request);
     let (response, connection) = tokio::select! {
-        sent = sending => sent.map_err(|error| connection_failure(call, &reservation, &error))?,
+        sent = sending => sent.map_err(|error| connection_failure(call, &mut reservation, &error))?,
         reason = reservation.until_unresponsive(call.is_retryable(), head_timeout(call, left)) => {
             reservation.record_no_response();
             return Err(Failure::new(Verdict::MayHaveRun, reason));
@@ -159,9 +176,18 @@
     }
     if let Some(failure) = reject(call, &metadata, &response, connection.is_reused()) {
         reservation.record_head(true, metadata.load);
+        if failure.verdict == Verdict::NotRun {
+            reservation.record_declined();
+        } else {
+            reservation.record_failed();
+        }
         return Err(failure);
     }
-    reservation.record_head(response.status().is_server_error(), metadata.load);
+    let failed = response.status().is_server_error();
+    reservation.record_head(failed, metadata.load);
+    if failed {
+        reservation.record_failed();
+    }
     Ok(Received {
         reservation,
         response,
@@ -199,7 +225,7 @@
 }
 
 /// Converts the error of a request that got no response head.
-fn connection_failure(call: &Call, reservation: &Reservation, error: &Error) -> Failure {
+fn connection_failure(call: &Call, reservation: &mut Reservation, error: &Error) -> Failure {
     if error.verdict() != Verdict::NotRun {
         call.record_crash(reservation);
     }
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -194,7 +194,7 @@
             self.pending.push_back(event.bytes);
         }
         if !self.pending.is_empty() {
-            self.reservation.record_data();
+            self.reservation.record_events(self.pending.len());
             self.last_event_at = self.call.node.clock.now();
             if !self.started {
                 self.started = true;
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -8,6 +8,7 @@
 use crate::clock::Millis;
 use crate::gateway::endpoint::Key;
 use crate::gateway::{Load, Node};
+use crate::rollout::{Outcome, Timing};
 
 use super::choose::Choice;
 
@@ -37,11 +38,18 @@
     queued_tokens: u64,
     /// Whether the endpoint is still counted as prefilling the prompt.
     prefilling: bool,
+    route: Arc<str>,
+    /// When the events of the response, or the whole of it, arrived.
+    timing: Timing,
+    /// The outcome as evidence about the endpoint's version, if the request was not answered.
+    failure: Option<Outcome>,
+    /// Whether the endpoint was still slow after its start when the request was sent.
+    cold: bool,
 }
 
 impl Reservation {
     /// Counts a request at the chosen endpoint; returns `None` if the endpoint is gone.
-    pub(super) fn acquire(node: &Arc<Node>, choice: &Choice) -> Option<Self> {
+    pub(super) fn acquire(node: &Arc<Node>, choice: &Choice, route: &Arc<str>) -> Option<Self> {
         let (key, uncached) = (choice.key, choice.uncached_tokens);
         let now = node.clock.now();
         let state = &mut *node.state();
@@ -49,6 +57,11 @@
         let queued_tokens = endpoint.total_pending_tokens();
         endpoint.record_sent();
         endpoint.pending_tokens += uncached;
+        let cold = endpoint.cold_left(now) > Millis::ZERO;
+        let registration = &endpoint.registration;
+        state
+            .rollouts
+            .record_sent(&registration.service, &registration.version);
         let (endpoint_id, deregistered) = (
             Arc::clone(&endpoint.registration.identity.id),
             endpoint.deregistered.clone(),
@@ -64,6 +77,10 @@
             expected_first_event: Millis(choice.first_event_ms as u64),
             queued_tokens,
             prefilling: true,
+            route: Arc::clone(route),
+            timing: Timing::start(now),
+            failure: None,
+            cold,
         })
     }
 
@@ -104,9 +121,12 @@
         self.prefilling
     }
 
-    /// Records that data of the response arrived.
-    pub(super) fn record_data(&self) {
+    /// Records that events of a stream, or the whole of another response, arrived.
+    pub(super) fn record_events(&mut self, events: usize) {
         let now = self.node.clock.now();
+        for _ in 0..events {
+            self.timing.record_token(now);
+        }
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key) {
             endpoint.last_received = now;
         }
@@ -193,8 +213,19 @@
             "retry_after_ms" => delay.0);
     }
 
+    /// Records that the endpoint failed to serve the request.
+    pub(super) fn record_failed(&mut self) {
+        self.failure = Some(Outcome::Failed);
+    }
+
+    /// Records that the endpoint did not run the request.
+    pub(super) fn record_declined(&mut self) {
+        self.failure = Some(Outcome::Inconclusive);
+    }
+
     /// Records that the endpoint could not be reached, broke the connection or did not respond.
-    pub(super) fn record_no_response(&self) {
+    pub(super) fn record_no_response(&mut self) {
+        self.failure = Some(Outcome::Unreachable);
         let now = self.node.clock.now();
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key)
             && endpoint.health.record_no_response(now)
@@ -204,10 +235,38 @@
     }
 }
 
+impl Reservation {
+    /// Returns what the request says of the version of its endpoint.
+    fn outcome(&self, now: Millis) -> Outcome {
+        if let Some(failure) = self.failure {
+            return failure;
+        }
+        if self.cold {
+            return Outcome::Inconclusive;
+        }
+        if self.timing.has_started() {
+            return self.timing.answered();
+        }
+        Outcome::Waited(self.timing.elapsed(now))
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         let now = self.node.clock.now();
+        let outcome = self.outcome(now);
         let state = &mut *self.node.state();
+        if let Some(endpoint) = state.fleet.get(self.key) {
+            let registration = &endpoint.registration;
+            state.rollouts.record(
+                &registration.service,
+                &registration.version,
+                &self.route,
+                self.key,
+                outcome,
+                now,
+            );
+        }
         if let Some(endpoint) = state.fleet.get_mut(self.key) {
             endpoint.inflight = endpoint.inflight.saturating_sub(1);
             if self.prefilling {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod refusal;
 mod registration;
 mod request_metadata;
+pub mod rollout;
 mod route;
 pub mod scaler;
 mod server;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -427,6 +427,7 @@
             granted: state.startup_grants(now),
             inflight: state.announced_inflight(),
             evidence: state.quarantine.evidence(wall),
+            rollouts: state.rollouts.progress(),
         };
         state.announce(fresh, now)
     }
--- /dev/null
+++ b/src/gateway/rollout/rollouts.rs
@@ -0,0 +1,255 @@
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use crate::clock::Millis;
+use crate::gateway::endpoint::Key;
+use crate::rollout::{Arm, Metric, Outcome, Samples, Thresholds};
+
+use super::trial::Step;
+use super::{ExposureLimit, Preference, Progress, Report, Stage, Trial};
+
+/// Factor on the upper quartile of the response times before a rollout, above which a response
+/// counts as slow. A new endpoint has no cached prompts yet, which makes its responses slower, but
+/// not by this much.
+const SLOW_FACTOR: u64 = 3;
+
+/// Responses on a route without which a node does not know which ones are slow.
+const MIN_SAMPLES: usize = 5;
+
+/// Maximum number of services whose rollouts and response times are kept.
+const MAX_SERVICES: usize = 64;
+
+/// A version that was found worse than the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The rollout.
+    pub progress: Progress,
+    /// The route on which the fault was found.
+    pub route: Arc<str>,
+    /// The metric that is worse.
+    pub metric: Metric,
+    /// Number of requests to the version that were answered or failed.
+    pub requests: u32,
+    /// Those that failed or were slow.
+    pub bad: u32,
+}
+
+/// The latest rollout of each service. All times are wall times of the cluster, unless noted.
+#[derive(Debug)]
+pub struct Rollouts {
+    limit: ExposureLimit,
+    trials: BTreeMap<Arc<str>, Trial>,
+    /// Response times outside of rollouts and of the versions that are replaced, by service.
+    samples: HashMap<Arc<str>, Samples>,
+}
+
+/// Construction and lookup.
+impl Rollouts {
+    /// Creates an empty list.
+    #[must_use]
+    pub fn new(limit: ExposureLimit) -> Self {
+        Self {
+            limit,
+            trials: BTreeMap::new(),
+            samples: HashMap::new(),
+        }
+    }
+
+    /// Returns the latest rollout of a service.
+    #[must_use]
+    pub fn get(&self, service: &str) -> Option<&Trial> {
+        self.trials.get(service)
+    }
+
+    /// Returns what the other nodes have to know.
+    #[must_use]
+    pub fn progress(&self) -> Vec<Progress> {
+        let trials = self.trials.values();
+        trials.map(|trial| trial.progress.clone()).collect()
+    }
+
+    /// Returns the counters of this node.
+    #[must_use]
+    pub fn reports(&self) -> Vec<Report> {
+        let open = self.trials.values();
+        let open = open.filter(|trial| trial.progress.stage == Stage::Trial);
+        open.map(|trial| Report {
+            service: Arc::clone(&trial.progress.order.service),
+            offset: trial.progress.offset,
+            routes: trial.evidence.counters(),
+        })
+        .collect()
+    }
+
+    /// Returns the versions that a request may be sent to.
+    #[must_use]
+    pub fn preference(&self, service: &str, is_first: bool, draw: f64, wall: Millis) -> Preference {
+        let trial = self.trials.get(service);
+        trial.map_or_else(Preference::default, |trial| {
+            trial.preference(&self.limit, is_first, draw, wall)
+        })
+    }
+}
+
+/// Changes.
+impl Rollouts {
+    /// Records a rollout or what is new of a known one; returns whether it says anything new.
+    ///
+    /// `nodes` is the number of nodes that share the slack in the limit of exposed requests; none if
+    /// the rollout has begun earlier, since the slack may then be used up.
+    pub fn learn(&mut self, progress: &Progress, nodes: Option<usize>) -> bool {
+        let service = &progress.order.service;
+        if let Some(trial) = self.trials.get_mut(service) {
+            if trial.progress.offset > progress.offset {
+                return false;
+            }
+            if trial.progress.offset == progress.offset {
+                return trial.merge(progress);
+            }
+        } else if self.trials.len() >= MAX_SERVICES {
+            return false;
+        }
+        let slack = nodes.map_or(0.0, |nodes| self.limit.slack / nodes.max(1) as f64);
+        let trial = Trial::new(progress.clone(), slack);
+        self.trials.insert(Arc::clone(service), trial);
+        true
+    }
+
+    /// Records which stage of a rollout the store has; returns whether it says anything new.
+    pub fn record_stored(&mut self, progress: &Progress) -> bool {
+        let is_new = self.learn(progress, None);
+        if let Some(trial) = self.trials.get_mut(&progress.order.service)
+            && trial.progress.offset == progress.offset
+        {
+            trial.recorded = Some(progress.stage);
+        }
+        is_new
+    }
+
+    /// Counts a request that is sent to an endpoint of this version.
+    pub fn record_sent(&mut self, service: &str, version: &str) {
+        if let Some(trial) = self.trials.get_mut(service) {
+            let exposed = *version == *trial.progress.order.target;
+            trial.exposure.record(exposed);
+        }
+    }
+
+    /// Merges the counters of another node.
+    pub fn merge(&mut self, node: &Arc<str>, incarnation: u64, reports: &[Report]) {
+        for report in reports {
+            if let Some(trial) = self.trials.get_mut(&report.service) {
+                trial.merge_report(node, incarnation, report);
+            }
+        }
+    }
+
+    /// Merges what another node knows; returns what is new. `nodes` as in [`Rollouts::learn`], for
+    /// rollouts that began after the start of this node, at the wall time `running_since`.
+    pub fn merge_progress(
+        &mut self,
+        all: &[Progress],
+        nodes: usize,
+        running_since: Millis,
+    ) -> Vec<Progress> {
+        let new = all.iter().filter(|progress| {
+            let has_slack = progress.started > running_since;
+            self.learn(progress, has_slack.then_some(nodes))
+        });
+        new.cloned().collect()
+    }
+}
+
+/// Evidence.
+impl Rollouts {
+    /// Records the outcome of a request that an endpoint answered, or failed to serve, at the steady
+    /// time `now`.
+    pub fn record(
+        &mut self,
+        service: &Arc<str>,
+        version: &str,
+        route: &Arc<str>,
+        endpoint: Key,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        let trial = self.trials.get(service);
+        let trial = trial.filter(|trial| trial.progress.stage == Stage::Trial);
+        let arm = trial.map(|trial| trial.arm(version));
+        if arm != Some(Arm::New) {
+            self.sample(service, route, outcome);
+        }
+        let (Some(arm), Some(trial)) = (arm, self.trials.get_mut(service)) else {
+            return;
+        };
+        if outcome == Outcome::Unreachable {
+            trial.evidence.record_unanswered(route, arm, endpoint, now);
+            return;
+        }
+        let samples = self.samples.get(service);
+        let thresholds = |route: &str| thresholds(samples, route);
+        trial.evidence.record(route, arm, outcome, thresholds);
+    }
+
+    fn sample(&mut self, service: &Arc<str>, route: &Arc<str>, outcome: Outcome) {
+        if self.samples.len() < MAX_SERVICES || self.samples.contains_key(service) {
+            let samples = self.samples.entry(Arc::clone(service)).or_default();
+            samples.push(route, outcome);
+        }
+    }
+
+    /// Drops the response times of routes and services for which `keep` returns false.
+    pub fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        for samples in self.samples.values_mut() {
+            samples.retain(&keep);
+        }
+    }
+
+    /// Reverts the versions that the evidence finds worse, and returns the findings. `now` is a
+    /// steady time; for the other arguments, see [`Evidence::review`](super::Evidence::review).
+    pub fn review<F>(&mut self, now: Millis, lost_after: Millis, is_present: F) -> Vec<Finding>
+    where
+        F: Fn(Key) -> bool,
+    {
+        let mut findings = Vec::new();
+        for trial in self.trials.values_mut() {
+            if trial.progress.stage != Stage::Trial {
+                continue;
+            }
+            let found = trial.evidence.review(now, lost_after, &is_present);
+            if let Some((route, metric)) = found {
+                trial.progress.stage = Stage::Reverted;
+                let (requests, bad) = trial.evidence.summary();
+                findings.push(Finding {
+                    progress: trial.progress.clone(),
+                    route,
+                    metric,
+                    requests,
+                    bad,
+                });
+            }
+        }
+        findings
+    }
+
+    /// Moves all rollouts on, at the node that records their status; returns what to record.
+    pub fn advance(&mut self, wall: Millis) -> Vec<Progress> {
+        let mut due = Vec::new();
+        for trial in self.trials.values_mut() {
+            if let Step::Record(stage) = trial.advance(wall) {
+                due.push(Progress {
+                    stage,
+                    ..trial.progress.clone()
+                });
+            }
+        }
+        due
+    }
+}
+
+fn thresholds(samples: Option<&Samples>, route: &str) -> Option<Thresholds> {
+    let quartiles = samples?.quartiles(route, MIN_SAMPLES)?;
+    Some(quartiles.scaled(SLOW_FACTOR))
+}
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 use super::budget::RetryLimit;
 use super::lease::Terms;
 use super::quota::Tolerance;
+use super::rollout::ExposureLimit;
 
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     pub retry_limit: RetryLimit,
     /// How far quotas may be exceeded.
     pub quota_tolerance: Tolerance,
+    /// Limit on the requests that a version gets before it has proved itself.
+    pub exposure_limit: ExposureLimit,
     /// Length of the windows of usage reports.
     pub usage_window: Millis,
     /// Time after the end of a window until which its usage report is accepted.
@@ -54,7 +57,19 @@
     pub orders_endpoints: bool,
 }
 
+/// Heartbeats that an endpoint misses until its entry expires.
+const MISSED_HEARTBEATS: u64 = 3;
+
+/// Time within which nodes learn of an entry that expired.
+const EXPIRY_NEWS_TIME: Millis = Millis(1_000);
+
 impl Settings {
+    /// Returns the time after which the entry of an endpoint that was lost is known to be gone.
+    #[must_use]
+    pub fn endpoint_expiry(&self) -> Millis {
+        Millis(self.heartbeat.0 * MISSED_HEARTBEATS) + EXPIRY_NEWS_TIME
+    }
+
     /// Returns the number of usage windows whose reports may still be accepted.
     #[must_use]
     pub fn open_windows(&self) -> usize {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 };
 use super::fleet::Fleet;
 use super::quota::{OwnerBackoff, Quotas, Reachability};
+use super::rollout::Rollouts;
 use super::scaler::{Demand, DemandReports, Meter, Scaler};
 use super::usage::Usage;
 use super::{Lease, Quarantine, RetryBudget, Run, Settings};
@@ -27,6 +28,7 @@
     pub(super) fleet: Fleet,
     pub(super) quotas: Quotas,
     pub(super) quarantine: Quarantine,
+    pub(super) rollouts: Rollouts,
     /// Retry budgets, by service.
     pub(super) retry_budgets: HashMap<Arc<str>, RetryBudget>,
     /// Requests started by each account, for the usage reports.
@@ -63,6 +65,7 @@
             fleet: Fleet::default(),
             quotas: Quotas::new(run.clone(), settings.quota_tolerance, started),
             quarantine: Quarantine::default(),
+            rollouts: Rollouts::new(settings.exposure_limit),
             retry_budgets: HashMap::new(),
             usage: Usage::new(settings.usage_window, settings.open_windows()),
             roster: Roster::new(Arc::clone(&settings.node)),
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -17,6 +17,7 @@
     NextStep, Outcome,
 };
 use crate::log::writer::Group;
+use crate::rollout::Timing;
 use crate::transport::Connection;
 use crate::verdict::Verdict;
 
@@ -24,7 +25,7 @@
 use super::calls::{RETRY_AFTER, key_expired};
 use super::lookup::{LOOKUP_TIMEOUT, Lookup};
 use super::plain::Reply;
-use super::rollouts::{RETRY_DRAW, Timing, version_draw};
+use super::rollouts::{RETRY_DRAW, version_draw};
 use super::shard::{AppendError, Shard, Waiter};
 
 /// Maximum number of endpoints that are tried when connections are refused.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -8,12 +8,13 @@
 use crate::endpoint::{Generate, Key};
 use crate::error::{Error, ErrorKind};
 use crate::retry::{Attempt, Decision};
+use crate::rollout::Timing;
 use crate::stream::{Chunk, Entry, Phase, Source};
 
 use super::Node;
 use super::dispatch::{Criteria, Permit, Reservation};
 use super::engine::{EngineEvent, EngineStream};
-use super::rollouts::{RETRY_DRAW, Timing, version_draw};
+use super::rollouts::{RETRY_DRAW, outcome, version_draw};
 use super::token_interval::TokenInterval;
 
 /// Consecutive attempts without a single token after which a request fails; a prompt that engines
@@ -408,7 +409,7 @@
 
     /// Records the result of the attempt as evidence about the endpoint's version.
     fn record_evidence(&self, key: Key, error: Option<&Error>) {
-        let outcome = self.timing.outcome(error);
+        let outcome = outcome(&self.timing, error);
         self.node
             .record_evidence(key, &self.entry.request().route, outcome);
     }
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -17,14 +17,14 @@
 use crate::error::{Error, ErrorKind};
 use crate::ledger::{Blob, Outcome};
 use crate::retry::{Attempt, Decision};
-use crate::rollout;
+use crate::rollout::{self, Timing};
 use crate::verdict::Verdict;
 
 use super::Node;
 use super::calls;
 use super::dispatch::{Criteria, Permit};
 use super::request::Request;
-use super::rollouts::{RETRY_DRAW, Timing, version_draw};
+use super::rollouts::{RETRY_DRAW, outcome, version_draw};
 
 /// Maximum number of endpoints that an idempotent call is sent to before its failure is reported.
 const MAX_ATTEMPTS: usize = 3;
@@ -74,7 +74,7 @@
     ) -> rollout::Outcome {
         match result {
             Ok(reply) if reply.status >= 500 => rollout::Outcome::Failed,
-            result => timing.outcome(result.as_ref().err()),
+            result => outcome(timing, result.as_ref().err()),
         }
     }
 
@@ -321,7 +321,7 @@
                 .is_some_and(|slow_threshold| ran >= slow_threshold)
         {
             self.timing.record_token(self.node.clock.now());
-            self.record_evidence(self.timing.outcome(None), true);
+            self.record_evidence(self.timing.answered(), true);
         }
     }
 }
--- a/src/node/rollouts/mod.rs
+++ b/src/node/rollouts/mod.rs
@@ -2,13 +2,12 @@
 
 mod controller;
 mod exchange;
+mod outcome;
 mod peer;
-mod samples;
-mod timing;
 mod tracker;
 
 use self::exchange::Exchange;
-pub(super) use self::timing::Timing;
+pub(super) use self::outcome::outcome;
 pub(super) use self::tracker::Tracker;
 
 use std::sync::Arc;
--- a/src/node/rollouts/tracker.rs
+++ b/src/node/rollouts/tracker.rs
@@ -8,9 +8,9 @@
 use crate::control::{self, Projection, Rollout, Status, Summary};
 use crate::endpoint::{Endpoint, Split, Table};
 use crate::log::Offset;
-use crate::rollout::{Arm, Comparison, Exposure, Monitor, Outcome, Plan, Report, Thresholds, Trip};
-
-use super::samples::Samples;
+use crate::rollout::{
+    Arm, Comparison, Exposure, Monitor, Outcome, Plan, Report, Samples, Thresholds, Trip,
+};
 
 /// Maximum number of trips that are kept; each service has at most one rollout at a time.
 const MAX_TRIPS: usize = 256;
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -1,11 +1,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
+use crate::gateway::rollout::{Order, Progress, Stage};
 use crate::gateway::{
     Account, Config, Documents, Engine, Identity, Limits, Quota, Registration, RetryPolicy, Route,
     Scale, Service, Share,
@@ -14,6 +15,9 @@
 /// Key of the configuration in the operator's topic.
 const CONFIG_KEY: &str = "config";
 
+/// Prefix of the keys of rollout orders, and of their status; the name of the service follows.
+const ROLLOUT_PREFIX: &str = "rollout/";
+
 /// Decoder for the JSON documents of operators and endpoints.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Decoder;
@@ -147,6 +151,29 @@
     leaves_ms: Option<f64>,
 }
 
+/// An order to roll out a version of a service.
+#[derive(Deserialize)]
+struct OrderDocument {
+    service: Arc<str>,
+    target: Arc<str>,
+    duration_s: f64,
+}
+
+/// The status of a rollout. Operators read `state` and `target`; the other fields are for nodes that
+/// start later.
+#[derive(Serialize, Deserialize)]
+struct StatusDocument {
+    service: Arc<str>,
+    target: Arc<str>,
+    /// `active`, `completed` or `reverted`.
+    state: Arc<str>,
+    duration_s: f64,
+    /// Offset of the order in the operator's topic.
+    order: u64,
+    /// Wall time in milliseconds at which the order became known.
+    started: u64,
+}
+
 impl Documents for Decoder {
     fn config_key(&self) -> &'static str {
         CONFIG_KEY
@@ -191,6 +218,77 @@
             sequence: entry.sequence,
         })
     }
+
+    fn rollout_order(&self, key: &str, document: &[u8]) -> Option<Result<Order, Error>> {
+        let service = key.strip_prefix(ROLLOUT_PREFIX)?;
+        Some(parse(document).and_then(|order| rollout_order(service, order)))
+    }
+
+    fn rollout_status_key(&self, service: &str) -> String {
+        format!("{ROLLOUT_PREFIX}{service}")
+    }
+
+    fn rollout_status(&self, progress: &Progress) -> Vec<u8> {
+        let status = StatusDocument {
+            service: Arc::clone(&progress.order.service),
+            target: Arc::clone(&progress.order.target),
+            state: state(progress.stage).into(),
+            duration_s: progress.order.duration.as_f64() / 1_000.0,
+            order: progress.offset,
+            started: progress.started.0,
+        };
+        serde_json::to_vec(&status).expect("a status has string keys only")
+    }
+
+    fn parse_rollout_status(&self, key: &str, document: &[u8]) -> Option<Result<Progress, Error>> {
+        let service = key.strip_prefix(ROLLOUT_PREFIX)?;
+        Some(parse(document).and_then(|status| rollout_progress(service, status)))
+    }
+}
+
+fn rollout_order(service: &str, document: OrderDocument) -> Result<Order, Error> {
+    if *service != *document.service || document.target.is_empty() {
+        return Err(malformed(
+            "service is not that of the key, or target is empty".to_owned(),
+        ));
+    }
+    if document.duration_s.is_nan() || document.duration_s <= 0.0 {
+        return Err(malformed("duration_s must be positive".to_owned()));
+    }
+    Ok(Order {
+        service: document.service,
+        target: document.target,
+        duration: millis(document.duration_s * 1_000.0),
+    })
+}
+
+fn rollout_progress(service: &str, document: StatusDocument) -> Result<Progress, Error> {
+    let stage = match &*document.state {
+        "active" => Stage::Trial,
+        "reverted" => Stage::Reverted,
+        "completed" => Stage::Completed,
+        state => return Err(malformed(format!("unknown state `{state}`"))),
+    };
+    let order = OrderDocument {
+        service: document.service,
+        target: document.target,
+        duration_s: document.duration_s,
+    };
+    Ok(Progress {
+        order: rollout_order(service, order)?,
+        offset: document.order,
+        started: Millis(document.started),
+        stage,
+    })
+}
+
+/// Returns the platform's word for a stage.
+const fn state(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Trial | Stage::Promoted => "active",
+        Stage::Reverted => "reverted",
+        Stage::Completed => "completed",
+    }
 }
 
 fn parse<T>(document: &[u8]) -> Result<T, Error>
--- a/src/platform/node_file.rs
+++ b/src/platform/node_file.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::clock::Millis;
+use crate::gateway::rollout::ExposureLimit;
 use crate::gateway::{RetryLimit, Settings, Terms, Tolerance};
 
 /// Time after the start of a renewal for which a lease is valid. The holder keeps it if two
@@ -84,6 +85,12 @@
     usage_window_s: f64,
     usage_late_s: f64,
     ttl_max_s: f64,
+    /// Fraction of a service's requests that a version may get before it has proved itself.
+    #[serde(default = "default_exposure_share")]
+    exposure_share: f64,
+    /// Number of requests that it may get in addition.
+    #[serde(default)]
+    exposure_slack: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -171,6 +178,10 @@
             bounds.quota_overage >= 0.0 && bounds.quota_slack >= 0.0,
             "bounds.quota_overage or bounds.quota_slack is negative",
         );
+        check(
+            (0.0..=1.0).contains(&bounds.exposure_share) && bounds.exposure_slack >= 0.0,
+            "bounds.exposure_share is not within 0 to 1, or bounds.exposure_slack is negative",
+        );
         problems
     }
 }
@@ -225,6 +236,10 @@
                 slack: bounds.quota_slack,
                 window: seconds(bounds.quota_window_s),
             },
+            exposure_limit: ExposureLimit {
+                share: bounds.exposure_share,
+                slack: bounds.exposure_slack,
+            },
             usage_window: seconds(bounds.usage_window_s),
             usage_report_deadline: seconds(bounds.usage_late_s),
             lease: Terms {
@@ -245,6 +260,11 @@
     1.0
 }
 
+/// Returns the default share of requests for a version on trial.
+const fn default_exposure_share() -> f64 {
+    0.1
+}
+
 fn seconds(seconds: f64) -> Millis {
     Millis((seconds * 1_000.0) as u64)
 }
--- a/src/rollout/acceptance.rs
+++ b/src/rollout/acceptance.rs
@@ -1,4 +1,4 @@
-use super::{Comparison, Metric};
+use super::{Comparison, Metric, Stratum};
 
 /// Maximum probability that one stage accepts a harmful version, per metric and route.
 pub const FALSE_ACCEPT: f64 = 0.01;
@@ -19,19 +19,30 @@
 /// `evidence`.
 #[must_use]
 pub fn accepts_with(counters: Comparison, evidence: f64) -> bool {
+    rules_out(counters, evidence, Metric::harmful_rate)
+}
+
+/// Returns whether the counters rule out that the new version has the event rates that
+/// `harmful_rate` returns for a metric and the old version's rate; `evidence` as in
+/// [`accepts_with`].
+#[must_use]
+pub fn rules_out<F>(counters: Comparison, evidence: f64, harmful_rate: F) -> bool
+where
+    F: Fn(Metric, f64) -> f64,
+{
     let needed = (1.0 / FALSE_ACCEPT).ln() * evidence;
-    Metric::ALL
-        .into_iter()
-        .all(|metric| log_likelihood_good(counters, metric) >= needed)
+    let is_ruled_out = |metric| {
+        let stratum = counters.stratum(metric);
+        // Adding half an event keeps the rate above 0 when no event was observed yet.
+        let good = (f64::from(stratum.old_events) + 0.5) / (f64::from(stratum.old) + 1.0);
+        let good = good.clamp(0.005, 0.9);
+        log_likelihood_good(stratum, good, harmful_rate(metric, good)) >= needed
+    };
+    Metric::ALL.into_iter().all(is_ruled_out)
 }
 
 /// Returns the log likelihood ratio of the old version's event rate against the harmful rate.
-fn log_likelihood_good(counters: Comparison, metric: Metric) -> f64 {
-    let stratum = counters.stratum(metric);
-    // Adding half an event keeps the rate above 0 when no event was observed yet.
-    let good = (f64::from(stratum.old_events) + 0.5) / (f64::from(stratum.old) + 1.0);
-    let good = good.clamp(0.005, 0.9);
-    let harmful = metric.harmful_rate(good);
+fn log_likelihood_good(stratum: Stratum, good: f64, harmful: f64) -> f64 {
     let events = f64::from(stratum.new_events);
     let others = f64::from(stratum.new) - events;
     events * (good / harmful).ln() + others * ((1.0 - good) / (1.0 - harmful)).ln()
--- a/src/rollout/outcome.rs
+++ b/src/rollout/outcome.rs
@@ -14,6 +14,8 @@
         /// Mean inter-token time in microseconds; 0 if there is none.
         gap_us: u64,
     },
+    /// The caller left, or the deadline passed, after this time without a response.
+    Waited(Millis),
     /// The endpoint returned an error, or its stream broke while its host was reachable.
     Failed,
     /// The connection failed or was lost, so that the host may be gone.
@@ -32,7 +34,37 @@
     pub gap_us: u64,
 }
 
+impl Default for Thresholds {
+    /// Returns the thresholds for a route with few responses: the latency target of the system.
+    fn default() -> Self {
+        Self {
+            first_ms: Millis(1_500),
+            gap_us: 70_000,
+        }
+    }
+}
+
 impl Thresholds {
+    /// Returns the thresholds of responses that are `factor` times as slow.
+    #[must_use]
+    pub fn scaled(self, factor: u64) -> Self {
+        Self {
+            first_ms: Millis(self.first_ms.0.saturating_mul(factor)),
+            gap_us: self.gap_us.saturating_mul(factor),
+        }
+    }
+
+    /// Returns the counters that an outcome adds; none for an inconclusive outcome. Without
+    /// thresholds, the timing does not count.
+    #[must_use]
+    pub fn tally_with(thresholds: Option<Self>, outcome: Outcome) -> Tally {
+        let mut tally = thresholds.unwrap_or_default().tally(outcome);
+        if thresholds.is_none() {
+            tally.clear_timing();
+        }
+        tally
+    }
+
     /// Returns the counters that an outcome adds; none for an inconclusive outcome.
     #[must_use]
     pub fn tally(&self, outcome: Outcome) -> Tally {
@@ -49,7 +81,13 @@
                 failures: 1,
                 ..Tally::default()
             },
-            Outcome::Inconclusive => Tally::default(),
+            Outcome::Waited(elapsed) if elapsed > self.first_ms => Tally {
+                requests: 1,
+                timed: 1,
+                slow_first: 1,
+                ..Tally::default()
+            },
+            Outcome::Waited(_) | Outcome::Inconclusive => Tally::default(),
         }
     }
 }
--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -51,6 +51,7 @@
         granted: Vec::new(),
         inflight: Vec::new(),
         evidence: Evidence::default(),
+        rollouts: Vec::new(),
     }
 }
 
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
+use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
     Changelog, EntryState, Fleet, Identity, Lifecycle, Load, Position, Prompt, Query, Registration,
     Segment, choose,
@@ -274,6 +275,8 @@
         service: SERVICE,
         domain: "a",
         prompt,
+        versions: &Versions::All,
+        sample_share: 1.0,
         tried,
         max_connections: 100,
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,6 +16,7 @@
 mod gateway_limits;
 mod gateway_outcomes;
 mod gateway_quarantine;
+mod gateway_rollouts;
 mod gateway_scaler;
 mod gateway_serving;
 #[allow(dead_code, reason = "not every feature uses every helper")]
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -115,8 +115,13 @@
 
     /// Returns the engine's entry for the store.
     pub(crate) fn entry(&self, state: &str, sequence: u64) -> Value {
+        self.entry_of_version("v1", state, sequence)
+    }
+
+    /// Returns the entry of an engine whose software has this version.
+    pub(crate) fn entry_of_version(&self, version: &str, state: &str, sequence: u64) -> Value {
         json!({
-            "service": self.service, "address": self.address, "zone": "a", "version": "v1",
+            "service": self.service, "address": self.address, "zone": "a", "version": version,
             "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": sequence,
             "born": 1_000,
         })
--- a/tests/integration/platform/store.rs
+++ b/tests/integration/platform/store.rs
@@ -101,6 +101,13 @@
         topic.records.clear();
     }
 
+    /// Returns the latest value of a key as JSON.
+    pub(crate) fn value(&self, topic: &str, key: &str) -> Option<Value> {
+        let state = self.state.lock().expect("no panic");
+        let (_, value) = state.latest.get(topic)?.get(key)?;
+        serde_json::from_slice(value).ok()
+    }
+
     /// Returns the records of a topic as JSON.
     pub(crate) fn records(&self, topic: &str) -> Vec<Value> {
         let state = self.state.lock().expect("no panic");
