Cut off streams that send comments without end

Callers saw: streams held up to 2 s beyond their deadline of 1.5 s, all of them at the node, while one endpoint sends comments without end on 60 responses.

Cause: a comment, which has no field, was taken for an event. Each one was queued, counted as the first event of its response, and restarted the stall timeout, so that nothing limited them; and a deadline was noticed only by a timer made anew for each chunk, which fires late while an endpoint sends without a pause.

Change: comments are passed on unchanged, but are no events; after 64 KiB of them without an event the response counts as broken off. A stream checks its deadline before each chunk. Same cause elsewhere: the first event of a response is evidence that its prompt does not crash endpoints; a comment no longer is.

Ruled out: load alone.

Tests: endless_bytes_are_cut_off_within_deadline_and_memory with two more cases (comments after an event, events), a_comment_is_not_an_event.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -10,6 +10,8 @@
     pub bytes: Bytes,
     /// The event's id, if it is a number.
     pub id: Option<u64>,
+    /// Whether it has no fields, only comments, which endpoints send to keep connections open.
+    pub is_comment: bool,
 }
 
 /// Splits an event stream into complete events without changing any byte.
@@ -75,10 +77,21 @@
         let bytes = self.buffer.copy_to_bytes(end);
         self.searched = 0;
         let id = id(&bytes);
-        Some(Event { bytes, id })
+        let is_comment = is_comment(&bytes);
+        Some(Event {
+            bytes,
+            id,
+            is_comment,
+        })
     }
 }
 
+/// Returns whether no line of an event is a field.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the number in the `id` field of an event.
 fn id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -19,6 +19,10 @@
 use super::failure::Failure;
 use super::reservation::Reservation;
 
+/// Maximum bytes of comments between two events. Endpoints send comments to keep a connection open; one
+/// that sends nothing else does not answer.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
+
 /// Stall timeout as a multiple of the route's target for the gap between two events.
 const STALL_FACTOR: u64 = 3;
 
@@ -61,6 +65,8 @@
     last_event: Option<u64>,
     /// Whether the current endpoint sent an event.
     started: bool,
+    /// Bytes of comments since the last event.
+    comment_bytes: usize,
     /// When the last event arrived.
     last_event_at: Millis,
     /// Status sent to the caller; `None` until the response is returned.
@@ -83,6 +89,7 @@
             pending: VecDeque::new(),
             last_event: resume_after,
             started: false,
+            comment_bytes: 0,
             last_event_at: call.node.clock.now(),
             status: None,
             outcome: "caller_gone",
@@ -120,7 +127,7 @@
             match self.read_chunk().await {
                 Chunk::Data(bytes) => {
                     self.ingest(&bytes)?;
-                    if !self.pending.is_empty() {
+                    if self.started {
                         return Ok(());
                     }
                 }
@@ -181,7 +188,18 @@
         if !self.events.push(bytes) {
             return Err("an event exceeds the size limit".to_owned());
         }
+        let mut events = 0;
         for event in self.events.by_ref() {
+            if event.is_comment {
+                self.comment_bytes += event.bytes.len();
+                if self.comment_bytes > MAX_COMMENT_BYTES {
+                    return Err("comments without an event exceed the size limit".to_owned());
+                }
+                self.pending.push_back(event.bytes);
+                continue;
+            }
+            events += 1;
+            self.comment_bytes = 0;
             if let (Some(id), Some(last)) = (event.id, self.last_event) {
                 if id <= last {
                     return Err(format!("event {id} repeated or out of order after {last}"));
@@ -193,8 +211,8 @@
             self.last_event = event.id.or(self.last_event);
             self.pending.push_back(event.bytes);
         }
-        if !self.pending.is_empty() {
-            self.reservation.record_events(self.pending.len());
+        if events > 0 {
+            self.reservation.record_events(events);
             self.last_event_at = self.call.node.clock.now();
             if !self.started {
                 self.started = true;
@@ -261,6 +279,7 @@
         self.body = Some(received.response.into_body());
         self.events = EventSplitter::default();
         self.started = false;
+        self.comment_bytes = 0;
         self.call.attempts().delivered += 1;
         Ok(())
     }
@@ -283,6 +302,10 @@
         let Some(body) = self.body.as_mut() else {
             return Chunk::End;
         };
+        // While an endpoint sends without a pause, a timer may fire late.
+        if left == Millis::ZERO {
+            return Chunk::DeadlineExceeded;
+        }
         let resumes = self.call.route.retry_policy == RetryPolicy::Resume;
         let stall = stall_timeout(&self.call);
         tokio::select! {
--- a/tests/integration/gateway_events.rs
+++ b/tests/integration/gateway_events.rs
@@ -51,3 +51,24 @@
     assert!(events.next().is_none());
     assert!(events.has_partial());
 }
+
+/// Guards against taking a comment, which only keeps a connection open, for an event.
+#[test]
+fn a_comment_is_not_an_event() {
+    let cases = [
+        (":\n\n", true),
+        (": waiting\n\n", true),
+        (": waiting\r\n\r\n", true),
+        ("\n\n", true),
+        (": waiting\ndata: a\n\n", false),
+        ("retry: 10\n\n", false),
+        ("id: 1\ndata: a\n\n", false),
+    ];
+    for (text, is_comment) in cases {
+        let mut events = EventSplitter::default();
+        assert!(events.push(text.as_bytes()));
+        let event = events.next().expect("an event");
+        assert_eq!(event.is_comment, is_comment, "{text:?}");
+        assert_eq!(event.bytes, text.as_bytes());
+    }
+}
--- a/tests/integration/gateway_outcomes.rs
+++ b/tests/integration/gateway_outcomes.rs
@@ -160,6 +160,14 @@
         case("a body", "/unsafe/x", "app", "{head}", "x"),
         case("an event", "/resumed/x", "llm", "{head}", "x"),
         case("comments", "/stream/x", "llm", "{head}", ":\n\n"),
+        case(
+            "comments after an event",
+            "/resumed/x",
+            "llm",
+            "{head}id: 0\ndata: a\n\n",
+            ":\n\n",
+        ),
+        case("events", "/stream/x", "llm", "{head}", "data: a\n\n"),
         case(
             "a stream",
             "/resumed/x",
