Keep the endpoints of a version on trial when ordering endpoints

The endpoints of both versions counted as capacity, twice what was needed; the order for fewer endpoints made the cloud remove the newest ones. Class: one decision counts what another one has just caused.

Change: endpoints of a version on trial are no capacity. An order while they are present includes their number, and is not placed if it would lead to fewer endpoints or exceed the limits of the service, to which the cloud cuts it. After the completion only the new version counts, while the others end.

Ruled out: leaving out the endpoints on trial without adding their number to orders: the cloud counts them.

Test: orders_during_a_rollout_keep_the_endpoints_on_trial (nine orders; the function is new).

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -9,8 +9,8 @@
 
 use super::lease::{DutyRecord, Totals};
 use super::rollout::Control;
-use super::scaler::Scaler;
-use super::{Append, Holder, Node, Order, OrderOutcome, Page, Scale, Topic};
+use super::scaler::{Placement, Scaler};
+use super::{Append, Holder, Node, OrderOutcome, Page, Scale, Topic};
 
 /// Time between two steps of the holder.
 const STEP_INTERVAL: Millis = Millis(250);
@@ -294,16 +294,17 @@
     };
     for service in active.config.services() {
         if let Some(scale) = &service.scale {
-            for (order, count) in decide_orders(node, &service.name, scale) {
-                place_order(node, order, count).await;
+            for placement in decide_orders(node, &service.name, scale) {
+                place_order(node, placement).await;
             }
         }
     }
 }
 
 /// Decides on the orders for a service.
-fn decide_orders(node: &Node, service: &Arc<str>, scale: &Scale) -> Vec<(Order, u32)> {
+fn decide_orders(node: &Node, service: &Arc<str>, scale: &Scale) -> Vec<Placement> {
     let now = node.clock.now();
+    let wall = node.wall_time();
     let state = &mut *node.state();
     let demand = state.demand_of(service, now);
     let slots = state
@@ -311,10 +312,14 @@
         .ready(service)
         .map(|(_, e)| e.registration.slots);
     let slots = slots.min().unwrap_or(1);
-    let present = Scaler::ready_capacity(&state.fleet, service, scale);
+    let (versions, on_trial) = state.rollouts.capacity_versions(service, wall);
+    let capacity = |versions| Scaler::ready_capacity(&state.fleet, service, versions, scale);
+    let present = capacity(&versions);
+    let on_trial = on_trial.as_ref().map(capacity).unwrap_or_default();
     let orders = state
         .scaler
         .decide(service, scale, slots, &present, demand, now);
+    let orders = Scaler::beside_trial(orders, scale, &present, &on_trial);
     if !orders.is_empty() {
         info!(node.log, "orders"; "service" => &**service, "busy" => demand.busy,
             "running" => demand.running, "speed" => state.meter.prefill_speed(service),
@@ -324,10 +329,12 @@
 }
 
 /// Places an order with the cloud, if the lease of this node is valid.
-async fn place_order(node: &Node, order: Order, count: u32) {
+async fn place_order(node: &Node, placement: Placement) {
     let Some(holder) = valid_holder(node) else {
         return;
     };
+    let count = placement.total();
+    let order = placement.order;
     let outcome = node.cloud.scale(&holder, &order, count).await;
     let refused = !matches!(outcome, Ok(OrderOutcome::Accepted));
     info!(node.log, "order"; "service" => &*order.service, "domain" => &*order.domain,
@@ -336,5 +343,7 @@
         format!("{outcome:?}")
     }));
     let now = node.clock.now();
-    node.state().scaler.record_order(order, count, refused, now);
+    node.state()
+        .scaler
+        .record_order(order, placement.count, refused, now);
 }
--- a/src/gateway/rollout/rollouts.rs
+++ b/src/gateway/rollout/rollouts.rs
@@ -6,7 +6,7 @@
 use crate::rollout::{Arm, Metric, Outcome, Samples, Thresholds};
 
 use super::trial::Step;
-use super::{ExposureLimit, Preference, Progress, Report, Stage, Trial};
+use super::{ExposureLimit, Preference, Progress, Report, Stage, Trial, Versions};
 
 /// Factor on the upper quartile of the response times before a rollout, above which a response
 /// counts as slow. A new endpoint has no cached prompts yet, which makes its responses slower, but
@@ -89,6 +89,14 @@
             trial.preference(&self.limit, is_first, draw, wall)
         })
     }
+
+    /// Returns the versions whose endpoints are the capacity of a service, and those that run beside
+    /// them; see [`Trial::capacity_versions`].
+    #[must_use]
+    pub fn capacity_versions(&self, service: &str, wall: Millis) -> (Versions, Option<Versions>) {
+        let trial = self.trials.get(service);
+        trial.map_or((Versions::All, None), |trial| trial.capacity_versions(wall))
+    }
 }
 
 /// Changes.
--- a/src/gateway/rollout/trial.rs
+++ b/src/gateway/rollout/trial.rs
@@ -117,6 +117,23 @@
             Stage::Trial | Stage::Promoted => others,
         }
     }
+
+    /// Returns the versions whose endpoints are the capacity of the service, and those whose endpoints
+    /// run beside them until they have proved themselves.
+    #[must_use]
+    pub fn capacity_versions(&self, wall: Millis) -> (Versions, Option<Versions>) {
+        let target = || Arc::clone(&self.progress.order.target);
+        match self.progress.stage {
+            Stage::Completed if wall > self.progress.deadline() + AFTERMATH => {
+                (Versions::All, None)
+            }
+            // The endpoints of the other versions end.
+            Stage::Completed => (Versions::Only(target()), None),
+            Stage::Trial | Stage::Promoted | Stage::Reverted => {
+                (Versions::Except(target()), Some(Versions::Only(target())))
+            }
+        }
+    }
 }
 
 /// Changes.
--- a/src/gateway/scaler/capacity.rs
+++ b/src/gateway/scaler/capacity.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::gateway::{Fleet, Scale};
+use crate::gateway::rollout::Versions;
+use crate::gateway::{Fleet, Order, Scale};
 
 /// Number of endpoints of a service in one failure domain. Its `Debug` form appears in the `orders`
 /// log line.
@@ -47,14 +48,41 @@
     raised
 }
 
-/// Counts the endpoints of a service that accept requests, by failure domain.
-pub(super) fn ready_capacity(fleet: &Fleet, service: &str, scale: &Scale) -> Capacity {
+/// Returns the number of endpoints in a failure domain.
+pub(super) fn all_of(capacity: &Capacity, domain: &str) -> u32 {
+    let counts = capacity.get(domain);
+    counts.map_or(0, |counts| counts.steady + counts.spot)
+}
+
+/// Returns the number of endpoints that an order is about.
+pub(super) fn count_of(capacity: &Capacity, order: &Order) -> u32 {
+    let counts = capacity.get(&order.domain);
+    counts.map_or(0, |counts| {
+        if order.spot {
+            counts.spot
+        } else {
+            counts.steady
+        }
+    })
+}
+
+/// Counts the endpoints of a service that accept requests and have one of these versions, by failure
+/// domain.
+pub(super) fn ready_capacity(
+    fleet: &Fleet,
+    service: &str,
+    versions: &Versions,
+    scale: &Scale,
+) -> Capacity {
     let domains = scale.prices.keys();
     let mut capacity: Capacity = domains
         .map(|domain| (Arc::clone(domain), Present::default()))
         .collect();
     for (_, endpoint) in fleet.ready(service) {
         let registration = &endpoint.registration;
+        if !versions.admits(&registration.version) {
+            continue;
+        }
         if let Some(counts) = capacity.get_mut(&registration.domain) {
             *(if registration.spot {
                 &mut counts.spot
--- a/src/gateway/scaler/mod.rs
+++ b/src/gateway/scaler/mod.rs
@@ -9,6 +9,7 @@
 
 mod capacity;
 mod meter;
+mod placement;
 mod plan;
 mod reports;
 #[allow(clippy::module_inception)]
@@ -17,6 +18,7 @@
 
 pub use self::capacity::{Capacity, Present, total};
 pub use self::meter::{Demand, Meter};
+pub use self::placement::Placement;
 pub use self::plan::{Need, plan};
 pub use self::reports::DemandReports;
 pub use self::scaler::Scaler;
--- a/src/gateway/scaler/scaler.rs
+++ b/src/gateway/scaler/scaler.rs
@@ -2,10 +2,12 @@
 use std::sync::Arc;
 
 use crate::clock::Millis;
+use crate::gateway::rollout::Versions;
 use crate::gateway::{Fleet, Order, Scale};
 
-use super::capacity::{self, Capacity, spot, steady, total};
+use super::capacity::{self, Capacity, all_of, count_of, spot, steady, total};
 use super::meter::Demand;
+use super::placement::Placement;
 use super::plan::plan;
 use super::target::Target;
 
@@ -39,10 +41,44 @@
 }
 
 impl Scaler {
-    /// Counts the endpoints of a service that accept requests, by failure domain.
+    /// Counts the endpoints of a service that accept requests and have one of these versions, by
+    /// failure domain.
     #[must_use]
-    pub fn ready_capacity(fleet: &Fleet, service: &str, scale: &Scale) -> Capacity {
-        capacity::ready_capacity(fleet, service, scale)
+    pub fn ready_capacity(
+        fleet: &Fleet,
+        service: &str,
+        versions: &Versions,
+        scale: &Scale,
+    ) -> Capacity {
+        capacity::ready_capacity(fleet, service, versions, scale)
+    }
+
+    /// Returns what to order from the cloud while endpoints of a version on trial run beside those
+    /// that `orders` are about.
+    ///
+    /// The cloud counts both, cuts an order to the limits of the service, and would remove the
+    /// endpoints on trial first: an order that leads to fewer endpoints is not placed.
+    #[must_use]
+    pub fn beside_trial(
+        orders: Vec<(Order, u32)>,
+        scale: &Scale,
+        present: &Capacity,
+        on_trial: &Capacity,
+    ) -> Vec<Placement> {
+        let has_trial = total(on_trial) > 0;
+        let placements = orders.into_iter().filter_map(|(order, count)| {
+            let here = count_of(present, &order);
+            let trial_here = count_of(on_trial, &order);
+            let in_domain = all_of(present, &order.domain) + all_of(on_trial, &order.domain);
+            let within_limits = in_domain + count.saturating_sub(here) <= scale.max;
+            let is_safe = !has_trial || (count >= here && within_limits);
+            is_safe.then_some(Placement {
+                order,
+                count,
+                on_trial: trial_here,
+            })
+        });
+        placements.collect()
     }
 
     /// Returns the orders to place now, with the number of endpoints of each. Each endpoint has
--- a/tests/integration/gateway_scaler.rs
+++ b/tests/integration/gateway_scaler.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
-use almondpath::gateway::scaler::{Capacity, Demand, Meter, Need, Present, Scaler, plan, total};
+use almondpath::gateway::scaler::{
+    Capacity, Demand, Meter, Need, Placement, Present, Scaler, plan, total,
+};
 use almondpath::gateway::{Order, Scale};
 
 const STEP_MS: u64 = 250;
@@ -314,3 +316,56 @@
         assert!(meter.busy_endpoints(Millis(80_000)).is_empty());
     }
 }
+
+/// An order during a rollout, and the number that the cloud is told, if it is placed.
+struct TrialCase {
+    domain: &'static str,
+    spot: bool,
+    count: u32,
+    told: Option<u32>,
+}
+
+/// Guards against orders upon which the cloud removes the endpoints of a version on trial.
+#[test]
+fn orders_during_a_rollout_keep_the_endpoints_on_trial() {
+    let scale = scale(true);
+    let present = capacity([(3, 0), (2, 0), (1, 1)]);
+    let on_trial = capacity([(3, 0), (1, 0), (0, 1)]);
+    let case = |domain, spot, count, told| TrialCase {
+        domain,
+        spot,
+        count,
+        told,
+    };
+    let cases = [
+        case("a", false, 2, None),
+        case("a", false, 4, None),
+        case("b", false, 1, None),
+        case("b", false, 2, Some(3)),
+        case("b", false, 4, Some(5)),
+        case("b", true, 3, Some(3)),
+        case("b", true, 4, None),
+        case("c", true, 2, Some(3)),
+        case("c", true, 0, None),
+    ];
+    for TrialCase {
+        domain,
+        spot,
+        count,
+        told,
+    } in cases
+    {
+        let order = Order {
+            service: "llm".into(),
+            domain: domain.into(),
+            spot,
+        };
+        let place = |on_trial: &Capacity| {
+            let orders = vec![(order.clone(), count)];
+            let placed = Scaler::beside_trial(orders, &scale, &present, on_trial);
+            placed.first().map(Placement::total)
+        };
+        assert_eq!(place(&on_trial), told, "{domain}, {spot}, {count}");
+        assert_eq!(place(&Capacity::default()), Some(count), "{domain}, {spot}");
+    }
+}
