Revert a rollout 1 s before its deadline, so that its status is in time

Change: reverted 1 s before, at most a twelfth of the duration, which leaves time for a second record. Ruled out: that the order's time is unknown after a restart; the log has the right deadline.

--- a/src/gateway/rollout/trial.rs
+++ b/src/gateway/rollout/trial.rs
@@ -16,8 +16,12 @@
 /// nodes learn of the promotion, and most requests at these endpoints end.
 const FINISH_TIME: Millis = Millis(1_500);
 
-/// Time before the deadline from which on the completion is no longer recorded.
-const RECORD_MARGIN: Millis = Millis(300);
+/// Time before the deadline at which a rollout that is not completed is reverted, so that its status is
+/// recorded in time, also after a first record that fails.
+const RECORD_MARGIN: Millis = Millis(1_000);
+
+/// Divisor of a rollout's duration; the margin is at most the quotient.
+const RECORD_MARGIN_DIVISOR: u64 = 12;
 
 /// Time after the deadline within which nodes learn of a completion.
 const NEWS_TIME: Millis = Millis(1_500);
@@ -156,8 +160,9 @@
         let deadline = self.progress.deadline();
         let duration = self.progress.order.duration;
         let lead = PROMOTION_LEAD.min(Millis(duration.0 / PROMOTION_LEAD_DIVISOR));
+        let margin = RECORD_MARGIN.min(Millis(duration.0 / RECORD_MARGIN_DIVISOR));
         let is_open = self.progress.stage < Stage::Reverted;
-        if is_open && wall + RECORD_MARGIN >= deadline {
+        if is_open && wall + margin >= deadline {
             self.progress.stage = Stage::Reverted;
         }
         let may_promote = wall + lead >= deadline && self.evidence.is_sufficient();
