Announce all quarantined prompt segments, not the first 16

Callers would have seen: requests with a quarantined segment sent to endpoints by a node that started later (BUDGET). Found by reading.

Cause: nodes keep up to 64 quarantined segments, but announced the first 16 of them in order of their ids, so that the others never reached a node that was not there when they were found. Class: a fact that binds and is not passed on.

Change: all of them are announced, about 1 KB at most, and only while there are any. Test: a_new_node_learns_of_all_quarantined_segments. Before, the 17th of 40 was unknown.

--- a/src/gateway/quarantine/quarantine.rs
+++ b/src/gateway/quarantine/quarantine.rs
@@ -30,7 +30,7 @@
 /// Time for which a node announces its crashes to the others, which then remember them.
 const ANNOUNCEMENT_PERIOD: Millis = Millis::from_secs(10);
 
-/// Maximum number of crashes, successes or quarantined segments in one announcement.
+/// Maximum number of crashes or successes in one announcement.
 const MAX_ANNOUNCED: usize = 16;
 
 /// Maximum number of crashes that are remembered.
@@ -140,7 +140,7 @@
         Evidence {
             crashes: recent.cloned().collect(),
             successes: successes.take(MAX_ANNOUNCED).collect(),
-            quarantined: quarantined.take(MAX_ANNOUNCED).collect(),
+            quarantined: quarantined.collect(),
         }
     }
 
--- a/tests/integration/gateway_quarantine.rs
+++ b/tests/integration/gateway_quarantine.rs
@@ -1,7 +1,7 @@
 //! Prompt segments that crash endpoints, and the requests that share an endpoint with them.
 
 use almondpath::clock::Millis;
-use almondpath::gateway::{Crash, Quarantine};
+use almondpath::gateway::{Crash, Evidence, Quarantine, Quarantined};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -238,3 +238,24 @@
         assert_eq!(deployment.refused_sound, 0, "seed {seed}");
     }
 }
+
+/// Guards against a node that starts after many segments were quarantined and learns of some only.
+#[test]
+fn a_new_node_learns_of_all_quarantined_segments() {
+    let segments = 1..=40;
+    let quarantined = segments.clone().map(|segment| Quarantined {
+        segment,
+        until: Millis(500_000),
+    });
+    let evidence = Evidence {
+        quarantined: quarantined.collect(),
+        ..Evidence::default()
+    };
+    let now = Millis(1_000);
+    let (mut known, mut new) = (Quarantine::default(), Quarantine::default());
+    known.merge(&evidence, now);
+    new.merge(&known.evidence(now), now);
+    for segment in segments {
+        assert!(new.refused_for([segment], now).is_some(), "{segment}");
+    }
+}
