Do not send a request again whose prompt may crash endpoints

Cause: three requests had to crash before anything stopped, and each was sent on as often as its route and its caller allowed.

Change: a request that crashed an endpoint is not sent again, by its node or at its caller's return, once another request crashed one with a segment of it that is common to most crashes and without success since. Two requests that crashed five endpoints, nearly all that crashed since, are enough for the quarantine.

--- a/src/gateway/forward/call.rs
+++ b/src/gateway/forward/call.rs
@@ -76,6 +76,18 @@
         }
     }
 
+    /// Returns whether the request must not be sent again, since its prompt may crash endpoints.
+    pub(super) fn is_suspected(&self) -> bool {
+        let Some(prompt) = &self.metadata.prompt else {
+            return false;
+        };
+        let Some(request) = prompt.segments.last() else {
+            return false;
+        };
+        let quarantine = &self.node.state().quarantine;
+        quarantine.is_suspected(request.id, prompt.shared_ids())
+    }
+
     /// Records that an endpoint broke off the request before its first event.
     pub(super) fn record_crash(&self, reservation: &Reservation) {
         let Some(prompt) = &self.metadata.prompt else {
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -25,6 +25,9 @@
 /// `Retry-After` when no endpoint accepts requests.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(400);
 
+/// `Retry-After` of a request that may crash endpoints: by then it is known whether it does.
+const SUSPECT_RETRY_AFTER: Millis = Millis(2_000);
+
 /// Share of the time left that an idempotent request waits for the response head of one endpoint.
 const HEAD_TIMEOUT_SHARE: f64 = 0.5;
 
@@ -65,6 +68,12 @@
         attempts.retry_after = Some(delay);
         return None;
     }
+    if call.is_suspected() {
+        "the request broke off, as did another one with the same prompt segment"
+            .clone_into(&mut attempts.reason);
+        attempts.retry_after = Some(SUSPECT_RETRY_AFTER);
+        return None;
+    }
     if attempts.delivered > 0 && !take_retry(call, now) {
         "retry budget exhausted".clone_into(&mut attempts.reason);
         return None;
--- a/src/gateway/quarantine/quarantine.rs
+++ b/src/gateway/quarantine/quarantine.rs
@@ -4,11 +4,32 @@
 
 use super::crash::{Crash, Evidence, Quarantined, Success};
 
-/// Number of different requests with a segment that must have crashed.
-const MIN_REQUESTS: usize = 3;
+/// Evidence against a segment that is enough to quarantine it.
+struct Required {
+    /// Number of different requests with the segment that crashed.
+    requests: usize,
+    /// Number of endpoints that they crashed.
+    endpoints: usize,
+    /// Share of all crashed endpoints since the first of them.
+    share: f64,
+}
+
+/// Any of these is enough. The second one is for requests that are rare and sent again often.
+const REQUIRED: [Required; 2] = [
+    Required {
+        requests: 3,
+        endpoints: 3,
+        share: MIN_CRASH_SHARE,
+    },
+    Required {
+        requests: 2,
+        endpoints: 5,
+        share: 0.95,
+    },
+];
 
-/// Number of endpoints that requests with a segment must have crashed.
-const MIN_ENDPOINTS: usize = 3;
+/// Number of different requests that must have crashed for a segment to be suspected.
+const MIN_SUSPECT_REQUESTS: usize = 2;
 
 /// Share of all crashed endpoints, since its first crash, that requests with the segment must have
 /// crashed: other requests at the endpoints had many different segments.
@@ -56,6 +77,18 @@
     pub requests: usize,
 }
 
+/// The part of a segment in the crashes that speak against it.
+struct Involvement {
+    /// Number of endpoints that requests with it crashed.
+    endpoints: usize,
+    /// Number of requests that crashed.
+    requests: usize,
+    /// Share of these among all endpoints that crashed since the first of them.
+    share: f64,
+    /// When a second request crashed.
+    suspected_at: Option<Millis>,
+}
+
 /// Finds and refuses prompt segments that crash endpoints. Times are wall times of the cluster.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -171,7 +204,9 @@
                 requests.entry(*segment).or_default().insert(crash.request);
             }
         }
-        let suspects = requests.into_iter().filter(|(_, all)| all.len() > 1);
+        let suspects = requests
+            .into_iter()
+            .filter(|(_, all)| all.len() >= MIN_SUSPECT_REQUESTS);
         suspects.map(|(segment, _)| segment).collect()
     }
 }
@@ -194,6 +229,23 @@
         Some(*until - now)
     }
 
+    /// Returns whether a request with these shared segments must not be sent again: it crashed an
+    /// endpoint, as did another request with one of its segments, which is common to most crashes.
+    #[must_use]
+    pub fn is_suspected<I>(&self, request: u64, segments: I) -> bool
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        if !self.crashes.iter().any(|crash| crash.request == request) {
+            return false;
+        }
+        let mut segments = segments.into_iter().take(MAX_SEGMENTS);
+        segments.any(|segment| {
+            let involvement = self.involvement(segment);
+            involvement.is_some_and(|i| i.share >= MIN_CRASH_SHARE && i.suspected_at.is_some())
+        })
+    }
+
     /// Quarantines the segments that crash endpoints, and forgets what is too old to matter.
     pub fn review(&mut self, now: Millis) -> Vec<Finding> {
         self.forget(now);
@@ -211,29 +263,53 @@
     }
 
     fn judge(&self, segment: u64, now: Millis) -> Option<Finding> {
-        let success = self.latest_success(segment);
-        let counts = |crash: &&Crash| success.is_none_or(|at| crash.at > at + SUCCESS_PERIOD);
-        let involved = self
-            .crashes
-            .iter()
-            .filter(|c| c.segments.contains(&segment));
-        let mut involved: Vec<&Crash> = involved.filter(counts).collect();
-        involved.sort_unstable_by_key(|crash| crash.at);
-        let decisive = involved.get(MIN_REQUESTS - 1)?;
-        if decisive.at + OBJECTION_PERIOD > now {
+        let involvement = self.involvement(segment)?;
+        let Involvement {
+            endpoints,
+            requests,
+            ..
+        } = involvement;
+        // Since the suspicion, the other nodes have reported their successes.
+        if involvement.suspected_at? + OBJECTION_PERIOD > now {
             return None;
         }
-        let first = involved[0].at;
-        let since = self.crashes.iter().filter(|crash| crash.at >= first);
+        let is_enough = |required: &Required| {
+            requests >= required.requests
+                && endpoints >= required.endpoints
+                && involvement.share >= required.share
+        };
+        REQUIRED.iter().any(is_enough).then_some(Finding {
+            segment,
+            endpoints,
+            requests,
+        })
+    }
+
+    /// Returns the part of a segment in the crashes, if it has any.
+    fn involvement(&self, segment: u64) -> Option<Involvement> {
+        let mut involved: Vec<&Crash> = self.counted(segment).collect();
+        involved.sort_unstable_by_key(|crash| crash.at);
+        let first = *involved.first()?;
+        let second = involved.iter().find(|c| c.request != first.request);
+        let since = self.crashes.iter().filter(|crash| crash.at >= first.at);
         let all: HashSet<u64> = since.map(|crash| crash.endpoint).collect();
         let endpoints: HashSet<u64> = involved.iter().map(|crash| crash.endpoint).collect();
         let requests: HashSet<u64> = involved.iter().map(|crash| crash.request).collect();
-        let is_common = endpoints.len() as f64 >= all.len() as f64 * MIN_CRASH_SHARE;
-        let is_certain = requests.len() >= MIN_REQUESTS && endpoints.len() >= MIN_ENDPOINTS;
-        (is_certain && is_common).then_some(Finding {
-            segment,
+        Some(Involvement {
             endpoints: endpoints.len(),
             requests: requests.len(),
+            share: endpoints.len() as f64 / all.len().max(1) as f64,
+            suspected_at: second.map(|crash| crash.at),
+        })
+    }
+
+    /// Returns the crashes that speak against a segment: none of its requests has succeeded shortly
+    /// before them, or since.
+    fn counted(&self, segment: u64) -> impl Iterator<Item = &Crash> {
+        let success = self.latest_success(segment);
+        self.crashes.iter().filter(move |crash| {
+            let counts = success.is_none_or(|at| crash.at > at + SUCCESS_PERIOD);
+            counts && crash.segments.contains(&segment)
         })
     }
 
--- a/tests/integration/gateway_quarantine.rs
+++ b/tests/integration/gateway_quarantine.rs
@@ -16,6 +16,9 @@
 /// Time within which nodes learn of each other's evidence.
 const EXCHANGE_MS: u64 = 500;
 
+/// Time after which a caller sends a request again.
+const RETURN_MS: u64 = 100;
+
 /// Interval at which nodes review the evidence.
 const REVIEW_MS: u64 = 250;
 
@@ -24,6 +27,9 @@
 const BOUND_MS: u64 = 3_000;
 const MAX_LATE: usize = 3;
 
+/// Of this many sound requests, at most one may be held back because it broke off beside others.
+const MIN_SOUND_PER_HELD_BACK: usize = 100;
+
 const DEADLY: u64 = 999_999;
 
 #[derive(Clone)]
@@ -33,7 +39,10 @@
     shared: Vec<u64>,
     sent: u64,
     endpoint: usize,
+    /// Endpoints that it was sent to in the present attempt of its caller.
     attempts: u32,
+    /// Times that the caller may still send it.
+    caller_retries: u32,
 }
 
 impl Request {
@@ -53,7 +62,16 @@
     /// Times at which deadly requests reached endpoints.
     deadly_sent: Vec<u64>,
     refused_sound: usize,
+    /// Sound requests that were not sent again once.
+    held_back_sound: usize,
+    sound: usize,
     next_unique: u64,
+    /// Endpoints that a node sends a request to.
+    max_attempts: u32,
+    /// Times that a caller sends a request again, to any node.
+    caller_retries: u32,
+    /// Requests that their callers send again, with the time.
+    returning: Vec<(u64, Request)>,
 }
 
 impl Deployment {
@@ -66,7 +84,12 @@
             crashes: Vec::new(),
             deadly_sent: Vec::new(),
             refused_sound: 0,
+            held_back_sound: 0,
+            sound: 0,
             next_unique: 10_000,
+            max_attempts: 2,
+            caller_retries: 0,
+            returning: Vec::new(),
         }
     }
 
@@ -79,11 +102,13 @@
             sent: now,
             endpoint: 0,
             attempts: 0,
+            caller_retries: self.caller_retries,
         };
         self.send(request, now);
     }
 
     fn sound_request(&mut self, now: u64) {
+        self.sound += 1;
         let first = self.rng.random_range(0..4);
         let second = self.rng.random_range(100..192);
         self.request(vec![first, second], now);
@@ -96,10 +121,16 @@
             self.refused_sound += usize::from(!request.is_deadly());
             return;
         }
+        if node.is_suspected(request.unique, request.shared.iter().copied()) {
+            self.held_back_sound += usize::from(!request.is_deadly());
+            self.give_up(request, now);
+            return;
+        }
         let up: Vec<usize> = (0..ENDPOINTS)
             .filter(|endpoint| self.endpoints[*endpoint].0 <= now)
             .collect();
-        if up.is_empty() || request.attempts >= 2 {
+        if up.is_empty() || request.attempts >= self.max_attempts {
+            self.give_up(request, now);
             return;
         }
         request.endpoint = up[self.rng.random_range(0..up.len())];
@@ -111,6 +142,16 @@
         self.pending.push(request);
     }
 
+    /// Lets the caller send a request again, to another node.
+    fn give_up(&mut self, mut request: Request, now: u64) {
+        if request.caller_retries > 0 {
+            request.caller_retries -= 1;
+            request.attempts = 0;
+            request.node = self.rng.random_range(0..self.nodes.len());
+            self.returning.push((now + RETURN_MS, request));
+        }
+    }
+
     fn crash(&mut self, endpoint: usize, now: u64) {
         self.crashes.push(now);
         let (back, run) = &mut self.endpoints[endpoint];
@@ -133,6 +174,12 @@
     }
 
     fn advance(&mut self, now: u64) {
+        let all = std::mem::take(&mut self.returning);
+        let (due, rest) = all.into_iter().partition(|(at, _)| *at <= now);
+        self.returning = rest;
+        let due: Vec<(u64, Request)> = due;
+        due.into_iter()
+            .for_each(|(_, request)| self.send(request, now));
         while let Some(index) = self.pending.iter().position(|r| r.sent + PREFILL_MS <= now) {
             if self.pending[index].is_deadly() {
                 self.crash(self.pending[index].endpoint, now);
@@ -167,12 +214,16 @@
         /// Pause between two requests with the segment, in milliseconds.
         pause: u64,
         segments: fn(u64) -> Vec<u64>,
+        max_attempts: u32,
+        caller_retries: u32,
     }
     let case = |name, nodes, pause, segments| Case {
         name,
         nodes,
         pause,
         segments,
+        max_attempts: 2,
+        caller_retries: 0,
     };
     let cases = [
         case("second segment", 8, 900, |n| vec![n % 4, DEADLY]),
@@ -184,11 +235,37 @@
         case("rare", 8, 3_000, |n| vec![n % 4, DEADLY]),
         case("frequent", 8, 200, |n| vec![n % 4, DEADLY]),
         case("many nodes", 40, 700, |n| vec![n % 4, DEADLY]),
+        Case {
+            caller_retries: 1,
+            ..case("very rare, sent again", 8, 10_000, |n| vec![n % 4, DEADLY])
+        },
+        Case {
+            max_attempts: 4,
+            ..case("very rare, many attempts", 8, 10_000, |n| {
+                vec![n % 4, DEADLY]
+            })
+        },
+        Case {
+            max_attempts: 3,
+            caller_retries: 1,
+            ..case("rare, many attempts, sent again", 8, 5_000, |n| {
+                vec![n % 4, DEADLY]
+            })
+        },
+        Case {
+            max_attempts: 3,
+            caller_retries: 1,
+            ..case("frequent, many attempts, sent again", 8, 300, |n| {
+                vec![n % 4, DEADLY]
+            })
+        },
     ];
     for case in cases {
         for seed in 0..20 {
             let name = format!("{}, seed {seed}", case.name);
             let mut deployment = Deployment::new(case.nodes, seed);
+            deployment.max_attempts = case.max_attempts;
+            deployment.caller_retries = case.caller_retries;
             for now in (0..60_000).step_by(10) {
                 if now % 50 == 0 {
                     deployment.sound_request(now);
@@ -214,6 +291,12 @@
                 deployment.refused_sound, 0,
                 "{name}: sound requests refused"
             );
+            let held_back = deployment.held_back_sound;
+            assert!(
+                held_back * MIN_SOUND_PER_HELD_BACK <= deployment.sound,
+                "{name}: {held_back} of {} held back",
+                deployment.sound
+            );
         }
     }
 }
@@ -223,6 +306,8 @@
 fn segments_of_requests_at_endpoints_that_crash_together_stay_allowed() {
     for seed in 0..20 {
         let mut deployment = Deployment::new(8, seed);
+        deployment.max_attempts = 3;
+        deployment.caller_retries = 1;
         for now in (0..60_000).step_by(10) {
             if now % 50 == 0 {
                 deployment.sound_request(now);
@@ -236,6 +321,12 @@
             deployment.advance(now);
         }
         assert_eq!(deployment.refused_sound, 0, "seed {seed}");
+        let held_back = deployment.held_back_sound;
+        assert!(
+            held_back * MIN_SOUND_PER_HELD_BACK <= deployment.sound,
+            "seed {seed}: {held_back} of {} held back",
+            deployment.sound
+        );
     }
 }
 
