--- a/src/gateway/cluster/phase.rs
+++ b/src/gateway/cluster/phase.rs
@@ -11,7 +11,7 @@
     Leaving,
     /// It has just started.
     Starting,
-    /// It has been running for [`OWNERSHIP_DELAY`].
+    /// It has been running for long enough to own buckets.
     Established,
 }
 
