Drop the response times of routes that are no longer configured

A node keeps the latest response times of each route for the thresholds of rollouts; nothing removed those of routes that a configuration drops. Found in the read of the change: the function for it had no caller. The upkeep calls it once a second. Bounded before by 256 samples a route and the routes ever configured.

--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -222,6 +222,11 @@
             let fleet = &state.fleet;
             state.changelog.retain(|id| fleet.find(id).is_some());
             state.quotas.prune(now);
+            if let Some(active) = self.active.load().as_ref() {
+                let routes = active.config.routes();
+                let is_route = |name: &str| routes.iter().any(|route| *route.name == *name);
+                state.rollouts.retain(is_route);
+            }
         }
         Ok(())
     }
--- a/src/gateway/rollout/rollouts.rs
+++ b/src/gateway/rollout/rollouts.rs
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Drops the response times of routes and services for which `keep` returns false.
+    /// Drops the response times of routes for which `keep` returns false.
     pub fn retain<F>(&mut self, keep: F)
     where
         F: Fn(&str) -> bool,
