--- a/tests/integration/gateway_quarantine.rs
+++ b/tests/integration/gateway_quarantine.rs
@@ -173,6 +173,22 @@
         }
     }
 
+    /// Plays a minute in which all endpoints crash every 7 s, and one of them more often.
+    fn play_mass_crashes(&mut self, weak: usize) {
+        for now in (0..60_000).step_by(10) {
+            if now % 50 == 0 {
+                self.sound_request(now);
+            }
+            if now > 4_000 && now.is_multiple_of(7_000) {
+                (0..ENDPOINTS).for_each(|endpoint| self.crash(endpoint, now));
+            }
+            if now.is_multiple_of(1_300) {
+                self.crash(weak, now);
+            }
+            self.advance(now);
+        }
+    }
+
     fn advance(&mut self, now: u64) {
         let all = std::mem::take(&mut self.returning);
         let (due, rest) = all.into_iter().partition(|(at, _)| *at <= now);
@@ -304,29 +320,22 @@
 /// Guards against refusing sound requests after endpoints crashed for another reason.
 #[test]
 fn segments_of_requests_at_endpoints_that_crash_together_stay_allowed() {
-    for seed in 0..20 {
-        let mut deployment = Deployment::new(8, seed);
-        deployment.max_attempts = 3;
-        deployment.caller_retries = 1;
-        for now in (0..60_000).step_by(10) {
-            if now % 50 == 0 {
-                deployment.sound_request(now);
-            }
-            if now > 4_000 && now.is_multiple_of(7_000) {
-                (0..ENDPOINTS).for_each(|endpoint| deployment.crash(endpoint, now));
-            }
-            if now.is_multiple_of(1_300) {
-                deployment.crash(seed as usize % ENDPOINTS, now);
-            }
-            deployment.advance(now);
+    // Attempts of a node, and returns of a caller.
+    for (max_attempts, caller_retries) in [(2, 0), (3, 1)] {
+        for seed in 0..20 {
+            let mut deployment = Deployment::new(8, seed);
+            deployment.max_attempts = max_attempts;
+            deployment.caller_retries = caller_retries;
+            deployment.play_mass_crashes(seed as usize % ENDPOINTS);
+            let name = format!("{max_attempts} attempts, seed {seed}");
+            assert_eq!(deployment.refused_sound, 0, "{name}");
+            let held_back = deployment.held_back_sound;
+            assert!(
+                held_back * MIN_SOUND_PER_HELD_BACK <= deployment.sound,
+                "{name}: {held_back} of {} held back",
+                deployment.sound
+            );
         }
-        assert_eq!(deployment.refused_sound, 0, "seed {seed}");
-        let held_back = deployment.held_back_sound;
-        assert!(
-            held_back * MIN_SOUND_PER_HELD_BACK <= deployment.sound,
-            "seed {seed}: {held_back} of {} held back",
-            deployment.sound
-        );
     }
 }
 
@@ -350,3 +359,27 @@
         assert!(new.refused_for([segment], now).is_some(), "{segment}");
     }
 }
+
+/// Guards against a sound segment whose success is not passed on because many others are suspected.
+#[test]
+fn successes_with_all_suspected_segments_reach_other_nodes() {
+    let now = Millis(10_000);
+    let mut node = Quarantine::default();
+    let segments = 1..=40;
+    for request in 0..10 {
+        let group = request / 2 * 8;
+        let crash = Crash {
+            endpoint: request,
+            request: 1_000 + request,
+            segments: (group + 1..=group + 8).collect(),
+            at: now,
+        };
+        node.record_crash(crash);
+    }
+    for group in 0..5 {
+        node.record_success(group * 8 + 1..=group * 8 + 8, now + Millis(100));
+    }
+    let evidence = node.evidence(now + Millis(200));
+    let passed_on: Vec<u64> = evidence.successes.iter().map(|s| s.segment).collect();
+    assert_eq!(passed_on, segments.collect::<Vec<_>>());
+}
