Do not send a request to an endpoint that began to leave while connecting

Cause: a node chooses an endpoint, then opens a connection to it, which takes up to 400 ms, and then sends the request without looking at the endpoint again.

Change: the node checks that the endpoint still accepts requests right before the request is written, on a new connection and on a reused one. If it does not, nothing was sent, and another endpoint is chosen. The attempt counts neither as a failure of the endpoint's version nor against its health.

Ruled out: reused connections alone; on these the request is written without a wait after the choice, unless an earlier idle connection turned out to be closed.

Test: an_endpoint_that_leaves_while_connecting_gets_no_request. With the check disabled it failed ("left: None, right: Some(NotRun)": the request was sent); with the check it passes.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -98,6 +98,19 @@
         })
     }
 
+    /// Returns whether an endpoint is among those that [`Fleet::ready`] returns for its service.
+    #[must_use]
+    pub fn accepts_requests(&self, key: Key) -> bool {
+        let Some(endpoint) = self.get(key) else {
+            return false;
+        };
+        if endpoint.missing_since.is_none() {
+            return endpoint.lifecycle == Lifecycle::Ready;
+        }
+        let mut ready = self.ready(&endpoint.registration.service);
+        ready.any(|(other, _)| other == key)
+    }
+
     /// Returns whether an endpoint accepts new requests and its entry is present.
     #[must_use]
     pub fn is_ready(&self, key: Key) -> bool {
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -163,9 +163,11 @@
         priority: call.metadata.prompt.as_ref().map(|_| call.priority()),
     };
     let request = forwarded_request(node, call, &metadata);
+    let key = reservation.key;
+    let may_send = || node.state().fleet.accepts_requests(key);
     let sending = node
         .upstream
-        .send(reservation.key, address, max_idle, request);
+        .send(key, address, max_idle, request, may_send);
     let (response, connection) = tokio::select! {
         sent = sending => sent.map_err(|error| connection_failure(call, &mut reservation, &error))?,
         reason = reservation.until_unresponsive(call.is_retryable(), head_timeout(call, left)) => {
@@ -235,6 +237,12 @@
 
 /// Converts the error of a request that got no response head.
 fn connection_failure(call: &Call, reservation: &mut Reservation, error: &Error) -> Failure {
+    let is_leaving = !call.node.state().fleet.accepts_requests(reservation.key);
+    if is_leaving && error.verdict() == Verdict::NotRun {
+        // That an endpoint which leaves got no request is not a failure of its version.
+        reservation.record_declined();
+        return Failure::not_sent(error.message());
+    }
     if error.verdict() != Verdict::NotRun {
         call.record_crash(reservation);
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -98,20 +98,27 @@
 
     /// Sends a request and waits for the head of its response.
     ///
-    /// Connections that were idle for `max_idle` or longer are not reused.
+    /// Connections that were idle for `max_idle` or longer are not reused. The request is sent only
+    /// if `may_send` still returns true once there is a connection: opening one takes up to
+    /// [`CONNECT_TIMEOUT`], in which the endpoint may begin to leave.
     ///
     /// # Errors
     ///
     /// Fails with the verdict `NotRun` when nothing was sent, and with `MayHaveRun` on every later
     /// failure.
-    pub async fn send(
+    pub async fn send<F>(
         &self,
         key: Key,
         address: SocketAddr,
         max_idle: Millis,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Connection), Error> {
+        may_send: F,
+    ) -> Result<(Response<Incoming>, Connection), Error>
+    where
+        F: Fn() -> bool,
+    {
         while let Some(mut sender) = self.take_idle(key, max_idle) {
+            check_may_send(&may_send)?;
             match sender.send(request).await {
                 Ok(response) => return Ok((response, Connection::new(key, sender, true))),
                 Err(mut error) => match error.take_message() {
@@ -122,6 +129,7 @@
             }
         }
         let mut sender = connect(address).await?;
+        check_may_send(&may_send)?;
         match sender.send(request).await {
             Ok(response) => Ok((response, Connection::new(key, sender, false))),
             Err(mut error) => {
@@ -177,6 +185,19 @@
     }
 }
 
+fn check_may_send<F>(may_send: F) -> Result<(), Error>
+where
+    F: Fn() -> bool,
+{
+    if may_send() {
+        return Ok(());
+    }
+    Err(Error::not_run(
+        ErrorKind::Unavailable,
+        "the endpoint accepts no more requests",
+    ))
+}
+
 async fn connect(address: SocketAddr) -> Result<Sender, Error> {
     let connect_error = |reason: String| {
         Error::not_run(
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod gateway_rollouts;
 mod gateway_scaler;
 mod gateway_serving;
+mod gateway_upstream;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
 mod hedging;
