Keep a silent endpoint until another one may take the request

What callers saw: a stream that may be resumed ended in the middle, and a request of a route that allows retries got 502 or 504, although its endpoint was at work and answered later. It happened when the endpoint was silent for three times the gap target, when its first event was overdue, after half of the time of an idempotent request, and 500 ms after the endpoint's entry was removed, while no other endpoint could take the request: its attempts or the retry budget were used up, its prompt was suspected, or no endpoint was free.

Cause: the attempt was abandoned and its connection closed before reserve() had said whether another endpoint may take the request.

Change: silence only makes a request look for another endpoint, every 100 ms, until its deadline. The connection is closed when one is reserved, and before the request is sent there. A reset, a malformed response or an event out of order still ends the attempt at once. A failed look changes neither the attempts nor the retry budget, which is now spent last, once an endpoint is chosen. The silence counts against the endpoint's health once, at its start, as before.

Ruled out: a longer stall timeout (the endpoint may always be silent for longer), and closing the previous connection only after the next endpoint has answered (two runs at a time).

--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -5,6 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use rand::Rng;
+use tokio::time::sleep;
 
 use crate::clock::Millis;
 use crate::error::Error;
@@ -17,6 +18,7 @@
 use super::call::Call;
 use super::choose::{Choice, Query, choose};
 use super::failure::Failure;
+use super::replacement::replacement;
 use super::reservation::Reservation;
 
 /// Shortest time in which an endpoint can respond; with less time left, nothing is sent.
@@ -28,7 +30,8 @@
 /// `Retry-After` of a request that may crash endpoints: by then it is known whether it does.
 const SUSPECT_RETRY_AFTER: Millis = Millis(2_000);
 
-/// Share of the time left that an idempotent request waits for the response head of one endpoint.
+/// Share of the time left that an idempotent request waits for the response head of one endpoint while
+/// another one may take it.
 const HEAD_TIMEOUT_SHARE: f64 = 0.5;
 
 /// Idle time from which a connection is not reused for a request that must not run twice: the
@@ -51,48 +54,101 @@
     pub(super) connection: Connection,
 }
 
+/// Whether the current attempt of a request is among those counted as delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Delivered {
+    /// It is counted, or there is none.
+    Counted,
+    /// It isn't counted yet.
+    Pending,
+}
+
+/// Why no endpoint was reserved.
+#[derive(Debug, Default)]
+pub(super) struct Unavailable {
+    /// The reason, unless it is obvious from the attempts or the time left.
+    reason: Option<String>,
+    /// Time after which the caller may retry.
+    retry_after: Option<Millis>,
+}
+
+impl Unavailable {
+    fn new<M>(reason: M, retry_after: Option<Millis>) -> Self
+    where
+        M: Into<String>,
+    {
+        Self {
+            reason: Some(reason.into()),
+            retry_after,
+        }
+    }
+}
+
+/// Reserves an endpoint for the next attempt, if the request may be sent and an endpoint is
+/// expected to respond in time; else records why not.
+pub(super) fn reserve(call: &Call) -> Option<Reservation> {
+    let unavailable = match try_reserve(call, Delivered::Counted) {
+        Ok(reservation) => return Some(reservation),
+        Err(unavailable) => unavailable,
+    };
+    let attempts = &mut *call.attempts();
+    if let Some(reason) = unavailable.reason {
+        attempts.reason = reason;
+    }
+    attempts.retry_after = unavailable.retry_after.or(attempts.retry_after);
+    None
+}
+
 /// Reserves an endpoint for the next attempt, if the request may be sent and an endpoint is
 /// expected to respond in time.
 ///
-/// When the retry budget, the endpoints or the expected wait rule an attempt out, records the
-/// reason.
-pub(super) fn reserve(call: &Call) -> Option<Reservation> {
+/// Without one, neither the attempts nor the retry budget change, so that a request may ask again.
+///
+/// # Errors
+///
+/// Returns what rules an attempt out.
+pub(super) fn try_reserve(call: &Call, current: Delivered) -> Result<Reservation, Unavailable> {
     let now = call.node.clock.now();
     let left = call.time_left(now);
     let attempts = &mut *call.attempts();
-    if left < MIN_TIME_LEFT || attempts.delivered >= call.route.max_attempts {
-        return None;
+    let delivered = attempts.delivered + u32::from(current == Delivered::Pending);
+    if left < MIN_TIME_LEFT || delivered >= call.route.max_attempts {
+        return Err(Unavailable::default());
     }
     if let Some(delay) = call.node.quarantined_for(call.metadata.prompt.as_ref()) {
-        "a prompt segment is quarantined".clone_into(&mut attempts.reason);
-        attempts.retry_after = Some(delay);
-        return None;
+        let reason = "a prompt segment is quarantined";
+        return Err(Unavailable::new(reason, Some(delay)));
     }
     if call.is_suspected() {
-        "the request broke off, as did another one with the same prompt segment"
-            .clone_into(&mut attempts.reason);
-        attempts.retry_after = Some(SUSPECT_RETRY_AFTER);
-        return None;
+        let reason = "the request broke off, as did another one with the same prompt segment";
+        return Err(Unavailable::new(reason, Some(SUSPECT_RETRY_AFTER)));
     }
-    if attempts.delivered > 0 && !take_retry(call, now) {
-        "retry budget exhausted".clone_into(&mut attempts.reason);
-        return None;
+    let choice = choose_in_time(call, attempts, now)?;
+    // The budget comes last: what it grants counts as spent.
+    if delivered > 0 && !take_retry(call, now) {
+        return Err(Unavailable::new("retry budget exhausted", None));
     }
+    let reservation = Reservation::acquire(&call.node, &choice, &call.route.name)
+        .ok_or_else(Unavailable::default)?;
+    attempts.record_sent(&reservation.endpoint, choice);
+    Ok(reservation)
+}
+
+/// Chooses an endpoint that is expected to respond in time.
+fn choose_in_time(call: &Call, attempts: &Attempts, now: Millis) -> Result<Choice, Unavailable> {
     let Some(choice) = choose_endpoint(call, attempts, now) else {
-        "no endpoint accepts requests".clone_into(&mut attempts.reason);
         let declined_for = call.node.state().fleet.declined_for(&call.service, now);
-        attempts.retry_after = declined_for.or(Some(NO_ENDPOINT_RETRY_AFTER));
-        return None;
+        let retry_after = declined_for.unwrap_or(NO_ENDPOINT_RETRY_AFTER);
+        let reason = "no endpoint accepts requests";
+        return Err(Unavailable::new(reason, Some(retry_after)));
     };
-    let max_wait_ms = left.as_f64() * MAX_WAIT_SHARE;
+    let max_wait_ms = call.time_left(now).as_f64() * MAX_WAIT_SHARE;
     if choice.first_event_ms > max_wait_ms {
-        attempts.reason = format!("first event expected after {:.0} ms", choice.first_event_ms);
-        attempts.retry_after = Some(Millis((choice.first_event_ms - max_wait_ms) as u64 + 100));
-        return None;
+        let reason = format!("first event expected after {:.0} ms", choice.first_event_ms);
+        let retry_after = Millis((choice.first_event_ms - max_wait_ms) as u64 + 100);
+        return Err(Unavailable::new(reason, Some(retry_after)));
     }
-    let reservation = Reservation::acquire(&call.node, &choice, &call.route.name)?;
-    attempts.record_sent(&reservation.endpoint, choice);
-    Some(reservation)
+    Ok(choice)
 }
 
 /// Takes one retry from the service's budget; returns whether there was one left.
@@ -168,13 +224,24 @@
     let sending = node
         .upstream
         .send(key, address, max_idle, request, may_send);
-    let (response, connection) = tokio::select! {
-        sent = sending => sent.map_err(|error| connection_failure(call, &mut reservation, &error))?,
-        reason = reservation.until_unresponsive(call.is_retryable(), head_timeout(call, left)) => {
+    let due = head_due(call, left);
+    let sent = tokio::select! {
+        sent = sending => Some(sent),
+        () = sleep(left.into()) => None,
+        replacement = replacement(call, &mut reservation, due, Delivered::Pending),
+            if call.is_retryable() =>
+        {
             reservation.record_no_response();
-            return Err(Failure::new(Verdict::MayHaveRun, reason));
+            return Err(Failure::replaced(replacement));
         }
     };
+    let Some(sent) = sent else {
+        reservation.record_no_response();
+        let reason = format!("no response within {left}");
+        return Err(Failure::new(Verdict::MayHaveRun, reason));
+    };
+    let (response, connection) =
+        sent.map_err(|error| connection_failure(call, &mut reservation, &error))?;
     let metadata = node.dialect.parse_response(response.headers());
     // A misdirected request was answered by another endpoint than the chosen one.
     if metadata.leaving && response.status() != StatusCode::MISDIRECTED_REQUEST {
@@ -227,12 +294,12 @@
     request
 }
 
-/// Returns how long an attempt waits for the head of the response.
-fn head_timeout(call: &Call, left: Millis) -> Millis {
-    if call.route.retry_policy == RetryPolicy::Idempotent && call.route.max_attempts > 1 {
-        return Millis((left.as_f64() * HEAD_TIMEOUT_SHARE) as u64);
+/// Returns when the head of a response is due, after which the request may move to another endpoint.
+fn head_due(call: &Call, left: Millis) -> Millis {
+    if call.route.retry_policy == RetryPolicy::Idempotent {
+        return call.node.clock.now() + Millis((left.as_f64() * HEAD_TIMEOUT_SHARE) as u64);
     }
-    left
+    call.deadline
 }
 
 /// Converts the error of a request that got no response head.
--- a/src/gateway/forward/failure.rs
+++ b/src/gateway/forward/failure.rs
@@ -3,6 +3,9 @@
 
 use crate::verdict::Verdict;
 
+use super::replacement::Replacement;
+use super::reservation::Reservation;
+
 /// Why an attempt produced no response for the caller.
 pub(super) struct Failure {
     pub(super) verdict: Verdict,
@@ -11,6 +14,8 @@
     pub(super) response: Option<Response<Bytes>>,
     /// Whether the endpoint received the request, or may have.
     pub(super) delivered: bool,
+    /// The endpoint that takes the request next, if one is reserved.
+    pub(super) next: Option<Box<Reservation>>,
 }
 
 impl Failure {
@@ -23,6 +28,7 @@
             reason: reason.into(),
             response: None,
             delivered: true,
+            next: None,
         }
     }
 
@@ -37,6 +43,14 @@
         }
     }
 
+    /// Creates the failure of an attempt that is abandoned for another endpoint.
+    pub(super) fn replaced(replacement: Replacement) -> Self {
+        Self {
+            next: Some(replacement.reservation),
+            ..Self::new(Verdict::MayHaveRun, replacement.reason)
+        }
+    }
+
     pub(super) fn with_response(mut self, response: Response<Bytes>) -> Self {
         self.response = Some(response);
         self
--- a/src/gateway/forward/mod.rs
+++ b/src/gateway/forward/mod.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod failure;
 mod relay;
+mod replacement;
 mod reservation;
 mod serve;
 
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -15,8 +15,9 @@
 use crate::verdict::Verdict;
 
 use super::call::Call;
-use super::dispatch::{Received, dispatch, reserve};
+use super::dispatch::{Delivered, Received, dispatch, reserve};
 use super::failure::Failure;
+use super::replacement::{Replacement, replacement};
 use super::reservation::Reservation;
 
 /// Maximum bytes of comments between two events. Endpoints send comments to keep a connection open; one
@@ -42,6 +43,8 @@
     Data(Bytes),
     End,
     Failed(String),
+    /// The endpoint is silent, and another one is reserved.
+    Replaced(Replacement),
     DeadlineExceeded,
 }
 
@@ -98,9 +101,9 @@
 
     /// Waits for the first event and returns the response for the caller.
     pub(super) async fn open(mut self) -> Opened {
-        if let Err(reason) = self.wait_for_first_event().await {
+        if let Err(failure) = self.wait_for_first_event().await {
             self.reservation.record_no_response();
-            return Opened::Failed(Failure::new(Verdict::MayHaveRun, reason));
+            return Opened::Failed(failure);
         }
         let status = self.head.status;
         self.status = Some(status.as_u16());
@@ -122,11 +125,12 @@
     }
 
     /// Waits for the first event, or the end, of the endpoint's response.
-    async fn wait_for_first_event(&mut self) -> Result<(), String> {
+    async fn wait_for_first_event(&mut self) -> Result<(), Failure> {
+        let failed = |reason: String| Failure::new(Verdict::MayHaveRun, reason);
         loop {
             match self.read_chunk().await {
                 Chunk::Data(bytes) => {
-                    self.ingest(&bytes)?;
+                    self.ingest(&bytes).map_err(failed)?;
                     if self.started {
                         return Ok(());
                     }
@@ -135,8 +139,11 @@
                     self.complete();
                     return Ok(());
                 }
-                Chunk::Failed(reason) => return Err(reason),
-                Chunk::DeadlineExceeded => return Err("no event before the deadline".to_owned()),
+                Chunk::Failed(reason) => return Err(failed(reason)),
+                Chunk::Replaced(replacement) => return Err(Failure::replaced(replacement)),
+                Chunk::DeadlineExceeded => {
+                    return Err(failed("no event before the deadline".to_owned()));
+                }
             }
         }
     }
@@ -149,22 +156,23 @@
                 return Some(Ok(bytes));
             }
             self.body.as_ref()?;
-            let reason = match self.read_chunk().await {
+            let (reason, next) = match self.read_chunk().await {
                 Chunk::Data(bytes) => match self.ingest(&bytes) {
                     Ok(()) => continue,
-                    Err(reason) => reason,
+                    Err(reason) => (reason, None),
                 },
                 Chunk::End => {
                     self.complete();
                     continue;
                 }
-                Chunk::Failed(reason) => reason,
+                Chunk::Failed(reason) => (reason, None),
+                Chunk::Replaced(replacement) => (replacement.reason, Some(replacement.reservation)),
                 Chunk::DeadlineExceeded => {
                     return Some(Err(self.abort("late", "the deadline has passed")));
                 }
             };
             self.reservation.record_no_response();
-            if let Err(error) = self.resume(reason).await {
+            if let Err(error) = self.resume(reason, next).await {
                 return Some(Err(error));
             }
         }
@@ -242,16 +250,25 @@
         io::Error::other(reason.to_owned())
     }
 
-    /// Resumes at another endpoint after the last event; if none may or can do so, ends the
-    /// response as incomplete.
-    async fn resume(&mut self, reason: String) -> io::Result<()> {
+    /// Resumes at another endpoint after the last event, at `next` if it is reserved; if none may or
+    /// can do so, ends the response as incomplete.
+    async fn resume(
+        &mut self,
+        reason: String,
+        mut next: Option<Box<Reservation>>,
+    ) -> io::Result<()> {
         // Closing the connection stops the previous endpoint before another one resumes.
         self.body = None;
         self.connection = None;
         self.call.attempts().reason = reason;
         loop {
             let allowed = self.call.route.retry_policy == RetryPolicy::Resume;
-            let Some(reservation) = allowed.then(|| reserve(&self.call)).flatten() else {
+            let reserved = || {
+                next.take()
+                    .map(|next| *next)
+                    .or_else(|| reserve(&self.call))
+            };
+            let Some(reservation) = allowed.then(reserved).flatten() else {
                 let reason = std::mem::take(&mut self.call.attempts().reason);
                 return Err(self.abort("cut", &reason));
             };
@@ -260,7 +277,10 @@
                 "why" => &self.call.attempts().reason);
             match self.attach(reservation).await {
                 Ok(()) => return Ok(()),
-                Err(failure) => self.call.attempts().record_failure(failure),
+                Err(mut failure) => {
+                    next = failure.next.take();
+                    self.call.attempts().record_failure(failure);
+                }
             }
         }
     }
@@ -306,8 +326,18 @@
         if left == Millis::ZERO {
             return Chunk::DeadlineExceeded;
         }
-        let resumes = self.call.route.retry_policy == RetryPolicy::Resume;
-        let stall = stall_timeout(&self.call);
+        let resumes =
+            self.call.route.retry_policy == RetryPolicy::Resume && self.call.is_retryable();
+        let due = if self.started {
+            self.last_event_at + stall_timeout(&self.call)
+        } else {
+            self.call.deadline
+        };
+        // An attempt counts as delivered from the first event that its caller gets.
+        let delivered = match self.status {
+            Some(_) => Delivered::Counted,
+            None => Delivered::Pending,
+        };
         tokio::select! {
             frame = body.frame() => match frame {
                 None => self.end_of_body(),
@@ -318,16 +348,10 @@
                 }
             },
             () = sleep(left.into()) => Chunk::DeadlineExceeded,
-            () = sleep((self.last_event_at + stall - now).into()), if resumes && self.started => {
-                Chunk::Failed(format!("no event for {stall}"))
-            }
-            reason = self.reservation.until_unresponsive(true, left),
-                if resumes && !self.started =>
+            replacement = replacement(&self.call, &mut self.reservation, due, delivered),
+                if resumes =>
             {
-                Chunk::Failed(reason)
-            }
-            reason = self.reservation.until_gone(), if resumes && self.started => {
-                Chunk::Failed(reason)
+                Chunk::Replaced(replacement)
             }
         }
     }
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -43,6 +43,10 @@
     timing: Timing,
     /// The outcome as evidence about the endpoint's version, if the request was not answered.
     failure: Option<Outcome>,
+    /// Whether the endpoint was found silent, and has sent no event since.
+    silent: bool,
+    /// When the request looks for another endpoint next, if this one is silent.
+    pub(super) next_look: Millis,
     /// Whether the endpoint was still slow after its start when the request was sent.
     cold: bool,
 }
@@ -80,6 +84,8 @@
             route: Arc::clone(route),
             timing: Timing::start(now),
             failure: None,
+            silent: false,
+            next_look: Millis::ZERO,
             cold,
         })
     }
@@ -124,6 +130,7 @@
     /// Records that events of a stream, or the whole of another response, arrived.
     pub(super) fn record_events(&mut self, events: usize) {
         let now = self.node.clock.now();
+        self.silent = false;
         for _ in 0..events {
             self.timing.record_token(now);
         }
@@ -132,32 +139,36 @@
         }
     }
 
-    /// Waits until the attempt should be abandoned, and returns the reason: after `limit`, or, if
-    /// the request may be retried, when it is overdue and the endpoint sends nothing on any
-    /// response, or when the endpoint is gone.
-    pub(super) async fn until_unresponsive(&self, retryable: bool, limit: Millis) -> String {
-        let overdue = async {
-            let wait = Millis(self.expected_first_event.0 * OVERDUE_FACTOR) + OVERDUE_MARGIN;
-            sleep((self.sent_at + wait - self.node.clock.now()).into()).await;
-            while self.is_responsive() {
-                sleep(SILENCE_TIMEOUT.into()).await;
-            }
-        };
+    /// Waits until the response should be sought at another endpoint, and returns the reason: it is
+    /// due, its first event is overdue and the endpoint sends nothing on any response, or the
+    /// endpoint is gone.
+    pub(super) async fn until_silent(&self, due: Millis) -> String {
+        let left = due - self.node.clock.now();
         tokio::select! {
-            () = sleep(limit.into()) => format!("no response within {limit}"),
-            () = overdue, if retryable => "the endpoint is unresponsive".to_owned(),
-            reason = self.until_gone(), if retryable => reason,
+            () = sleep(left.into()) => "the response is overdue".to_owned(),
+            () = self.until_overdue(), if self.prefilling => {
+                "the endpoint is unresponsive".to_owned()
+            }
+            () = self.until_gone() => "the endpoint is gone".to_owned(),
+        }
+    }
+
+    /// Waits until the first event is overdue and the endpoint sends nothing on any response.
+    async fn until_overdue(&self) {
+        let wait = Millis(self.expected_first_event.0 * OVERDUE_FACTOR) + OVERDUE_MARGIN;
+        sleep((self.sent_at + wait - self.node.clock.now()).into()).await;
+        while self.is_responsive() {
+            sleep(SILENCE_TIMEOUT.into()).await;
         }
     }
 
     /// Waits until the endpoint is no longer registered and sends nothing on any response.
-    pub(super) async fn until_gone(&self) -> String {
+    async fn until_gone(&self) {
         self.deregistered.cancelled().await;
         sleep(SILENCE_TIMEOUT.into()).await;
         while self.is_responsive() {
             sleep(SILENCE_TIMEOUT.into()).await;
         }
-        "the endpoint is gone".to_owned()
     }
 
     /// Returns whether the endpoint sent data on any response within [`SILENCE_TIMEOUT`].
@@ -178,7 +189,8 @@
     }
 
     /// Records the head of a response.
-    pub(super) fn record_head(&self, failed: bool, load: Option<Load>) {
+    pub(super) fn record_head(&mut self, failed: bool, load: Option<Load>) {
+        self.silent = false;
         let now = self.node.clock.now();
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key) {
             endpoint.health.record_response(failed, now);
@@ -226,6 +238,14 @@
     /// Records that the endpoint could not be reached, broke the connection or did not respond.
     pub(super) fn record_no_response(&mut self) {
         self.failure = Some(Outcome::Unreachable);
+        self.record_silence();
+    }
+
+    /// Records that the endpoint does not respond at present; once, until data arrives.
+    pub(super) fn record_silence(&mut self) {
+        if std::mem::replace(&mut self.silent, true) {
+            return;
+        }
         let now = self.node.clock.now();
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key)
             && endpoint.health.record_no_response(now)
@@ -241,6 +261,9 @@
         if let Some(failure) = self.failure {
             return failure;
         }
+        if self.silent {
+            return Outcome::Unreachable;
+        }
         if self.cold {
             return Outcome::Inconclusive;
         }
--- a/src/gateway/forward/serve.rs
+++ b/src/gateway/forward/serve.rs
@@ -51,13 +51,17 @@
         .entry(Arc::clone(&call.service))
         .or_default()
         .record_request(now);
+    let mut next: Option<Box<Reservation>> = None;
     loop {
-        let Some(reservation) = reserve(&call) else {
+        let Some(reservation) = next.take().map(|next| *next).or_else(|| reserve(&call)) else {
             return fail(&call);
         };
         match attempt(&call, reservation).await {
             Outcome::Response(response) => return response,
-            Outcome::Failed(failure) => call.attempts().record_failure(failure),
+            Outcome::Failed(mut failure) => {
+                next = failure.next.take();
+                call.attempts().record_failure(failure);
+            }
         }
         if !call.attempts().may_retry(call.route.retry_policy) {
             return fail(&call);
--- a/tests/integration/gateway_outcomes.rs
+++ b/tests/integration/gateway_outcomes.rs
@@ -27,23 +27,26 @@
     /// `good`.
     async fn send(&self, request: &Request, bad: Behaviour, good: Behaviour) -> Option<Response> {
         let engines = &self.deployment.engines;
-        let before: Vec<usize> = engines
-            .iter()
-            .map(|engine| engine.received().len())
-            .collect();
-        // The choice between equal endpoints is deterministic, so a first request reveals it.
         for engine in engines {
             engine.set_behaviour(good);
         }
-        self.deployment.gateways[0].send(request).await?;
-        let chosen = engines
-            .iter()
-            .zip(&before)
-            .position(|(engine, before)| engine.received().len() > *before)?;
+        let chosen = self.first_choice(request).await?;
         engines[chosen].set_behaviour(bad);
         self.deployment.gateways[0].send(request).await
     }
 
+    /// Returns the index of the endpoint that requests are sent to first. The choice between equal
+    /// endpoints is deterministic, so that a request reveals it.
+    async fn first_choice(&self, request: &Request) -> Option<usize> {
+        let engines = &self.deployment.engines;
+        let received = || engines.iter().map(|engine| engine.received().len());
+        let before: Vec<usize> = received().collect();
+        self.deployment.gateways[0].send(request).await?;
+        received()
+            .zip(&before)
+            .position(|(after, before)| after > *before)
+    }
+
     /// Returns how often endpoints ran the request with this id.
     fn runs(&self, id: &str) -> usize {
         let received = self.deployment.engines.iter().flat_map(Engine::received);
@@ -358,6 +361,168 @@
     assert_eq!(response.expect("a response").status, 502);
 }
 
+/// Guards against a request that ends without its answer because its endpoint, which still works on
+/// it, is silent and no other endpoint may take the request.
+#[tokio::test]
+async fn a_silent_endpoint_is_kept_while_no_other_may_take_the_request() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        service: &'static str,
+        behaviour: Behaviour,
+        /// Whether the endpoint's entry is removed while it answers.
+        removed: bool,
+    }
+    let case = |name, path, service, behaviour, removed| Case {
+        name,
+        path,
+        service,
+        behaviour,
+        removed,
+    };
+    let stream = Behaviour::Stream;
+    let pause = Behaviour::StreamWithPause;
+    let cases = [
+        case("a gap", "/resumed/x", "llm", pause(3, 2_000, 5), false),
+        case("the start", "/resumed/x", "llm", pause(0, 2_500, 5), false),
+        case(
+            "the head",
+            "/safe/x",
+            "app",
+            Behaviour::Respond(200, 2_500),
+            false,
+        ),
+        case("gone", "/resumed/x", "llm", stream(5, 700), true),
+        case("gone, start", "/resumed/x", "llm", pause(0, 3_000, 5), true),
+        case(
+            "gone, head",
+            "/safe/x",
+            "app",
+            Behaviour::Respond(200, 3_000),
+            true,
+        ),
+    ];
+    let play = async |case: Case| {
+        let name = case.name;
+        let engine = Engine::start("e0", case.service, case.behaviour).await;
+        let deployment = Deployment::start(1, vec![engine]).await;
+        let mut request = Request::new(case.path);
+        request.deadline_ms = 3_900;
+        let removing = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            if case.removed {
+                deployment.store.remove("keyed.servers", "e0");
+            }
+        };
+        let sending = deployment.gateways[0].send(&request);
+        let (response, ()) = tokio::join!(sending, removing);
+        let response = response.expect(name);
+        (name, response.status, response.complete, response.body)
+    };
+    let results = futures::future::join_all(cases.map(play)).await;
+    let whole = events(0..5);
+    for (name, status, complete, body) in &results {
+        let expected = if name.ends_with("head") {
+            "response of e0"
+        } else {
+            &whole
+        };
+        let got = (*status, *complete, &**body);
+        assert_eq!(got, (200, true, expected), "{name}: {results:?}");
+    }
+}
+
+/// Guards against a stream that ends within a pause of its endpoint since its attempts are used up.
+#[tokio::test]
+async fn a_silent_endpoint_is_kept_when_the_attempts_are_used_up() {
+    let pair = Pair::start("llm").await;
+    for engine in &pair.deployment.engines {
+        engine.set_behaviour(Behaviour::Stream(8, 1));
+    }
+    let mut request = Request::new("/resumed/x");
+    request.deadline_ms = 3_900;
+    let first = pair.first_choice(&request).await.expect("a response");
+    pair.deployment.engines[first].set_behaviour(Behaviour::Truncate(3));
+    pair.deployment.engines[1 - first].set_behaviour(Behaviour::StreamWithPause(2, 2_000, 8));
+    let response = pair.deployment.gateways[0].send(&request).await;
+    let response = response.expect("a response");
+    assert!(response.complete, "{}", response.body);
+    assert_eq!(response.body, events(0..8));
+    assert_eq!(pair.runs(&response.id), 2);
+}
+
+/// Guards against a silent endpoint that is never replaced, and against one that is replaced by an
+/// endpoint that registers later only after all its looks have used up the retries.
+#[tokio::test]
+async fn a_silent_endpoint_is_replaced_once_another_may_take_the_request() {
+    struct Case {
+        path: &'static str,
+        service: &'static str,
+        silent: Behaviour,
+        good: Behaviour,
+        body: String,
+    }
+    let answer = Behaviour::Respond(200, 0);
+    let stream = Behaviour::Stream(5, 1);
+    let case = |path, service, silent, good, body| Case {
+        path,
+        service,
+        silent,
+        good,
+        body,
+    };
+    let cases = [
+        case(
+            "/resumed/x",
+            "llm",
+            Behaviour::StreamWithPause(3, 9_000, 5),
+            stream,
+            events(0..5),
+        ),
+        case("/resumed/x", "llm", Behaviour::Hang, stream, events(0..5)),
+        case(
+            "/safe/x",
+            "app",
+            Behaviour::Hang,
+            answer,
+            "response of e1".to_owned(),
+        ),
+    ];
+    for case in cases {
+        let name = format!("{} {:?}", case.path, case.silent);
+        let engines = vec![
+            Engine::start("e0", case.service, case.silent).await,
+            Engine::start("e1", case.service, case.good).await,
+        ];
+        let deployment = Deployment::start(1, engines).await;
+        let late = &deployment.engines[1];
+        deployment.store.remove("keyed.servers", &late.id);
+        deployment.wait_for_propagation().await;
+        let mut request = Request::new(case.path);
+        request.deadline_ms = 3_900;
+        let registering = async {
+            // Longer than the silence after which another endpoint is sought.
+            tokio::time::sleep(Duration::from_millis(2_300)).await;
+            let mut entry = late.entry("ready", 1);
+            entry["born"] = 2_000.into();
+            deployment.store.put("keyed.servers", &late.id, &entry);
+        };
+        // Together, their looks exceed the slack of the retry budget many times.
+        let sending = (0..20).map(|_| deployment.gateways[0].send(&request));
+        let (responses, ()) = tokio::join!(futures::future::join_all(sending), registering);
+        for response in responses {
+            let response = response.expect(&name);
+            assert!(response.complete, "{name}: {}", response.body);
+            assert_eq!(response.body, case.body, "{name}");
+        }
+        let received = deployment.engines[0].received();
+        assert!(
+            received.iter().all(|request| request.disconnected),
+            "{name}"
+        );
+    }
+}
+
 /// Guards against a stream that starts from the beginning for a caller that resumes.
 #[tokio::test]
 async fn a_caller_resumes_after_its_last_event() {
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -13,6 +13,8 @@
     Respond(u16, u64),
     /// Streams this many events, with a pause in ms before each.
     Stream(u64, u64),
+    /// Streams this many events, pauses for this time in ms, and streams the rest up to this number.
+    StreamWithPause(u64, u64, u64),
     /// Streams this many events and a part of the next one, then resets the connection.
     Truncate(u64),
     /// Streams this many events and then this text, with neither a length nor chunks, and closes the
@@ -191,6 +193,17 @@
                 }
                 open && write(stream, "0\r\n\r\n").await
             }
+            Behaviour::StreamWithPause(before, ms, count) => {
+                let mut open =
+                    write(stream, &head(200, id, "Transfer-Encoding: chunked\r\n")).await;
+                for number in first..count {
+                    if number == first + before {
+                        open = open && self.pause(stream, ms, index).await;
+                    }
+                    open = open && write(stream, &chunk(&event(number))).await;
+                }
+                open && write(stream, "0\r\n\r\n").await
+            }
             Behaviour::Truncate(count) => {
                 write(stream, &head(200, id, "Transfer-Encoding: chunked\r\n")).await;
                 for number in first..first + count {
