Close a kept connection only by the idle timeout in force

What callers saw: a request on a kept connection got neither an answer nor a refusal, since the node closed the connection although it had been idle for less than four fifths of the idle timeout: after a change that raised the timeout, and after a stream that lasted longer than the timeout.

Cause: the limits were read once, when the connection opened. The time of last use was that of the response's head instead of the end of its body, so that the connection counted as unused while a stream was sent.

Change: Activity counts a request as in progress until the body of its response is dropped, and takes the timeout in force at each check (every 500 ms at most). A connection that became idle under a longer timeout keeps that one for this time, since its caller may rely on it.

Ruled out: a change that lowers the timeout (the test's second case was answered before as well; a lower timeout had no effect on connections that were open already).

Evidence, tests of gateway_serving: - a_kept_connection_stays_open_within_the_idle_timeout, before: "raised" was answered five times and not the sixth time (3.1 s idle, timeout raised from 1 s to 4 s); "a long stream" was not answered 0.7 s after a stream of 2.5 s (timeout 1 s). After: all answered. - an_idle_connection_is_closed_after_the_timeout_in_force, before: still open 2.5 s after a request, timeout lowered from 60 s to 1 s; after: closed.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! node performs the duties ([`Lease`]).
 
 mod account;
+mod activity;
 mod budget;
 mod changelog;
 mod cloud;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -2,7 +2,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 
 use crate::clock::Millis;
 
+use super::activity::{Activity, InUse, TrackedBody, limits};
 use super::{Body, Node, forward};
 
 /// Length of the queue of connections that wait to be accepted.
@@ -129,36 +130,25 @@
     // Events are small, and Nagle's algorithm would delay them. Failing to disable it costs latency
     // only.
     let _ = stream.set_nodelay(true);
-    let limits = node
-        .active
-        .load()
-        .as_ref()
-        .map(|active| active.config.limits);
-    let limits = limits.unwrap_or_default();
-    let last_used = Arc::new(AtomicU64::new(node.clock.now().0));
-    let busy = Arc::new(AtomicUsize::new(0));
+    let activity = Arc::new(Activity::new(&node));
     let service = {
-        let (node, last_used, busy) =
-            (Arc::clone(&node), Arc::clone(&last_used), Arc::clone(&busy));
+        let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
         service_fn(move |request| {
-            let (node, last_used, busy) =
-                (Arc::clone(&node), Arc::clone(&last_used), Arc::clone(&busy));
-            busy.fetch_add(1, Ordering::Relaxed);
+            let in_use = InUse::new(&activity);
+            let node = Arc::clone(&node);
             async move {
-                let response = forward::serve(Arc::clone(&node), request).await;
-                last_used.store(node.clock.now().0, Ordering::Relaxed);
-                busy.fetch_sub(1, Ordering::Relaxed);
-                response
+                let response = forward::serve(node, request).await;
+                response.map(|response| response.map(|body| TrackedBody::new(body, in_use)))
             }
         })
     };
+    let header_bytes = limits(&node).header_bytes;
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes.max(8 * 1024) * 2)
+        .max_buf_size(header_bytes.max(8 * 1024) * 2)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
-    let idle = Duration::from(limits.idle_timeout);
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -168,9 +158,9 @@
                 is_closing = true;
                 serving.as_mut().graceful_shutdown();
             }
-            () = sleep(idle) => {
-                let unused = node.clock.now() - Millis(last_used.load(Ordering::Relaxed));
-                if busy.load(Ordering::Relaxed) == 0 && unused >= limits.idle_timeout {
+            () = sleep(activity.next_check().into()), if !is_closing => {
+                if activity.is_expired() {
+                    is_closing = true;
                     serving.as_mut().graceful_shutdown();
                 }
             }
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -244,6 +244,99 @@
     assert_eq!(engine.received().len(), before);
 }
 
+/// Guards against closing a kept connection earlier than the idle timeout in force allows, while its
+/// caller sends on it: after a change of the timeout, and after a stream longer than the timeout.
+#[tokio::test]
+async fn a_kept_connection_stays_open_within_the_idle_timeout() {
+    struct Case {
+        name: &'static str,
+        /// Idle timeout when the connection opens, and later, in ms.
+        timeouts: [u64; 2],
+        path: &'static str,
+        /// Pause before each of the five events of a stream, in ms.
+        gap: u64,
+        /// Time between the last response and the next request, in ms.
+        idle: u64,
+    }
+    let cases = [
+        Case {
+            name: "raised",
+            timeouts: [1_000, 4_000],
+            path: "/safe/x",
+            gap: 1,
+            idle: 3_100,
+        },
+        Case {
+            name: "lowered while idle",
+            timeouts: [4_000, 1_000],
+            path: "/safe/x",
+            gap: 1,
+            idle: 3_100,
+        },
+        Case {
+            name: "a long stream",
+            timeouts: [1_000, 1_000],
+            path: "/stream/x",
+            gap: 500,
+            idle: 700,
+        },
+    ];
+    let play = async |case: Case| {
+        let engines = vec![
+            Engine::start("e0", "app", OK).await,
+            Engine::start("e1", "llm", Behaviour::Stream(5, case.gap)).await,
+        ];
+        let deployment = Deployment::start(1, engines).await;
+        let set_timeout = |version: u64, timeout: u64| {
+            let mut changed = config(version);
+            changed["limits"]["idle_timeout_ms"] = json!(timeout);
+            deployment.store.put("keyed.op", "config", &changed);
+        };
+        let [first, second] = case.timeouts;
+        set_timeout(2, first);
+        deployment.wait_for_propagation().await;
+        let connection = Caller(deployment.gateways[0].front).connect().await;
+        let mut connection = connection.expect("a connection");
+        let request = Request::new(case.path);
+        let mut answered = Vec::new();
+        if second > first {
+            set_timeout(3, second);
+            for _ in 0..5 {
+                tokio::time::sleep(Duration::from_millis(450)).await;
+                answered.push(connection.send(&request).await.is_some());
+            }
+        } else {
+            answered.push(connection.send(&request).await.is_some());
+            set_timeout(3, second);
+        }
+        tokio::time::sleep(Duration::from_millis(case.idle)).await;
+        answered.push(connection.send(&request).await.is_some());
+        (case.name, answered)
+    };
+    let results = futures::future::join_all(cases.map(play)).await;
+    let all_answered = results
+        .iter()
+        .all(|(_, answered)| !answered.contains(&false));
+    assert!(all_answered, "{results:?}");
+}
+
+/// Guards against a connection that stays open although its caller doesn't use it.
+#[tokio::test]
+async fn an_idle_connection_is_closed_after_the_timeout_in_force() {
+    let deployment = engine_per_service(1, OK).await;
+    let connection = Caller(deployment.gateways[0].front).connect().await;
+    let mut connection = connection.expect("a connection");
+    let request = Request::new("/safe/x");
+    assert!(connection.send(&request).await.is_some());
+    let mut changed = config(2);
+    changed["limits"]["idle_timeout_ms"] = json!(1_000);
+    deployment.store.put("keyed.op", "config", &changed);
+    deployment.wait_for_propagation().await;
+    assert!(connection.send(&request).await.is_some());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(connection.send(&request).await.is_none());
+}
+
 /// Guards against requests that depend on the store.
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_unavailable() {
--- a/tests/integration/platform/caller.rs
+++ b/tests/integration/platform/caller.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::HeaderMap;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -43,6 +44,9 @@
     pub(crate) id: String,
 }
 
+/// A connection of a caller, kept for several requests.
+pub(crate) struct KeptConnection(SendRequest<Full<Bytes>>);
+
 /// Sends requests to an address, each on a new connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller(pub(crate) SocketAddr);
@@ -52,12 +56,24 @@
 impl Caller {
     /// Sends a request and reads the whole response; `None` if there is no response head.
     pub(crate) async fn send(self, spec: &Request) -> Option<Response> {
-        let started = Instant::now();
-        let id = format!("attempt{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
+        self.connect().await?.send(spec).await
+    }
+
+    /// Opens a connection to keep.
+    pub(crate) async fn connect(self) -> Option<KeptConnection> {
         let stream = TcpStream::connect(self.0).await.ok()?;
         let io = TokioIo::new(stream);
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
         tokio::spawn(connection);
+        Some(KeptConnection(sender))
+    }
+}
+
+impl KeptConnection {
+    /// Sends a request and reads the whole response; `None` if there is no response head.
+    pub(crate) async fn send(&mut self, spec: &Request) -> Option<Response> {
+        let started = Instant::now();
+        let id = format!("attempt{}", NEXT_ID.fetch_add(1, Ordering::Relaxed));
         let mut request = hyper::Request::post(spec.path)
             .header("host", "h.example")
             .header("x-almondpath-attempt-id", &id)
@@ -70,7 +86,8 @@
         }
         let body = Full::new(Bytes::from(spec.body));
         let request = request.body(body).expect("a valid request");
-        let response = sender.send_request(request).await.ok()?;
+        self.0.ready().await.ok()?;
+        let response = self.0.send_request(request).await.ok()?;
         let (head, mut body) = response.into_parts();
         let (mut text, mut complete) = (Vec::new(), true);
         while let Some(frame) = body.frame().await {
