Read the rest of a refused request's body

What callers saw: a caller that was still sending its body when it was refused (404, 401, 413) got a broken pipe. One that sends its whole body before it reads lost the refusal, and none could keep its connection.

Cause: the body was dropped with the refusal. The HTTP server then stops reading and closes the connection with unread bytes, which resets it.

Ruled out: reading the body before the refusal (it would come late, and hold a place among the requests).

Evidence, tests of gateway_serving: - a_refusal_reaches_a_caller_that_still_sends_its_body, before: all six cases (404, 401 and 413, with a length and in chunks) "Broken pipe (os error 32)" while writing, and no response to the next request of the connection; after: all write their whole body, get the refusal and then 200 on the same connection. - the_rest_of_a_refused_request_is_read_within_bounds guards the new bounds; it passed before as well.

--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Millis;
+use crate::gateway::activity::limits;
 use crate::gateway::node::Active;
 use crate::gateway::{
     Account, Denial, Node, Prompt, Reason, Refusal, RequestMetadata, Route, quota,
@@ -18,6 +19,7 @@
 
 use super::attempts::Attempts;
 use super::call::Call;
+use super::discard::discard;
 use super::reservation::InflightGuard;
 
 /// Time reserved for the response to travel back to the caller before the caller's timeout.
@@ -68,13 +70,16 @@
     arrived: Millis,
     inflight: InflightGuard,
 ) -> Result<Call, Refusal> {
-    let (head, body) = request.into_parts();
+    let (head, mut unread) = request.into_parts();
     let metadata = node.dialect.parse_request(&head.headers);
-    let read = read_request(node, &metadata, &head, body).await;
-    let (admission, service, body) = read.map_err(|refused| {
-        refused.report(node, metadata.id.as_deref(), arrived);
-        refused.refusal
-    })?;
+    let (admission, service, body) = match read_request(node, &metadata, &head, &mut unread).await {
+        Ok(read) => read,
+        Err(refused) => {
+            refused.report(node, metadata.id.as_deref(), arrived);
+            discard(&head, unread, limits(node).body_bytes);
+            return Err(refused.refusal);
+        }
+    };
     let route_timeout = admission.route.timeout;
     let caller_timeout = metadata.timeout.unwrap_or(route_timeout);
     let time_limit = route_timeout.min(Millis(caller_timeout.0.saturating_sub(RESPONSE_MARGIN.0)));
@@ -101,7 +106,7 @@
     node: &Arc<Node>,
     metadata: &RequestMetadata,
     head: &Parts,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<(Admission, Arc<str>, Bytes), Refused> {
     let preliminary = resolve(node, metadata, head)?;
     if node.requests.load(Ordering::Relaxed) > node.settings.max_requests {
@@ -158,7 +163,11 @@
         .ok_or(Refusal::new(Reason::UnknownKey))
 }
 
-async fn read_body(body: Incoming, limit: usize, time_limit: Millis) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+    time_limit: Millis,
+) -> Result<Bytes, Refusal> {
     match timeout(time_limit.into(), Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::TooLarge)),
--- a/src/gateway/forward/mod.rs
+++ b/src/gateway/forward/mod.rs
@@ -5,6 +5,7 @@
 mod buffered;
 mod call;
 mod choose;
+mod discard;
 mod dispatch;
 mod failure;
 mod relay;
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::harness::eventually;
 use crate::platform::{Behaviour, Caller, Deployment, Engine, Request, config};
@@ -337,6 +339,109 @@
     assert!(connection.send(&request).await.is_none());
 }
 
+/// Guards against a refusal that is lost, or a kept connection that is reset, because the rest of the
+/// request's body was not read.
+#[tokio::test]
+async fn a_refusal_reaches_a_caller_that_still_sends_its_body() {
+    struct Case {
+        path: &'static str,
+        key: &'static str,
+        chunked: bool,
+        /// Size of the body; it is sent in ten pieces.
+        bytes: usize,
+        status: u16,
+    }
+    let case = |path, key, chunked, bytes, status| Case {
+        path,
+        key,
+        chunked,
+        bytes,
+        status,
+    };
+    let cases = [
+        case("/nothing/x", "key-one", false, 900, 404),
+        case("/nothing/x", "key-one", true, 900, 404),
+        case("/safe/x", "key-nobody", false, 900, 401),
+        case("/safe/x", "key-nobody", true, 900, 401),
+        case("/safe/x", "key-one", false, 1_900, 413),
+        case("/safe/x", "key-one", true, 1_900, 413),
+    ];
+    let deployment = engine_per_service(1, OK).await;
+    let front = deployment.gateways[0].front;
+    let play = async |case: Case| {
+        let name = format!("{} {} {}", case.path, case.key, case.chunked);
+        let stream = TcpStream::connect(front).await.expect("a connection");
+        let (mut reader, mut writer) = stream.into_split();
+        let head = |path, key, framing: String| {
+            format!(
+                "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: {key}\r\n\
+                 X-Almondpath-Attempt-Id: {name}\r\n{framing}\r\n\r\n"
+            )
+        };
+        let framing = match case.chunked {
+            true => "Transfer-Encoding: chunked".to_owned(),
+            false => format!("Content-Length: {}", case.bytes),
+        };
+        let mut pieces = vec![head(case.path, case.key, framing)];
+        let piece = "x".repeat(case.bytes / 10);
+        for _ in 0..10 {
+            pieces.push(match case.chunked {
+                true => format!("{:x}\r\n{piece}\r\n", piece.len()),
+                false => piece.clone(),
+            });
+        }
+        if case.chunked {
+            pieces.push("0\r\n\r\n".to_owned());
+        }
+        pieces.push(head("/safe/x", "key-one", "Content-Length: 0".to_owned()));
+        let writing = async {
+            for piece in pieces {
+                writer.write_all(piece.as_bytes()).await?;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            Ok::<_, std::io::Error>(())
+        };
+        let reading = async {
+            let mut received = Vec::new();
+            let mut statuses = Vec::new();
+            while statuses.len() < 2 && reader.read_buf(&mut received).await.is_ok_and(|n| n > 0) {
+                let text = String::from_utf8_lossy(&received).into_owned();
+                let lines = text.split("HTTP/1.1 ").skip(1);
+                statuses = lines.filter_map(|line| line[..3].parse().ok()).collect();
+            }
+            statuses
+        };
+        let (written, statuses) = tokio::join!(writing, reading);
+        let written = written.map_err(|error| error.to_string());
+        (name, written, statuses, vec![case.status, 200])
+    };
+    let results = futures::future::join_all(cases.map(play)).await;
+    for (name, written, statuses, expected) in &results {
+        assert_eq!(
+            (written, statuses),
+            (&Ok(()), expected),
+            "{name}: {results:?}"
+        );
+    }
+}
+
+/// Guards against reading the body of a refused request without end.
+#[tokio::test]
+async fn the_rest_of_a_refused_request_is_read_within_bounds() {
+    let deployment = engine_per_service(1, OK).await;
+    let front = deployment.gateways[0].front;
+    let stream = TcpStream::connect(front).await.expect("a connection");
+    let (mut reader, mut writer) = stream.into_split();
+    let head = "POST /nothing/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1000000000\r\n\r\n";
+    writer.write_all(head.as_bytes()).await.expect("open");
+    let mut start = [0; 12];
+    reader.read_exact(&mut start).await.expect("a refusal");
+    assert_eq!(&start, b"HTTP/1.1 404");
+    let endless = async { while writer.write_all(&[b'x'; 65_536]).await.is_ok() {} };
+    let bounded = tokio::time::timeout(Duration::from_secs(4), endless).await;
+    assert!(bounded.is_ok(), "the body is still being read");
+}
+
 /// Guards against requests that depend on the store.
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_unavailable() {
