Remember that a node is dead if a new node hears of that first

Cause: a new node ignored the claim that a node it does not know is dead. When a node that had paused since before the loss passed on its outdated claim that the host is alive, the new node took that over. The nodes that know better pass a claim on only once, so that only the timeout for nodes without a watcher, or a failed call, removed it.

It does not pass it on: nodes that do so to each other would never forget it.

Ruled out: that the claim is brought back to the nodes that made it; the higher revision wins there.

Test: a_new_node_does_not_believe_outdated_news_of_a_dead_one failed before ("assertion failed: !is_listed(&new)") and passes with the change.

--- a/src/gateway/cluster/member.rs
+++ b/src/gateway/cluster/member.rs
@@ -22,7 +22,7 @@
     pub(super) claimed_at: Millis,
     /// Whether this node made the claim.
     pub(super) claimed_locally: bool,
-    /// Version of the roster at the last change of this member.
+    /// Version of the roster at the last change of this member; 0 if the member is not passed on.
     pub(super) version: u64,
 }
 
--- a/src/gateway/cluster/roster.rs
+++ b/src/gateway/cluster/roster.rs
@@ -212,8 +212,12 @@
     /// Applies updates that another node passed on.
     pub fn apply(&mut self, updates: Vec<MemberUpdate>, now: Millis) {
         for update in updates {
+            if update.announcement.node == self.own {
+                continue;
+            }
             let known = self.members.get(&update.announcement.node);
-            if update.announcement.node == self.own || known.is_none() && !update.claim.alive {
+            if known.is_none() && !update.claim.alive {
+                self.remember_dead(update, now);
                 continue;
             }
             let timeout = self.failure_timeout();
@@ -236,6 +240,18 @@
         }
     }
 
+    /// Records a claim that an unknown node is dead, so that an outdated claim of another node does
+    /// not make it count as alive.
+    ///
+    /// It is not passed on: nodes that pass such claims on to each other would never forget them.
+    fn remember_dead(&mut self, update: MemberUpdate, now: Millis) {
+        let name = Arc::clone(&update.announcement.node);
+        self.merge(update.announcement, update.claim, update.uptime, now);
+        if let Some(member) = self.members.get_mut(&name) {
+            member.version = 0;
+        }
+    }
+
     /// Marks the claim on a member as made by this node.
     fn mark_claimed_locally(&mut self, node: &Arc<str>) {
         if let Some(member) = self.members.get_mut(node) {
--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -473,6 +473,40 @@
     network.converge(1, "the node that returned is known");
 }
 
+/// Guards against a node that starts beside others and lists a host without power, because it ignores
+/// that the host is dead and then believes a node that has not heard of it.
+#[test]
+fn a_new_node_does_not_believe_outdated_news_of_a_dead_one() {
+    let lost = Announcement {
+        watcher: Some("informed".into()),
+        ..announcement("lost", "a")
+    };
+    let mut informed = Roster::new("informed".into());
+    let mut outdated = Roster::new("outdated".into());
+    let mut new = Roster::new("new".into());
+    informed.record_contact(lost.clone(), Millis::ZERO, Millis(1_000));
+    outdated.record_contact(lost, Millis::ZERO, Millis(1_000));
+    // The node is not isolated, so that it claims the lost one as dead.
+    for now in (1_000..4_000).step_by(250).map(Millis) {
+        informed.record_contact(announcement("outdated", "b"), Millis::ZERO, now);
+        informed.tick(now);
+    }
+    let now = Millis(4_000);
+    let is_listed = |roster: &Roster| {
+        let member = roster.member("lost");
+        member.is_some_and(|member| roster.is_alive(member, now))
+    };
+    assert!(!is_listed(&informed));
+    for source in [&informed, &outdated] {
+        let (_, updates) = source.updates_since(0, now);
+        new.apply(updates, now);
+    }
+    assert!(!is_listed(&new));
+    let (_, passed_on) = new.updates_since(0, now);
+    informed.apply(passed_on, now);
+    assert!(!is_listed(&informed));
+}
+
 /// Guards against halves of a cluster that do not rejoin after a network partition has healed.
 #[test]
 fn a_network_partition_is_detected_and_heals() {
