--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -8,6 +8,8 @@
 use almondpath::clock::Millis;
 use almondpath::gateway::cluster::{Clocks, Phase, Selector, View};
 use almondpath::gateway::{Announcement, Evidence, Roster};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -32,6 +34,13 @@
 /// Time after which the directory must not list a host that is off: twice the users' `contact_ms`.
 const DIRECTORY_LIMIT_MS: u64 = 6_000;
 
+/// Time without a disruption after which the users count a node as in touch (`contact_ms`).
+const CONTACT_MS: u64 = 3_000;
+
+/// Time after which no node in touch may list a host that is off: the users' `contact_ms`, and the
+/// time for which callers keep a response.
+const LISTED_LIMIT_MS: u64 = CONTACT_MS + 2_000;
+
 /// Size of a message without its content: the framing of a call and of its response, in bytes.
 const FRAMING_BYTES: usize = 120;
 
@@ -455,6 +464,229 @@
     }
 }
 
+/// What happens to nodes in a simulated day.
+#[derive(Clone, Copy, Debug)]
+enum Disruption {
+    /// A host loses power.
+    Loss,
+    /// A host loses power together with the one that watches it.
+    LossWithWatcher,
+    /// A host loses power together with its watcher and the watcher of that.
+    LossWithWatchers,
+    /// A process is killed and starts again.
+    Restart,
+    /// A host that lost power starts again.
+    Return,
+    /// A process pauses and continues with its earlier state.
+    Pause,
+    /// A part of the nodes cannot read the store for some seconds.
+    StoreOutage,
+}
+
+const DISRUPTIONS: [Disruption; 7] = [
+    Disruption::Loss,
+    Disruption::LossWithWatcher,
+    Disruption::LossWithWatchers,
+    Disruption::Restart,
+    Disruption::Return,
+    Disruption::Pause,
+    Disruption::StoreOutage,
+];
+
+/// A network whose nodes are lost, restarted and paused at random.
+struct DisruptedDay {
+    network: Network,
+    rng: SmallRng,
+    /// When each node that is off lost power.
+    lost_at: HashMap<usize, u64>,
+    /// Since when each node has been undisturbed.
+    calm_since: Vec<u64>,
+    /// Nodes that continue at a time, with their state or without.
+    due: Vec<(u64, usize, bool)>,
+    history: Vec<String>,
+}
+
+impl DisruptedDay {
+    fn new(nodes: usize, seed: u64) -> Self {
+        let mut network = Network::new(nodes);
+        network.run(10_000);
+        Self {
+            network,
+            rng: SmallRng::seed_from_u64(seed),
+            lost_at: HashMap::new(),
+            calm_since: vec![0; nodes],
+            due: Vec::new(),
+            history: Vec::new(),
+        }
+    }
+
+    fn up(&self) -> Vec<usize> {
+        let nodes = self.network.nodes.iter().enumerate();
+        nodes
+            .filter(|(_, n)| n.up)
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    fn watcher(&self, node: usize) -> Option<usize> {
+        let nodes = &self.network.nodes;
+        let name = nodes[node].announcement.watcher.as_ref()?;
+        nodes.iter().position(|other| other.name == *name)
+    }
+
+    fn lose(&mut self, node: usize) {
+        if self.network.nodes[node].up {
+            self.network.power_off(node);
+            self.lost_at.insert(node, self.network.now);
+        }
+    }
+
+    fn disrupt(&mut self, disruption: Disruption) {
+        let up = self.up();
+        if up.len() <= 2 {
+            return;
+        }
+        let node = up[self.rng.random_range(0..up.len())];
+        let now = self.network.now;
+        self.history.push(format!("{now} {disruption:?} {node}"));
+        let watchers = match disruption {
+            Disruption::LossWithWatcher => 1,
+            Disruption::LossWithWatchers => 2,
+            _ => 0,
+        };
+        match disruption {
+            Disruption::Loss | Disruption::LossWithWatcher | Disruption::LossWithWatchers => {
+                let mut next = Some(node);
+                for _ in 0..=watchers {
+                    let Some(lost) = next else { break };
+                    next = self.watcher(lost);
+                    self.lose(lost);
+                }
+            }
+            Disruption::Restart => {
+                self.network.kill(node);
+                let pause = self.rng.random_range(500..3_000);
+                self.due.push((now + pause, node, false));
+            }
+            Disruption::Return => {
+                let lost = self.lost_at.keys().copied().min();
+                if let Some(lost) = lost {
+                    self.due.push((now, lost, false));
+                }
+            }
+            Disruption::Pause => {
+                self.network.power_off(node);
+                let pause = self.rng.random_range(1_000..6_000);
+                self.due.push((now + pause, node, true));
+            }
+            Disruption::StoreOutage => {
+                for index in up {
+                    let available = self.rng.random_bool(0.5);
+                    let announcement = &mut self.network.nodes[index].announcement;
+                    if announcement.store_available != available {
+                        announcement.store_available = available;
+                        announcement.sequence += 1;
+                    }
+                }
+            }
+        }
+    }
+
+    fn continue_nodes(&mut self) {
+        let now = self.network.now;
+        let (due, later) = self.due.drain(..).partition(|(at, ..)| *at <= now);
+        self.due = later;
+        let due: Vec<(u64, usize, bool)> = due;
+        for (_, node, with_state) in due {
+            self.lost_at.remove(&node);
+            self.calm_since[node] = now;
+            if with_state {
+                self.network.nodes[node].up = true;
+                self.network.nodes[node].powered = true;
+            } else {
+                self.network.start(node);
+            }
+        }
+    }
+
+    /// Returns the longest time for which a node without power has been listed by a node that has
+    /// been undisturbed for long enough to count as in touch, and the two nodes.
+    fn longest_listed(&self) -> (u64, usize, usize) {
+        let now = self.network.now;
+        let nodes = &self.network.nodes;
+        let in_touch = self.up().into_iter();
+        let in_touch = in_touch.filter(|n| self.calm_since[*n] + CONTACT_MS <= now);
+        let mut longest = (0, 0, 0);
+        for node in in_touch {
+            let roster = &nodes[node].roster;
+            for (lost, at) in &self.lost_at {
+                let member = roster.member(&nodes[*lost].name);
+                if member.is_some_and(|member| roster.is_alive(member, Millis(now))) {
+                    longest = longest.max((now - at, node, *lost));
+                }
+            }
+        }
+        longest
+    }
+
+    /// Plays a day, and returns the longest time for which a node without power was listed.
+    fn play(&mut self, end: u64) -> u64 {
+        let mut longest = 0;
+        let mut next = self.network.now;
+        while self.network.now < end {
+            if self.network.now >= next {
+                let index = self.rng.random_range(0..DISRUPTIONS.len());
+                self.disrupt(DISRUPTIONS[index]);
+                next = self.network.now + self.rng.random_range(200..4_000);
+            }
+            self.network.run(50);
+            self.continue_nodes();
+            let (listed, by, lost) = self.longest_listed();
+            if listed > longest.max(LISTED_LIMIT_MS) {
+                let now = self.network.now;
+                self.history
+                    .push(format!("{now} {by} lists {lost} for {listed} ms"));
+            }
+            longest = longest.max(listed);
+        }
+        longest
+    }
+}
+
+/// Guards against a directory that lists hosts without power while others are lost, restarted or
+/// paused.
+#[test]
+fn no_series_of_disruptions_keeps_a_lost_host_listed() {
+    struct Case {
+        nodes: usize,
+        days: u64,
+    }
+    let cases = [
+        Case { nodes: 6, days: 60 },
+        Case { nodes: 8, days: 60 },
+        Case {
+            nodes: 24,
+            days: 20,
+        },
+        Case { nodes: 70, days: 4 },
+    ];
+    let mut late = Vec::new();
+    for case in cases {
+        let mut worst = 0;
+        for seed in 0..case.days {
+            let mut day = DisruptedDay::new(case.nodes, seed);
+            let longest = day.play(45_000);
+            worst = worst.max(longest);
+            if longest > LISTED_LIMIT_MS {
+                late.push(format!("{} nodes, day {seed}: {longest} ms", case.nodes));
+                println!("{} nodes, day {seed}: {:#?}", case.nodes, day.history);
+            }
+        }
+        println!("{} nodes: listed for {worst} ms at most", case.nodes);
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
+
 /// Guards against a node that lists hosts without power again once one of them is back.
 #[test]
 fn a_host_that_returns_does_not_bring_back_the_others() {
