Do not read a restored store without a pause

Cause: after a restore the topic of duties ends before the holder's position, and a read gets 410 with `first` below that position. `catch_up` took this as records that had expired, stayed where it was and read again at once.

Ruled out: calls of the endpoints' and the operator's followers.

The platform folder decodes the header `Store-Era`, a node notes the era of each response in one place (`restore`) and logs when it rises. A response of an earlier era than the known one is an error: what it says no longer holds.

The store of the tests has the header, can be restored from a copy, and answers 410 beyond its end.

Test: gateway_restore::a_restored_store_is_not_read_without_a_pause.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -5,7 +5,7 @@
 use tokio::time::sleep;
 
 use crate::clock::Millis;
-use crate::error::Error;
+use crate::error::{Error, ErrorKind};
 
 use super::lease::{DutyRecord, Totals};
 use super::rollout::Control;
@@ -155,7 +155,15 @@
         if held && !duty.outcome_unknown {
             return Ok(());
         }
-        match node.store.read(Topic::Duties, next, Millis::ZERO).await? {
+        let reply = node.store.read(Topic::Duties, next, Millis::ZERO).await?;
+        match node.accept(Topic::Duties, reply)? {
+            // The topic ends before this offset. Another read would not get any further.
+            Page::Expired { first } if first <= next => {
+                return Err(Error::not_run(
+                    ErrorKind::Unavailable,
+                    format!("the topic has no record {next}, but earlier ones"),
+                ));
+            }
             Page::Expired { first } => node.state().lease.skip_to(first),
             Page::Records { records, .. } => {
                 let more = !records.is_empty();
@@ -203,7 +211,8 @@
     let record = make_record(number);
     let value = encode(&record);
     duty.sent_at = Some(sent_at);
-    match node.store.append(Topic::Duties, Some(at), &value).await {
+    let reply = node.store.append(Topic::Duties, Some(at), &value).await;
+    match reply.and_then(|reply| node.accept(Topic::Duties, reply)) {
         Ok(Append::Stored { offset }) => {
             node.state().lease.apply(offset, record, sent_at);
             true
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -163,7 +163,8 @@
             as_of: Some(as_of),
         };
         let Some(next) = self.with_position(|position| position.next) else {
-            let snapshot = self.node.store.snapshot(self.topic).await?;
+            let reply = self.node.store.snapshot(self.topic).await?;
+            let snapshot = self.node.accept(self.topic, reply)?;
             self.rolled_back_since = None;
             return Ok(Some((
                 Batch::Snapshot(snapshot.records),
@@ -171,7 +172,8 @@
             )));
         };
         let wait = self.fraction_of_limit(READ_WAIT_FRACTION);
-        match self.node.store.read(self.topic, next, wait).await? {
+        let reply = self.node.store.read(self.topic, next, wait).await?;
+        match self.node.accept(self.topic, reply)? {
             Page::Expired { first } => {
                 info!(self.node.log, "records expired before they were read";
                     "topic" => ?self.topic, "next" => next, "first" => first);
@@ -363,11 +365,13 @@
             let put = node
                 .store
                 .put(Topic::Nodes, None, &node.settings.node, &own_record);
-            written = put.await.is_ok();
+            let put = put.await.and_then(|reply| node.accept(Topic::Nodes, reply));
+            written = put.is_ok();
         }
         let alone = node.state().roster.members().next().is_none();
         if alone || node.is_reader() {
-            match node.store.snapshot(Topic::Nodes).await {
+            let snapshot = node.store.snapshot(Topic::Nodes).await;
+            match snapshot.and_then(|reply| node.accept(Topic::Nodes, reply)) {
                 Ok(snapshot) => merge_known_nodes(&node, &snapshot.records),
                 Err(error) => {
                     slog::debug!(node.log, "reading the records of the nodes failed";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod refusal;
 mod registration;
 mod request_metadata;
+mod restore;
 pub mod rollout;
 mod route;
 pub mod scaler;
@@ -73,7 +74,7 @@
 pub use self::route::{RetryPolicy, Route, Share};
 pub use self::service::{Engine, Scale, Service};
 pub use self::settings::Settings;
-pub use self::store::{Append, Page, Record, Snapshot, Store, Topic};
+pub use self::store::{Append, Era, Page, Record, Reply, Snapshot, Store, Topic};
 pub use self::upstream::{Connection, Upstream};
 pub use self::usage::{Counts, Usage};
 
--- /dev/null
+++ b/src/gateway/restore.rs
@@ -0,0 +1,55 @@
+use slog::warn;
+
+use crate::error::{Error, ErrorKind};
+
+use super::{Era, Node, Reply, Topic};
+
+/// What a node knows of the restores of the store.
+#[derive(Debug, Default)]
+pub(super) struct Restores {
+    /// Latest era that is known; none until the store has responded.
+    era: Option<Era>,
+}
+
+impl Restores {
+    /// Returns the latest era that is known.
+    pub(super) fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
+    /// Notes an era; returns the one before if the store has been restored.
+    fn note(&mut self, era: Era) -> Option<Era> {
+        let before = self.era;
+        self.era = before.max(Some(era));
+        before.filter(|known| *known < era)
+    }
+}
+
+impl Node {
+    /// Returns the content of a response of the store, and notes its era.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store is known to have been restored since: what it said no longer holds, and
+    /// what it stored is lost.
+    pub(super) fn accept<T>(&self, topic: Topic, reply: Reply<T>) -> Result<T, Error> {
+        self.note_era(reply.era, topic);
+        if reply.era < self.state().restores.era() {
+            return Err(Error::may_have_run(
+                ErrorKind::Unavailable,
+                "the store was restored after this response",
+            ));
+        }
+        Ok(reply.content)
+    }
+
+    /// Notes the era in which the store responded to a call on a topic.
+    pub(super) fn note_era(&self, era: Era, topic: Topic) {
+        let state = &mut *self.state();
+        let Some(before) = state.restores.note(era) else {
+            return;
+        };
+        warn!(self.log, "the store was restored"; "era" => era.0, "before" => before.0,
+            "topic" => ?topic, "position" => state.next_in(topic));
+    }
+}
--- a/src/gateway/rollout/control.rs
+++ b/src/gateway/rollout/control.rs
@@ -49,7 +49,7 @@
         let key = node.documents.rollout_status_key(&progress.order.service);
         let status = node.documents.rollout_status(progress);
         let put = node.store.put(Topic::Status, Some(at), &key, &status);
-        match put.await? {
+        match node.accept(Topic::Status, put.await?)? {
             Append::Stored { offset } => {
                 self.next = Some(offset + 1);
                 info!(node.log, "rollout recorded"; "service" => &*progress.order.service,
@@ -103,7 +103,8 @@
 
     /// Reads the status of all rollouts from the store; returns the offset after the last record.
     pub(in crate::gateway) async fn read_rollout_status(&self) -> Result<u64, Error> {
-        let snapshot = self.store.snapshot(Topic::Status).await?;
+        let reply = self.store.snapshot(Topic::Status).await?;
+        let snapshot = self.accept(Topic::Status, reply)?;
         for record in snapshot.records {
             let (Some(key), Some(document)) = (record.key, record.value) else {
                 continue;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,10 +11,11 @@
 };
 use super::fleet::Fleet;
 use super::quota::{OwnerBackoff, Quotas, Reachability};
+use super::restore::Restores;
 use super::rollout::Rollouts;
 use super::scaler::{Demand, DemandReports, Meter, Scaler};
 use super::usage::Usage;
-use super::{Lease, Quarantine, RetryBudget, Run, Settings};
+use super::{Lease, Quarantine, RetryBudget, Run, Settings, Topic};
 
 /// Time after a failed read for which the store counts as unavailable.
 const STORE_FAILURE_PERIOD: Millis = Millis(2_000);
@@ -47,6 +48,7 @@
     pub(super) endpoints_position: Position,
     /// When a read of the store last failed.
     pub(super) store_failed_at: Option<Millis>,
+    pub(super) restores: Restores,
     /// Changes of the endpoints' entries, for nodes that do not read the store.
     pub(super) changelog: Changelog,
     pub(super) meter: Meter,
@@ -82,6 +84,7 @@
             operator_position: Position::default(),
             endpoints_position: Position::default(),
             store_failed_at: None,
+            restores: Restores::default(),
             changelog: Changelog::default(),
             meter: Meter::default(),
             scaler: Scaler::default(),
@@ -97,6 +100,16 @@
             .is_none_or(|at| at + STORE_FAILURE_PERIOD <= now)
     }
 
+    /// Returns the offset of the next record to read in a topic whose records are read in order.
+    pub(super) fn next_in(&self, topic: Topic) -> Option<u64> {
+        match topic {
+            Topic::Operator => self.operator_position.next,
+            Topic::Endpoints => self.endpoints_position.next,
+            Topic::Duties => Some(self.lease.next()),
+            Topic::Nodes | Topic::Status => None,
+        }
+    }
+
     /// Returns the nodes that read the store on behalf of the others.
     pub(super) fn readers(&self, settings: &Settings, now: Millis) -> Vec<Arc<str>> {
         self.roster
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -2,10 +2,28 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::error::Error;
 
+/// Number of the content that the store has; it rises by one each time the store is restored from an
+/// earlier copy, which loses the latest records and gives their offsets out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+/// A response of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply<T> {
+    /// Era in which the store responded; the lowest one if the store does not tell.
+    pub era: Era,
+    /// What the store responded.
+    pub content: T,
+}
+
 /// A sequence of records in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Topic {
@@ -42,7 +60,8 @@
         /// Offset after the last record of the topic.
         end: u64,
     },
-    /// Records at the requested offset are no longer retained.
+    /// The store has no record at the requested offset: it is no longer retained, or lies beyond the
+    /// end of a topic that was restored.
     Expired {
         /// First offset that is retained.
         first: u64,
@@ -85,14 +104,14 @@
     /// # Errors
     ///
     /// Fails if the store does not respond or rejects the call.
-    async fn snapshot(&self, topic: Topic) -> Result<Snapshot, Error>;
+    async fn snapshot(&self, topic: Topic) -> Result<Reply<Snapshot>, Error>;
 
     /// Returns records from the offset `from` on, waiting up to `wait` for the first one.
     ///
     /// # Errors
     ///
     /// Fails if the store does not respond or rejects the call.
-    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Page, Error>;
+    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Reply<Page>, Error>;
 
     /// Appends a record. If `at` is given, the record is stored only if the topic ends at that
     /// offset.
@@ -101,7 +120,12 @@
     ///
     /// Fails if the store does not respond or rejects the call; `MayHaveRun` if the record may have
     /// been stored.
-    async fn append(&self, topic: Topic, at: Option<u64>, value: &[u8]) -> Result<Append, Error>;
+    async fn append(
+        &self,
+        topic: Topic,
+        at: Option<u64>,
+        value: &[u8],
+    ) -> Result<Reply<Append>, Error>;
 
     /// Replaces the record of a key. If `at` is given, the record is stored only if the topic ends
     /// at that offset.
@@ -115,5 +139,5 @@
         at: Option<u64>,
         key: &str,
         value: &[u8],
-    ) -> Result<Append, Error>;
+    ) -> Result<Reply<Append>, Error>;
 }
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -56,7 +56,7 @@
             &headers,
             body.into(),
         );
-        Ok(call.await?.0)
+        Ok(call.await?.status)
     }
 }
 
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,12 +2,19 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 
 use crate::error::{Error, ErrorKind};
 use crate::transport::Client;
 
-/// Sends a request and returns the status and body of the response.
+/// A complete response.
+pub(super) struct Response {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
+/// Sends a request and returns the response.
 pub(super) async fn call(
     client: &Client,
     method: Method,
@@ -15,7 +22,7 @@
     target: &str,
     headers: &[(&'static str, String)],
     body: Bytes,
-) -> Result<(StatusCode, Bytes), Error> {
+) -> Result<Response, Error> {
     let mut request = client.request(method, address, target, body)?;
     for (name, value) in headers {
         let value = value.parse().map_err(|_| {
@@ -29,14 +36,16 @@
     send(client, request).await
 }
 
-async fn send(
-    client: &Client,
-    request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), Error> {
+async fn send(client: &Client, request: Request<Full<Bytes>>) -> Result<Response, Error> {
     let response = client.send(request).await?;
     let status = response.status();
+    let headers = response.headers().clone();
     let body = client.body(response).await?;
-    Ok((status, body))
+    Ok(Response {
+        status,
+        headers,
+        body,
+    })
 }
 
 /// Returns the error for a response with an unexpected status.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,12 +5,12 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use hyper::{Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 use serde::Deserialize;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
-use crate::gateway::{Append, Page, Record, Snapshot, Store, Topic};
+use crate::gateway::{Append, Era, Page, Record, Reply, Snapshot, Store, Topic};
 use crate::transport::Client;
 
 use super::http;
@@ -27,6 +27,9 @@
 /// Size of a record's header in bytes: the length of its content.
 const RECORD_HEADER_BYTES: usize = 4;
 
+/// Header of all responses: a number that rises with each restore of the store.
+const ERA_HEADER: &str = "store-era";
+
 /// The platform's store, in the variant that keeps each topic as a log.
 #[derive(Debug)]
 pub struct LogStore {
@@ -50,8 +53,10 @@
         method: Method,
         target: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), Error> {
-        http::call(client, method, self.address, target, &[], body).await
+    ) -> Result<(Era, StatusCode, Bytes), Error> {
+        let call = http::call(client, method, self.address, target, &[], body);
+        let response = call.await?;
+        Ok((era(&response.headers), response.status, response.body))
     }
 
     /// Appends an encoded record. If `at` is given, the record is stored only if the topic ends at
@@ -61,7 +66,7 @@
         topic: Topic,
         at: Option<u64>,
         record: &[u8],
-    ) -> Result<Append, Error> {
+    ) -> Result<Reply<Append>, Error> {
         let mut body = BytesMut::with_capacity(RECORD_HEADER_BYTES + record.len());
         body.put_u32(length(record.len())?);
         body.put_slice(record);
@@ -70,17 +75,24 @@
             target.push_str(&format!("&at={at}"));
         }
         let call = self.call(&self.client, Method::POST, &target, body.freeze());
-        let (status, body) = call.await?;
-        match status {
+        let (era, status, body) = call.await?;
+        let content = match status {
             StatusCode::OK => parse::<Appended>(&body).map(|a| Append::Stored { offset: a.offset }),
             StatusCode::PRECONDITION_FAILED => {
                 parse::<Ended>(&body).map(|e| Append::Conflict { end: e.end_offset })
             }
             status => Err(http::unexpected_status("store append", status)),
-        }
+        }?;
+        Ok(Reply { era, content })
     }
 }
 
+/// Returns the era that a response names; the lowest one if it names none.
+fn era(headers: &HeaderMap) -> Era {
+    let value = headers.get(ERA_HEADER).and_then(|v| v.to_str().ok());
+    Era(value.and_then(|v| v.parse().ok()).unwrap_or_default())
+}
+
 /// Returns the platform's name for a topic.
 const fn topic_name(topic: Topic) -> &'static str {
     match topic {
@@ -110,7 +122,7 @@
     end_offset: u64,
 }
 
-/// Response to a read of records that are no longer retained.
+/// Response to a read from an offset at which there is no record.
 #[derive(Deserialize)]
 struct Gone {
     /// First offset that is retained.
@@ -210,19 +222,26 @@
 
 #[async_trait]
 impl Store for LogStore {
-    async fn snapshot(&self, topic: Topic) -> Result<Snapshot, Error> {
+    async fn snapshot(&self, topic: Topic) -> Result<Reply<Snapshot>, Error> {
         let mut snapshot = Snapshot::default();
         let mut after: Option<Arc<str>> = None;
+        let mut first_era = None;
         loop {
             let mut target = format!("/api/log-newest?topic={}&part=0", topic_name(topic));
             if let Some(after) = &after {
                 target.push_str(&format!("&after={after}"));
             }
             let call = self.call(&self.client, Method::GET, &target, Bytes::new());
-            let (status, body) = call.await?;
+            let (era, status, body) = call.await?;
             if status != StatusCode::OK {
                 return Err(http::unexpected_status("store snapshot", status));
             }
+            if *first_era.get_or_insert(era) != era {
+                return Err(Error::not_run(
+                    ErrorKind::Unavailable,
+                    "the store was restored during the snapshot",
+                ));
+            }
             let page: Newest = parse(&body)?;
             if after.is_none() {
                 // The pages are not read at one point in time. With the end as of the first page,
@@ -239,12 +258,15 @@
                 });
             }
             if !page.truncated || after.is_none() {
-                return Ok(snapshot);
+                return Ok(Reply {
+                    era,
+                    content: snapshot,
+                });
             }
         }
     }
 
-    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Page, Error> {
+    async fn read(&self, topic: Topic, from: u64, wait: Millis) -> Result<Reply<Page>, Error> {
         let mut target = format!(
             "/api/log-read?topic={}&part=0&from={from}",
             topic_name(topic)
@@ -254,17 +276,23 @@
             target.push_str(&format!("&wait_ms={}", wait.0));
         }
         let call = self.call(&client, Method::GET, &target, Bytes::new());
-        let (status, body) = call.await?;
-        match status {
+        let (era, status, body) = call.await?;
+        let content = match status {
             StatusCode::OK => decode_page(body, from, is_keyed(topic)),
             StatusCode::GONE => {
                 parse::<Gone>(&body).map(|gone| Page::Expired { first: gone.first })
             }
             status => Err(http::unexpected_status("store read", status)),
-        }
+        }?;
+        Ok(Reply { era, content })
     }
 
-    async fn append(&self, topic: Topic, at: Option<u64>, value: &[u8]) -> Result<Append, Error> {
+    async fn append(
+        &self,
+        topic: Topic,
+        at: Option<u64>,
+        value: &[u8],
+    ) -> Result<Reply<Append>, Error> {
         self.append_record(topic, at, value).await
     }
 
@@ -274,7 +302,7 @@
         at: Option<u64>,
         key: &str,
         value: &[u8],
-    ) -> Result<Append, Error> {
+    ) -> Result<Reply<Append>, Error> {
         let key_length = u8::try_from(key.len()).map_err(|_| {
             Error::not_run(
                 ErrorKind::TooLarge,
--- a/tests/integration/platform/http.rs
+++ b/tests/integration/platform/http.rs
@@ -44,6 +44,19 @@
 where
     F: Fn(Call) -> T + Clone + Send + Sync + 'static,
     T: Future<Output = Response> + Send + 'static,
+{
+    serve_with_headers(move |call| {
+        let response = handle(call);
+        async move { (response.await, HeaderMap::new()) }
+    })
+    .await
+}
+
+/// As [`serve`], for responses with these headers.
+pub(crate) async fn serve_with_headers<F, T>(handle: F) -> SocketAddr
+where
+    F: Fn(Call) -> T + Clone + Send + Sync + 'static,
+    T: Future<Output = (Response, HeaderMap)> + Send + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound address");
@@ -71,7 +84,7 @@
 ) -> Result<hyper::Response<Full<Bytes>>, std::io::Error>
 where
     F: Fn(Call) -> T,
-    T: Future<Output = Response>,
+    T: Future<Output = (Response, HeaderMap)>,
 {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(std::io::Error::other)?;
@@ -82,10 +95,11 @@
         headers: head.headers,
         body: body.to_bytes(),
     };
-    let (status, body) = handle(call)
-        .await
-        .ok_or_else(|| std::io::Error::other("the response is dropped"))?;
+    let (response, headers) = handle(call).await;
+    let (status, body) =
+        response.ok_or_else(|| std::io::Error::other("the response is dropped"))?;
     let mut response = hyper::Response::new(Full::new(body.into()));
+    *response.headers_mut() = headers;
     *response.status_mut() = StatusCode::from_u16(status).expect("a status");
     Ok::<_, Infallible>(response).map_err(|never| match never {})
 }
--- a/tests/integration/platform/store.rs
+++ b/tests/integration/platform/store.rs
@@ -5,11 +5,17 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
 use super::http::{self, Call, Response};
 
+const ERA_HEADER: &str = "store-era";
+
+const INITIAL_ERA: u64 = 1;
+
 /// Faults injected at the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Faults {
@@ -21,7 +27,7 @@
     pub(crate) lose_responses: bool,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     first: u64,
     records: Vec<Vec<u8>>,
@@ -33,15 +39,33 @@
     }
 }
 
-#[derive(Default)]
-struct State {
+/// Everything that the store has acknowledged.
+#[derive(Clone, Default)]
+pub(crate) struct Content {
     topics: HashMap<String, Topic>,
     /// The latest value of each key and its offset, by topic; these never expire.
     latest: HashMap<String, BTreeMap<String, (u64, Vec<u8>)>>,
+}
+
+struct State {
+    content: Content,
+    /// Number in the header of all responses; rises by one with each restore.
+    era: u64,
     faults: Faults,
     calls: usize,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            content: Content::default(),
+            era: INITIAL_ERA,
+            faults: Faults::default(),
+            calls: 0,
+        }
+    }
+}
+
 /// Test double of the platform's store, in the form of a log.
 #[derive(Clone)]
 pub(crate) struct Store {
@@ -55,7 +79,7 @@
         let state: Arc<Mutex<State>> = Arc::default();
         let appended = Arc::new(Notify::new());
         let (shared, notified) = (Arc::clone(&state), Arc::clone(&appended));
-        let address = http::serve(move |call| {
+        let address = http::serve_with_headers(move |call| {
             let (state, appended) = (Arc::clone(&shared), Arc::clone(&notified));
             async move { handle(&state, &appended, call).await }
         })
@@ -84,7 +108,8 @@
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
-        self.state.lock().expect("no panic").append(topic, record);
+        let content = &mut self.state.lock().expect("no panic").content;
+        content.append(topic, record);
         self.appended.notify_waiters();
     }
 
@@ -96,22 +121,38 @@
     /// Drops all records of a topic; the latest value of each key stays.
     pub(crate) fn expire(&self, topic: &str) {
         let state = &mut *self.state.lock().expect("no panic");
-        let topic = state.topics.entry(topic.to_owned()).or_default();
+        let topics = &mut state.content.topics;
+        let topic = topics.entry(topic.to_owned()).or_default();
         topic.first = topic.end();
         topic.records.clear();
     }
 
+    /// Returns a copy to which the store can be restored.
+    pub(crate) fn copy(&self) -> Content {
+        self.state.lock().expect("no panic").content.clone()
+    }
+
+    /// Replaces the content by that of an earlier copy: everything acknowledged since is lost.
+    pub(crate) fn restore(&self, copy: Content) {
+        let mut state = self.state.lock().expect("no panic");
+        state.content = copy;
+        state.era += 1;
+        drop(state);
+        self.appended.notify_waiters();
+    }
+
     /// Returns the latest value of a key as JSON.
     pub(crate) fn value(&self, topic: &str, key: &str) -> Option<Value> {
         let state = self.state.lock().expect("no panic");
-        let (_, value) = state.latest.get(topic)?.get(key)?;
+        let (_, value) = state.content.latest.get(topic)?.get(key)?;
         serde_json::from_slice(value).ok()
     }
 
     /// Returns the records of a topic as JSON.
     pub(crate) fn records(&self, topic: &str) -> Vec<Value> {
         let state = self.state.lock().expect("no panic");
-        let records = state.topics.get(topic).map(|topic| topic.records.clone());
+        let topic = state.content.topics.get(topic);
+        let records = topic.map(|topic| topic.records.clone());
         let records = records.unwrap_or_default().into_iter();
         records
             .filter_map(|r| serde_json::from_slice(&r).ok())
@@ -119,7 +160,7 @@
     }
 }
 
-impl State {
+impl Content {
     fn append(&mut self, name: &str, record: Vec<u8>) -> u64 {
         let topic = self.topics.entry(name.to_owned()).or_default();
         let offset = topic.end();
@@ -139,7 +180,15 @@
     }
 }
 
-async fn handle(state: &Mutex<State>, appended: &Notify, call: Call) -> Response {
+/// Returns the response to a call, with the header that all responses have.
+async fn handle(state: &Mutex<State>, appended: &Notify, call: Call) -> (Response, HeaderMap) {
+    let (response, era) = respond(state, appended, call).await;
+    let era = (HeaderName::from_static(ERA_HEADER), era.into());
+    (response, [era].into_iter().collect())
+}
+
+/// Returns the response to a call, and the era in which it was made.
+async fn respond(state: &Mutex<State>, appended: &Notify, call: Call) -> (Response, u64) {
     let faults = {
         let mut state = state.lock().expect("no panic");
         state.calls += 1;
@@ -148,32 +197,39 @@
     if faults.hang {
         tokio::time::sleep(Duration::from_secs(60)).await;
     }
+    let with_era = |state: &State, response| (response, state.era);
     if faults.down {
-        return Some((503, Vec::new()));
+        return with_era(&state.lock().expect("no panic"), Some((503, Vec::new())));
     }
     match &*call.path {
         "/api/log-append" => {
-            let response = append(&mut state.lock().expect("no panic"), &call);
+            let mut state = state.lock().expect("no panic");
+            let response = append(&mut state.content, &call);
             appended.notify_waiters();
-            if faults.lose_responses {
-                None
-            } else {
-                response
-            }
+            with_era(&state, response.filter(|_| !faults.lose_responses))
+        }
+        "/api/log-newest" => {
+            let state = state.lock().expect("no panic");
+            with_era(&state, latest(&state.content, &call))
         }
-        "/api/log-newest" => latest(&state.lock().expect("no panic"), &call),
         "/api/log-read" => {
             let wait = Duration::from_millis(call.query_number("wait_ms").unwrap_or(0));
             let notified = appended.notified();
-            let (response, empty) = read(&mut state.lock().expect("no panic"), &call);
+            let (response, empty) = {
+                let mut state = state.lock().expect("no panic");
+                let (response, empty) = read(&mut state.content, &call);
+                (with_era(&state, response), empty)
+            };
             if !empty || wait.is_zero() {
                 return response;
             }
             // The records are read again whether or not an append ended the wait.
             let _ = tokio::time::timeout(wait, notified).await;
-            read(&mut state.lock().expect("no panic"), &call).0
+            let mut state = state.lock().expect("no panic");
+            let (response, _) = read(&mut state.content, &call);
+            with_era(&state, response)
         }
-        _ => Some((404, Vec::new())),
+        _ => with_era(&state.lock().expect("no panic"), Some((404, Vec::new()))),
     }
 }
 
@@ -181,12 +237,12 @@
     call.query_value("topic").expect("a topic")
 }
 
-fn append(state: &mut State, call: &Call) -> Response {
+fn append(content: &mut Content, call: &Call) -> Response {
     let name = topic_of(call).to_owned();
     if name == "keyed.op" || name == "keyed.servers" {
         return Some((403, Vec::new()));
     }
-    let end = state.topics.entry(name.clone()).or_default().end();
+    let end = content.topics.entry(name.clone()).or_default().end();
     if call.query_number("at").is_some_and(|at| at != end) {
         let body = json!({ "end_offset": end }).to_string();
         return Some((412, body.into_bytes()));
@@ -194,31 +250,31 @@
     let mut rest = &call.body[..];
     while let Some((length, after)) = rest.split_first_chunk::<4>() {
         let (record, after) = after.split_at(u32::from_be_bytes(*length) as usize);
-        state.append(&name, record.to_vec());
+        content.append(&name, record.to_vec());
         rest = after;
     }
-    let body = json!({ "offset": end, "end_offset": state.topics[&name].end() });
+    let body = json!({ "offset": end, "end_offset": content.topics[&name].end() });
     Some((200, body.to_string().into_bytes()))
 }
 
-fn latest(state: &State, call: &Call) -> Response {
+fn latest(content: &Content, call: &Call) -> Response {
     let name = topic_of(call);
-    let items: Vec<Value> = state.latest.get(name).map_or_else(Vec::new, |latest| {
+    let items: Vec<Value> = content.latest.get(name).map_or_else(Vec::new, |latest| {
         let items = latest.iter().map(|(key, (offset, value))| {
             json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
         });
         items.collect()
     });
-    let end = state.topics.get(name).map_or(0, Topic::end);
+    let end = content.topics.get(name).map_or(0, Topic::end);
     let body = json!({ "items": items, "truncated": false, "end_offset": end });
     Some((200, body.to_string().into_bytes()))
 }
 
 /// Returns the response and whether it contains no record.
-fn read(state: &mut State, call: &Call) -> (Response, bool) {
-    let topic = state.topics.entry(topic_of(call).to_owned()).or_default();
+fn read(content: &mut Content, call: &Call) -> (Response, bool) {
+    let topic = content.topics.entry(topic_of(call).to_owned()).or_default();
     let from = call.query_number("from").expect("an offset");
-    if from < topic.first {
+    if from < topic.first || from > topic.end() {
         let body = json!({ "first": topic.first }).to_string();
         return (Some((410, body.into_bytes())), false);
     }
