Let the fence of the duties rise across restores of the store

Cause: the fence was the offset of the record that acquires the lease, and a restored store gives offsets out again. The earlier holder did not read the topic again; once it had grown to the holder's position, its renewals succeeded.

Ruled out: two acquisitions in one era. Each is appended on condition that the topic ends where the node has read to.

Now the fence is the era above 32 bits of offset. A record counts only in the era that its sender knew, so that a late append to the restored topic does not. On a new era a node forgets the tenure it has read, reads the topic from its start, and waits the takeover time from when it noticed: what the earlier holder sent before the restore lets it act for `valid_for`, which is shorter by more than a call. The earlier holder takes the lease again at once if it notices the restore within the takeover time of its last confirmed record, because no other node can have taken the lease over by then, in whatever era. Records of releases without an era count as before.

Tests: gateway_restore::fences_do_not_go_back_with_the_offsets_of_a_restored_store.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
-use super::lease::{DutyRecord, Totals};
+use super::lease::{DutyEntry, DutyRecord, Totals};
 use super::rollout::Control;
 use super::scaler::{Placement, Scaler};
 use super::{Append, Holder, Node, OrderOutcome, Page, Scale, Topic};
@@ -52,7 +52,10 @@
 pub(super) async fn run(node: Arc<Node>) -> eyre::Result<()> {
     let mut duty = DutyState::default();
     loop {
-        let held = node.state().lease.is_held();
+        let (held, resumes) = {
+            let lease = &node.state().lease;
+            (lease.is_held(), lease.resumes())
+        };
         if node.leaving.is_cancelled() {
             if held && let Some(holder) = valid_holder(&node) {
                 let fence = holder.fence;
@@ -60,7 +63,7 @@
             }
             return Ok(());
         }
-        if !held && !node.is_reader() {
+        if !held && !resumes && !node.is_reader() {
             sleep(STANDBY_INTERVAL.into()).await;
             continue;
         }
@@ -70,17 +73,20 @@
             continue;
         }
         step(&node, &mut duty).await;
-        let held = node.state().lease.is_held();
         tokio::select! {
-            () = pause(&node, held) => {}
+            () = pause(&node) => {}
             () = node.leaving.cancelled() => {}
         }
     }
 }
 
-/// Waits until the next step; `held` is whether this node holds the lease.
-async fn pause(node: &Node, held: bool) {
-    if held {
+/// Waits until the next step.
+async fn pause(node: &Node) {
+    let is_holder = {
+        let lease = &node.state().lease;
+        lease.is_held() || lease.resumes()
+    };
+    if is_holder {
         return sleep(STEP_INTERVAL.into()).await;
     }
     let started = node.clock.now();
@@ -148,15 +154,20 @@
 async fn catch_up(node: &Node, duty: &mut DutyState) -> Result<(), Error> {
     loop {
         // Only the holder appends, so it reads only when the outcome of an append is unknown.
-        let (held, next) = {
+        let (held, era, next) = {
             let lease = &node.state().lease;
-            (lease.is_held(), lease.next())
+            (lease.is_held(), lease.era(), lease.next())
         };
         if held && !duty.outcome_unknown {
             return Ok(());
         }
         let reply = node.store.read(Topic::Duties, next, Millis::ZERO).await?;
-        match node.accept(Topic::Duties, reply)? {
+        let page = node.accept(Topic::Duties, reply)?;
+        if node.state().lease.era() != era {
+            // The offset belongs to the earlier era.
+            continue;
+        }
+        match page {
             // The topic ends before this offset. Another read would not get any further.
             Page::Expired { first } if first <= next => {
                 return Err(Error::not_run(
@@ -185,11 +196,11 @@
 }
 
 fn apply_record(node: &Node, offset: u64, value: &[u8]) {
-    match serde_json::from_slice::<DutyRecord>(value) {
-        Ok(record) => node
+    match serde_json::from_slice::<DutyEntry>(value) {
+        Ok(entry) => node
             .state()
             .lease
-            .apply(offset, record, node.clock.since_boot()),
+            .apply(offset, entry, node.clock.since_boot()),
         Err(error) => {
             warn!(node.log, "invalid duty record"; "offset" => offset, "reason" => %error);
             node.state().lease.skip_to(offset + 1);
@@ -204,18 +215,26 @@
     F: FnOnce(u64) -> DutyRecord,
 {
     let sent_at = node.clock.since_boot();
-    let (at, number) = {
+    let (era, at, number) = {
         let lease = &mut node.state().lease;
-        (lease.next(), lease.begin_append(sent_at))
+        (lease.era(), lease.next(), lease.begin_append(sent_at))
+    };
+    let entry = DutyEntry {
+        era: Some(era),
+        record: make_record(number),
     };
-    let record = make_record(number);
-    let value = encode(&record);
+    let value = encode(&entry);
     duty.sent_at = Some(sent_at);
     let reply = node.store.append(Topic::Duties, Some(at), &value).await;
     match reply.and_then(|reply| node.accept(Topic::Duties, reply)) {
         Ok(Append::Stored { offset }) => {
-            node.state().lease.apply(offset, record, sent_at);
-            true
+            let lease = &mut node.state().lease;
+            let counts = lease.era() == era;
+            if counts {
+                lease.apply(offset, entry, sent_at);
+            }
+            duty.outcome_unknown |= !counts;
+            counts
         }
         Ok(Append::Conflict { end }) => {
             info!(node.log, "duty record rejected: unexpected end of topic"; "at" => at,
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -5,16 +5,30 @@
 
 use crate::clock::Millis;
 
-use super::Holder;
+use super::{Era, Holder};
 
 /// Number of requests in a window by account, as committed for a usage report.
 pub type Totals = BTreeMap<Arc<str>, u64>;
 
-/// A record in the topic of duties.
+/// A record in the topic of duties, with the era that its sender knew.
+///
+/// A record counts only in its own era. One that a restored store still has may have been followed
+/// by others that it has lost, and one that takes effect late may follow records of the new era.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DutyEntry {
+    /// Latest era that the sender knew; none in the records of earlier releases, which always count.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<Era>,
+    /// The record.
+    #[serde(flatten)]
+    pub record: DutyRecord,
+}
+
+/// The content of a record in the topic of duties.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum DutyRecord {
-    /// A node acquires the lease; the offset of the record becomes the fence.
+    /// A node acquires the lease; the era and the offset of the record become the fence.
     Take {
         /// Name of the node.
         node: Arc<str>,
@@ -75,11 +89,18 @@
 /// that appends has read all earlier records. A node that takes the lease over first waits until
 /// the previous holder must have stopped acting; each node measures the time on its own steady
 /// clock.
+///
+/// A restored store may have lost the records of the latest holder, so that each node waits as long
+/// from when it noticed the restore: whatever the holder sent before the restore lets it act for
+/// `valid_for`, and what it sends afterwards does not count. The holder itself need not wait if it
+/// notices the restore before another node can have taken the lease over.
 #[derive(Debug)]
 pub struct Lease {
     node: Arc<str>,
     incarnation: u64,
     terms: Terms,
+    /// Latest era that is known.
+    era: Era,
     /// Offset of the next record to read.
     next: u64,
     tenure: Option<Tenure>,
@@ -91,11 +112,27 @@
     sent_at: BTreeMap<u64, Millis>,
     /// Committed totals, by window.
     totals: BTreeMap<u64, Totals>,
-    started: Millis,
+    /// When the node started, or noticed the latest restore.
+    waits_since: Millis,
+    /// Whether a restore has been noticed.
+    restored: bool,
+    /// Whether this node held the lease when it noticed the latest restore, and no other node can
+    /// have taken it over before.
+    resumes: bool,
     /// Whether the topic has been read to its end.
     caught_up: bool,
 }
 
+/// Number of bits of a fence that hold the offset; the era is above them. A fence is exact as a JSON
+/// number for 2^21 restores.
+const OFFSET_BITS: u32 = 32;
+
+/// Returns the fence of a record that acquires the lease. It rises also when the store gives offsets
+/// out again.
+fn fence(era: Era, offset: u64) -> u64 {
+    (era.0 << OFFSET_BITS) + offset
+}
+
 /// Maximum number of this node's records whose send times are remembered until they are read back.
 /// Records are sent one at a time.
 const MAX_SENT: usize = 64;
@@ -112,17 +149,44 @@
             node,
             incarnation,
             terms,
+            era: Era::default(),
             next: 0,
             tenure: None,
             renewed_at: None,
             next_number: 0,
             sent_at: BTreeMap::new(),
             totals: BTreeMap::new(),
-            started: now,
+            waits_since: now,
+            restored: false,
+            resumes: false,
             caught_up: false,
         }
     }
 
+    /// Returns the latest era that is known.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Records the era of the first response of the store.
+    pub fn begin(&mut self, era: Era) {
+        self.era = era;
+    }
+
+    /// Records that the store has been restored: the topic has to be read again.
+    pub fn restart(&mut self, era: Era, now: Millis) {
+        let confirmed = self.renewed_at;
+        let confirmed = confirmed.filter(|_| self.is_held() || self.resumes);
+        self.resumes = confirmed.is_some_and(|at| now < at + self.terms.takeover_after);
+        self.era = era;
+        self.next = 0;
+        self.tenure = None;
+        self.waits_since = now;
+        self.restored = true;
+        self.caught_up = false;
+    }
+
     /// Returns the offset of the next record to read.
     #[must_use]
     pub fn next(&self) -> u64 {
@@ -140,26 +204,32 @@
     }
 
     /// Applies a record that was read from the topic.
-    pub fn apply(&mut self, offset: u64, record: DutyRecord, now: Millis) {
+    pub fn apply(&mut self, offset: u64, entry: DutyEntry, now: Millis) {
         if offset < self.next {
             return;
         }
         self.next = offset + 1;
-        match record {
+        let era = entry.era.unwrap_or_default();
+        if entry.era.is_some() && era != self.era {
+            return;
+        }
+        match entry.record {
             DutyRecord::Take {
                 node,
                 incarnation,
                 number,
             } => {
+                let fence = fence(era, offset);
                 self.tenure = Some(Tenure {
                     node,
                     incarnation,
-                    fence: offset,
+                    fence,
                     released: false,
                     last_read: now,
                 });
                 self.renewed_at = None;
-                self.confirm(offset, number);
+                self.resumes = false;
+                self.confirm(fence, number);
             }
             DutyRecord::Renew { fence, number } => {
                 self.extend(fence, false, now);
@@ -201,6 +271,9 @@
         {
             tenure.last_read = now;
             tenure.released |= released;
+            if released {
+                self.renewed_at = None;
+            }
         }
     }
 }
@@ -251,12 +324,20 @@
             Some(tenure) if tenure.released => true,
             Some(tenure) => !self.is_held() && tenure.last_read + self.terms.takeover_after <= now,
             // No record has ever been written.
-            None if self.next == 0 => self.caught_up,
-            // Earlier records may have expired while no node wrote any.
-            None => self.started + self.terms.takeover_after <= now,
+            None if self.next == 0 && !self.restored => self.caught_up,
+            None if self.resumes => self.caught_up,
+            // Earlier records may have expired while no node wrote any, or were lost with a restore.
+            None => self.waits_since + self.terms.takeover_after <= now,
         }
     }
 
+    /// Returns whether this node held the lease when it noticed the latest restore, and may take it
+    /// again without waiting.
+    #[must_use]
+    pub fn resumes(&self) -> bool {
+        self.resumes
+    }
+
     /// Returns the name and fence of the holder according to the latest record.
     #[must_use]
     pub fn holder(&self) -> Option<(Arc<str>, u64)> {
--- a/src/gateway/restore.rs
+++ b/src/gateway/restore.rs
@@ -17,6 +17,11 @@
         self.era.unwrap_or_default()
     }
 
+    /// Returns whether the store has responded.
+    fn is_known(&self) -> bool {
+        self.era.is_some()
+    }
+
     /// Notes an era; returns the one before if the store has been restored.
     fn note(&mut self, era: Era) -> Option<Era> {
         let before = self.era;
@@ -46,10 +51,14 @@
     /// Notes the era in which the store responded to a call on a topic.
     pub(super) fn note_era(&self, era: Era, topic: Topic) {
         let state = &mut *self.state();
+        if !state.restores.is_known() {
+            state.lease.begin(era);
+        }
         let Some(before) = state.restores.note(era) else {
             return;
         };
         warn!(self.log, "the store was restored"; "era" => era.0, "before" => before.0,
             "topic" => ?topic, "position" => state.next_in(topic));
+        state.lease.restart(era, self.clock.since_boot());
     }
 }
--- a/tests/integration/gateway_lease.rs
+++ b/tests/integration/gateway_lease.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use almondpath::clock::Millis;
-use almondpath::gateway::{DutyRecord, Lease, Terms};
+use almondpath::gateway::{DutyEntry, DutyRecord, Era, Lease, Terms};
 use proptest::prelude::*;
 
 const TERMS: Terms = Terms {
@@ -30,12 +30,23 @@
     Suspended,
     /// The node cannot reach the store.
     Disconnected,
+    /// The store is restored just before the append; so many records are lost.
+    RestoredBefore(usize),
+    /// The store is restored just after the append; so many records are lost.
+    RestoredAfter(usize),
+}
+
+/// Returns the lease of a node that has read the empty store.
+fn begun(mut lease: Lease) -> Lease {
+    lease.begin(Era(1));
+    lease
 }
 
 struct Simulation {
-    log: Vec<DutyRecord>,
+    era: Era,
+    log: Vec<DutyEntry>,
     nodes: Vec<Lease>,
-    late: Vec<(usize, u64, DutyRecord)>,
+    late: Vec<(usize, u64, DutyEntry)>,
     actions: Vec<(Millis, usize, u64)>,
 }
 
@@ -43,31 +54,50 @@
     fn new() -> Self {
         let lease = |n| Lease::new(format!("n{n}").into(), 1, TERMS, Millis(0));
         Self {
+            era: Era(1),
             log: Vec::new(),
-            nodes: (0..NODES).map(lease).collect(),
+            nodes: (0..NODES).map(lease).map(begun).collect(),
             late: Vec::new(),
             actions: Vec::new(),
         }
     }
 
-    fn store(&mut self, at: u64, record: DutyRecord) -> bool {
+    fn store(&mut self, at: u64, entry: DutyEntry) -> bool {
         let holds = at == self.log.len() as u64;
         if holds {
-            self.log.push(record);
+            self.log.push(entry);
         }
         holds
     }
 
+    /// Restores the store from a copy that lacks the latest `lost` records.
+    fn restore(&mut self, lost: usize) {
+        let kept = self.log.len().saturating_sub(lost);
+        self.log.truncate(kept);
+        self.era.0 += 1;
+    }
+
+    /// Notes the era of a response; returns whether the node knew it.
+    fn note_era(&mut self, node: usize, now: Millis) -> bool {
+        let lease = &mut self.nodes[node];
+        let known = lease.era() == self.era;
+        if !known {
+            lease.restart(self.era, now);
+        }
+        known
+    }
+
     fn deliver_late(&mut self, step: usize) {
         let (due, rest) = self.late.drain(..).partition(|(when, _, _)| *when <= step);
         self.late = rest;
-        let due: Vec<(usize, u64, DutyRecord)> = due;
-        for (_, at, record) in due {
-            self.store(at, record);
+        let due: Vec<(usize, u64, DutyEntry)> = due;
+        for (_, at, entry) in due {
+            self.store(at, entry);
         }
     }
 
     fn read(&mut self, node: usize, now: Millis) {
+        self.note_era(node, now);
         let lease = &mut self.nodes[node];
         while let Some(record) = self.log.get(lease.next() as usize) {
             lease.apply(lease.next(), record.clone(), now);
@@ -98,15 +128,30 @@
             return;
         };
         let at = lease.next();
+        let era = Some(lease.era());
+        let entry = DutyEntry { era, record };
         match fault {
-            Fault::Late(steps) => self.late.push((step + steps, at, record)),
+            Fault::Late(steps) => self.late.push((step + steps, at, entry)),
             Fault::Lost => {}
             Fault::ResponseLost => {
-                self.store(at, record);
+                self.store(at, entry);
+            }
+            Fault::RestoredBefore(lost) => {
+                self.restore(lost);
+                let stored = self.store(at, entry.clone());
+                if self.note_era(node, now) && stored {
+                    self.nodes[node].apply(at, entry, now);
+                }
+            }
+            Fault::RestoredAfter(lost) => {
+                if self.store(at, entry.clone()) {
+                    self.nodes[node].apply(at, entry, now);
+                }
+                self.restore(lost);
             }
             _ => {
-                if self.store(at, record.clone()) {
-                    self.nodes[node].apply(at, record, now);
+                if self.store(at, entry.clone()) {
+                    self.nodes[node].apply(at, entry, now);
                 }
             }
         }
@@ -128,6 +173,8 @@
         1 => Just(Fault::Lost),
         2 => Just(Fault::Suspended),
         2 => Just(Fault::Disconnected),
+        1 => (0_usize..12).prop_map(Fault::RestoredBefore),
+        1 => (0_usize..12).prop_map(Fault::RestoredAfter),
     ]
 }
 
@@ -177,8 +224,12 @@
         counts: [("account".into(), count)].into(),
         number: 0,
     };
-    lease.apply(0, usage(5), Millis(0));
-    lease.apply(1, usage(6), Millis(10));
+    let entry = |count| DutyEntry {
+        era: Some(Era(0)),
+        record: usage(count),
+    };
+    lease.apply(0, entry(5), Millis(0));
+    lease.apply(1, entry(6), Millis(10));
     assert_eq!(lease.totals(7).and_then(|c| c.get("account")), Some(&5));
 }
 
--- a/tests/integration/gateway_restore.rs
+++ b/tests/integration/gateway_restore.rs
@@ -1,6 +1,7 @@
 //! A store that comes back from an earlier copy: what it acknowledged since is lost, and offsets are
 //! given out again.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::harness::eventually;
@@ -45,3 +46,44 @@
         deployment.gateways.len() * MAX_CALLS_PER_NODE_AND_S * COUNTED_TIME.as_secs() as usize;
     assert!(calls <= limit, "{calls} calls in {COUNTED_TIME:?}");
 }
+
+/// Guards against a fence that falls with the offsets of a restored store, against duties that nobody
+/// performs any more, and against two counts for a window.
+#[tokio::test]
+async fn fences_do_not_go_back_with_the_offsets_of_a_restored_store() {
+    let mut deployment = deployment(2).await;
+    let copy = deployment.store.copy();
+    let reports = |deployment: &Deployment| deployment.cloud.duty_calls().len();
+    eventually("usage is reported", async || reports(&deployment) >= 3).await;
+    let first = deployment.cloud.duty_calls()[0].clone();
+    let held = deployment
+        .gateways
+        .iter()
+        .position(|g| g.name == first.holder);
+    let held = held.expect("a gateway");
+    deployment.gateways[held].kill();
+    eventually("another node reports", async || {
+        let calls = deployment.cloud.duty_calls();
+        calls.iter().any(|call| call.holder != first.holder)
+    })
+    .await;
+    deployment.store.restore(copy);
+    let before = reports(&deployment);
+    deployment.gateways[held].restart();
+    eventually("usage is reported after the restore", async || {
+        reports(&deployment) >= before + 5
+    })
+    .await;
+    let calls = deployment.cloud.duty_calls();
+    for pair in calls.windows(2) {
+        assert!(pair[0].fence <= pair[1].fence, "{pair:?}");
+        let same = pair[0].fence == pair[1].fence;
+        assert!(!same || pair[0].holder == pair[1].holder, "{pair:?}");
+    }
+    let mut windows = HashMap::new();
+    for call in &calls {
+        let window = call.body["window_id"].as_u64().expect("a window");
+        let counts = windows.entry(window).or_insert(&call.body["counts"]);
+        assert_eq!(*counts, &call.body["counts"], "window {window}");
+    }
+}
