--- a/src/gateway/changelog.rs
+++ b/src/gateway/changelog.rs
@@ -5,9 +5,15 @@
 
 use crate::clock::Millis;
 
+use super::Era;
+
 /// How far a topic has been read, by this node or by another one that passed its records on.
+///
+/// A restored store gives offsets out again, so that a position holds only in its era.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Position {
+    /// Era in which the topic was read.
+    pub era: Era,
     /// Offset of the next record; none until the topic has been read.
     pub next: Option<u64>,
     /// Latest time at which `next` was known to be the end of the topic.
@@ -21,12 +27,25 @@
         self.as_of.map(|at| now - at)
     }
 
-    /// Adopts the position of another node whose changes have all been applied.
-    pub fn adopt(&mut self, next: u64, as_of: Millis) {
-        if self.next.is_none_or(|own| own <= next) {
-            self.next = Some(next);
+    /// Returns the offset of the next record, if the topic has been read in this era.
+    #[must_use]
+    pub fn next_in(&self, era: Era) -> Option<u64> {
+        self.next.filter(|_| self.era == era)
+    }
+
+    /// Moves on to a position all of whose changes have been applied. One of an earlier era says
+    /// nothing of the present end of the topic.
+    pub fn advance(&mut self, to: Self) {
+        if to.era < self.era {
+            return;
         }
-        self.as_of = self.as_of.max(Some(as_of));
+        self.next = if to.era > self.era {
+            to.next
+        } else {
+            self.next.max(to.next)
+        };
+        self.era = to.era;
+        self.as_of = self.as_of.max(to.as_of);
     }
 }
 
--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -11,7 +11,7 @@
 use crate::error::{Error, ErrorKind};
 use crate::gateway::changelog::Position;
 use crate::gateway::state::State;
-use crate::gateway::{Config, Grant, GrantReport, Node, Quotas, Run, Slot, quota};
+use crate::gateway::{Config, Grant, GrantReport, Node, Quotas, Run, Slot, Topic, quota};
 use crate::membership;
 use crate::peer::{Handle, Handler, Method};
 
@@ -242,6 +242,14 @@
         for update in &delta.members {
             node.merge_rollouts(&update.announcement);
         }
+        for (topic, progress) in [
+            (Topic::Endpoints, delta.endpoints),
+            (Topic::Operator, delta.operator),
+        ] {
+            if let Some(progress) = progress {
+                node.note_era(progress.era, topic);
+            }
+        }
         // The operator's position is adopted only once this node has the configuration as well.
         let has_config = config <= node.config_version();
         let now = node.clock.now();
@@ -409,13 +417,18 @@
 /// Adopts the position of another node after its changes have been applied. The node responded
 /// after `sent`.
 fn adopt_position(position: &mut Position, sent: Millis, progress: Option<Progress>) {
-    if let Some(Progress { next, age }) = progress {
-        position.adopt(next, sent - age);
+    if let Some(progress) = progress {
+        position.advance(Position {
+            era: progress.era,
+            next: Some(progress.next),
+            as_of: Some(sent - progress.age),
+        });
     }
 }
 
 fn progress(position: &Position, now: Millis) -> Option<Progress> {
     Some(Progress {
+        era: position.era,
         next: position.next?,
         age: position.age(now)?,
     })
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
+use crate::gateway::Era;
 use crate::gateway::changelog::EntryState;
 use crate::gateway::quota::{GrantReport, GrantRequest};
 use crate::gateway::rollout;
@@ -120,6 +121,7 @@
 /// A position in a topic, and the time since it was known to be the end of the topic.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct Progress {
+    pub(super) era: Era,
     pub(super) next: u64,
     pub(super) age: Millis,
 }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -85,11 +85,14 @@
         }
     }
 
-    /// Returns until when the store was unavailable, if entries may have expired for that reason: an
-    /// entry that is absent later than [`MISSING_TIMEOUT`] after that was removed.
+    /// Returns until when the store was unavailable, or when it was found to have been restored, if
+    /// entries may be absent for that reason: an entry that is absent later than [`MISSING_TIMEOUT`]
+    /// after that was removed.
     fn recent_outage(&self) -> Option<Millis> {
         let now = self.node.clock.now();
-        self.failed_at.filter(|at| *at + MISSING_TIMEOUT > now)
+        let restored_at = self.node.state().restores.noticed_at();
+        let outage_end = self.failed_at.max(restored_at);
+        outage_end.filter(|at| *at + MISSING_TIMEOUT > now)
     }
 
     /// Calls `access` with the position in the topic.
@@ -158,22 +161,33 @@
 
     async fn poll(&mut self) -> Result<Option<(Batch, Position)>, Error> {
         let sent = self.node.clock.now();
-        let at = |next, as_of| Position {
-            next: Some(next),
-            as_of: Some(as_of),
-        };
-        let Some(next) = self.with_position(|position| position.next) else {
+        let era = self.node.state().restores.era();
+        let Some(next) = self.with_position(|position| position.next_in(era)) else {
             let reply = self.node.store.snapshot(self.topic).await?;
+            let era = reply.era;
             let snapshot = self.node.accept(self.topic, reply)?;
             self.rolled_back_since = None;
             return Ok(Some((
                 Batch::Snapshot(snapshot.records),
-                at(snapshot.end, sent),
+                Position {
+                    era,
+                    next: Some(snapshot.end),
+                    as_of: Some(sent),
+                },
             )));
         };
+        let at = |next, as_of| Position {
+            era,
+            next: Some(next),
+            as_of: Some(as_of),
+        };
         let wait = self.fraction_of_limit(READ_WAIT_FRACTION);
         let reply = self.node.store.read(self.topic, next, wait).await?;
+        let is_later_era = reply.era != era;
         match self.node.accept(self.topic, reply)? {
+            // The records do not follow those that were read before the restore, also if the topic
+            // has grown past the position again. A snapshot is read next.
+            _ if is_later_era => Ok(None),
             Page::Expired { first } => {
                 info!(self.node.log, "records expired before they were read";
                     "topic" => ?self.topic, "next" => next, "first" => first);
@@ -205,10 +219,7 @@
 
     /// Moves the position on after all records before `to` have been applied.
     fn advance(&self, to: Position) {
-        self.with_position(|position| {
-            position.next = position.next.max(to.next);
-            position.as_of = position.as_of.max(to.as_of);
-        });
+        self.with_position(|position| position.advance(to));
     }
 
     /// Reads how the known rollouts ended, which their orders do not say.
--- a/src/gateway/restore.rs
+++ b/src/gateway/restore.rs
@@ -1,5 +1,6 @@
 use slog::warn;
 
+use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
 use super::{Era, Node, Reply, Topic};
@@ -9,6 +10,8 @@
 pub(super) struct Restores {
     /// Latest era that is known; none until the store has responded.
     era: Option<Era>,
+    /// Steady time at which the latest restore was noticed.
+    noticed_at: Option<Millis>,
 }
 
 impl Restores {
@@ -22,11 +25,18 @@
         self.era.is_some()
     }
 
+    /// Returns when the latest restore was noticed.
+    pub(super) fn noticed_at(&self) -> Option<Millis> {
+        self.noticed_at
+    }
+
     /// Notes an era; returns the one before if the store has been restored.
-    fn note(&mut self, era: Era) -> Option<Era> {
+    fn note(&mut self, era: Era, now: Millis) -> Option<Era> {
         let before = self.era;
         self.era = before.max(Some(era));
-        before.filter(|known| *known < era)
+        let before = before.filter(|known| *known < era)?;
+        self.noticed_at = Some(now);
+        Some(before)
     }
 }
 
@@ -50,11 +60,12 @@
 
     /// Notes the era in which the store responded to a call on a topic.
     pub(super) fn note_era(&self, era: Era, topic: Topic) {
+        let now = self.clock.now();
         let state = &mut *self.state();
         if !state.restores.is_known() {
             state.lease.begin(era);
         }
-        let Some(before) = state.restores.note(era) else {
+        let Some(before) = state.restores.note(era, now) else {
             return;
         };
         warn!(self.log, "the store was restored"; "era" => era.0, "before" => before.0,
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -5,7 +5,7 @@
 use almondpath::clock::Millis;
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
-    Changelog, EntryState, Fleet, Identity, Lifecycle, Load, Position, Prompt, Query, Registration,
+    Changelog, EntryState, Era, Fleet, Identity, Lifecycle, Load, Position, Prompt, Query, Registration,
     Segment, choose,
 };
 
@@ -381,11 +381,21 @@
 /// Guards against a node that mistakes outdated updates for current ones, or moves back in a topic.
 #[test]
 fn a_position_never_moves_back() {
+    let at = |era, next, as_of| Position {
+        era: Era(era),
+        next: Some(next),
+        as_of: Some(Millis(as_of)),
+    };
     let mut position = Position::default();
-    position.adopt(10, Millis(100));
-    position.adopt(7, Millis(50));
-    assert_eq!(position.next, Some(10));
+    position.advance(at(1, 10, 100));
+    position.advance(at(1, 7, 50));
+    assert_eq!(position, at(1, 10, 100));
     assert_eq!(position.age(Millis(150)), Some(Millis(50)));
+    // After a restore, offsets begin anew.
+    position.advance(at(2, 6, 120));
+    position.advance(at(1, 12, 140));
+    assert_eq!(position, at(2, 6, 120));
+    assert_eq!(position.next_in(Era(3)), None);
 }
 
 /// Guards against passing each heartbeat on to all nodes, and against losing a change.
--- a/tests/integration/gateway_restore.rs
+++ b/tests/integration/gateway_restore.rs
@@ -4,12 +4,17 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde_json::json;
+
 use crate::harness::eventually;
-use crate::platform::{Behaviour, Deployment, Engine};
+use crate::platform::{Behaviour, Deployment, Engine, Request, config};
 
 /// Time after which a restored store has other records at the offsets that were lost.
 const LOST_TIME: Duration = Duration::from_secs(4);
 
+/// Time within which an endpoint writes its entry again.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 /// Time during which the calls to a restored store are counted.
 const COUNTED_TIME: Duration = Duration::from_secs(3);
 
@@ -87,3 +92,55 @@
         assert_eq!(*counts, &call.body["counts"], "window {window}");
     }
 }
+
+/// Guards against records of a restored topic that are not read because the topic has grown past the
+/// position of the time before.
+#[tokio::test]
+async fn a_configuration_written_after_a_restore_takes_effect() {
+    let deployment = deployment(2).await;
+    let copy = deployment.store.copy();
+    for version in 2..=4 {
+        deployment.store.put("keyed.op", "config", &config(version));
+    }
+    deployment.wait_for_propagation().await;
+    deployment.store.restore(copy);
+    deployment.store.put("keyed.op", "config", &config(5));
+    for _ in 0..4 {
+        deployment.store.put("keyed.op", "other", &json!({}));
+    }
+    deployment.wait_for_propagation().await;
+    for gateway in &deployment.gateways {
+        let lines = gateway.log_lines("configuration", None);
+        assert!(lines.iter().any(|line| line["version"] == 5), "{lines:?}");
+    }
+}
+
+/// Guards against the final departure of an endpoint whose entry was lost with a restore, and against
+/// the return of one whose departure was lost.
+#[tokio::test]
+async fn endpoints_stay_as_they_are_when_their_entries_are_lost() {
+    let deployment = deployment(2).await;
+    let engine = Engine::start("e2", "app", Behaviour::Respond(200, 0)).await;
+    let leaves = &deployment.engines[0];
+    let copy = deployment.store.copy();
+    deployment
+        .store
+        .put("keyed.servers", "e2", &engine.entry("ready", 1));
+    deployment
+        .store
+        .put("keyed.servers", &leaves.id, &leaves.entry("draining", 2));
+    deployment.wait_for_propagation().await;
+    deployment.store.restore(copy);
+    tokio::time::sleep(HEARTBEAT).await;
+    deployment
+        .store
+        .put("keyed.servers", "e2", &engine.entry("ready", 2));
+    deployment.wait_for_propagation().await;
+    let before = leaves.received().len();
+    for number in 0..6 {
+        let gateway = &deployment.gateways[number % 2];
+        let response = gateway.send(&Request::new("/safe/x")).await;
+        assert_eq!(response.map(|r| r.status), Some(200));
+    }
+    assert_eq!(leaves.received().len(), before);
+}
