Do not report a window of usage again with other counts after a restore

Found by reading: the totals of a window are committed to the topic of duties before they are reported.

Now a node keeps the committed totals that it knows across eras, and the holder passes its own on to the readers with the counters that it sends them anyway. A new holder that does not know the totals of a window which may have been committed before the restore (it ended more than COUNTS_DELAY, less a tolerance of 1 s, before) does not report it and says so in the log: a missing report is only priced. The record that acquires the lease carries the wall time of the restore, as noticed, for nodes that start later. A holder that goes on across the restore knows what it committed, and skips nothing.

Ruled out: totals in records of an earlier era that the restored topic still has. A late append may have put them there, so that they do not count.

Test: gateway_lease::totals_that_may_be_lost_are_not_committed_again (the holder itself, another node, one that was told, and a later window).

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -298,6 +298,7 @@
                 usage: state.usage.counts().clone(),
                 demand: state.own_demand(now),
                 rollouts: state.rollouts.reports(),
+                totals: state.lease.own_totals(),
             };
             let readers = state.readers(&node.settings, now);
             let readers = readers.iter().filter_map(|name| state.roster.member(name));
@@ -577,6 +578,7 @@
         let (node, incarnation) = (report.node, report.incarnation);
         state.rollouts.merge(&node, incarnation, &report.rollouts);
         state.usage.merge(&node, incarnation, report.usage);
+        state.lease.learn_totals(report.totals);
         state
             .demand_reports
             .record(node, incarnation, report.demand, now);
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -6,12 +6,12 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
-use crate::gateway::Era;
 use crate::gateway::changelog::EntryState;
 use crate::gateway::quota::{GrantReport, GrantRequest};
 use crate::gateway::rollout;
 use crate::gateway::scaler::Demand;
 use crate::gateway::usage::Counts;
+use crate::gateway::{Era, Totals};
 
 use super::announcement::Announcement;
 use super::member::MemberUpdate;
@@ -136,6 +136,8 @@
     pub(super) demand: Vec<(Arc<str>, Demand)>,
     /// What the responses say of versions on trial.
     pub(super) rollouts: Vec<rollout::Report>,
+    /// Totals that the sender, as the holder of the duties, committed for the latest windows.
+    pub(super) totals: Vec<(u64, Totals)>,
 }
 
 /// Encodes a message or a response.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -28,6 +28,10 @@
 /// Time after the end of a window within which the counts of all nodes arrive.
 const COUNTS_DELAY: Millis = Millis(2_500);
 
+/// Time by which the wall times of two holders may differ, when one commits the totals of a window
+/// and the other finds that the store was restored.
+const WALL_TOLERANCE: Millis = Millis(1_000);
+
 /// The state of the duties besides the lease.
 #[derive(Default)]
 struct DutyState {
@@ -141,10 +145,13 @@
             order_endpoints(node).await;
         }
     } else if available && node.is_ready() {
+        let wall = node.wall_time();
+        let lost_before = node.state().lease.lost_before(wall);
         let take = |number| DutyRecord::Take {
             node: Arc::clone(&node.settings.node),
             incarnation: node.incarnation,
             number,
+            lost_before,
         };
         append(node, duty, take).await;
     }
@@ -264,7 +271,7 @@
     let first_open = wall.saturating_sub(COUNTS_DELAY.0) / length;
     let oldest = wall.saturating_sub(node.settings.usage_report_deadline.0) / length;
     for window in oldest..first_open {
-        if duty.reported.contains(&window) {
+        if duty.reported.contains(&window) || is_skipped(node, duty, window, length) {
             continue;
         }
         if !report_window(node, duty, window).await {
@@ -275,6 +282,19 @@
     node.state().usage.forget_before(oldest);
 }
 
+/// Returns whether a window is not reported. An earlier holder may have reported it, with totals that
+/// were lost with a restore of the store, and a second report must not differ.
+fn is_skipped(node: &Node, duty: &mut DutyState, window: u64, length: u64) -> bool {
+    let committed_at = Millis((window + 1) * length) + COUNTS_DELAY;
+    let earliest = Millis(committed_at.0.saturating_sub(WALL_TOLERANCE.0));
+    let skipped = node.state().lease.has_unknown_totals(window, earliest);
+    if skipped {
+        warn!(node.log, "usage not reported: totals may be lost"; "window" => window);
+        duty.reported.insert(window);
+    }
+    skipped
+}
+
 /// Commits the totals of a window to the store, then reports them; returns whether the platform
 /// accepted the report.
 async fn report_window(node: &Arc<Node>, duty: &mut DutyState, window: u64) -> bool {
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -36,6 +36,10 @@
         incarnation: u64,
         /// Number of the record among those of the node.
         number: u64,
+        /// Wall time of the latest restore of the store, or a later one: totals that were committed
+        /// before may be lost. Zero if none is known.
+        #[serde(default)]
+        lost_before: Millis,
     },
     /// The holder renews the lease.
     Renew {
@@ -112,6 +116,10 @@
     sent_at: BTreeMap<u64, Millis>,
     /// Committed totals, by window.
     totals: BTreeMap<u64, Totals>,
+    /// As in the records that acquire the lease; none until one has been read in this era.
+    lost_before: Option<Millis>,
+    /// As `lost_before`, for this node, which knows the totals of its own tenure.
+    unknown_before: Option<Millis>,
     /// When the node started, or noticed the latest restore.
     waits_since: Millis,
     /// Whether a restore has been noticed.
@@ -156,6 +164,8 @@
             next_number: 0,
             sent_at: BTreeMap::new(),
             totals: BTreeMap::new(),
+            lost_before: None,
+            unknown_before: None,
             waits_since: now,
             restored: false,
             resumes: false,
@@ -174,11 +184,18 @@
         self.era = era;
     }
 
-    /// Records that the store has been restored: the topic has to be read again.
-    pub fn restart(&mut self, era: Era, now: Millis) {
+    /// Records that the store has been restored, as was noticed at this wall time: the topic has to be
+    /// read again.
+    pub fn restart(&mut self, era: Era, now: Millis, wall: Millis) {
         let confirmed = self.renewed_at;
         let confirmed = confirmed.filter(|_| self.is_held() || self.resumes);
         self.resumes = confirmed.is_some_and(|at| now < at + self.terms.takeover_after);
+        self.lost_before = Some(wall);
+        self.unknown_before = if self.resumes {
+            Some(self.unknown_before.unwrap_or_default())
+        } else {
+            Some(wall)
+        };
         self.era = era;
         self.next = 0;
         self.tenure = None;
@@ -218,7 +235,12 @@
                 node,
                 incarnation,
                 number,
+                lost_before,
             } => {
+                let earliest =
+                    |known: Option<Millis>| known.map_or(lost_before, |k| k.min(lost_before));
+                self.lost_before = Some(earliest(self.lost_before));
+                self.unknown_before = Some(earliest(self.unknown_before));
                 let fence = fence(era, offset);
                 self.tenure = Some(Tenure {
                     node,
@@ -244,14 +266,24 @@
             } => {
                 self.extend(fence, false, now);
                 self.confirm(fence, number);
-                self.totals.entry(window).or_insert(counts);
-                while self.totals.len() > MAX_WINDOWS {
-                    self.totals.pop_first();
-                }
+                self.learn_totals([(window, counts)]);
             }
         }
     }
 
+    /// Records committed totals. The first ones of a window are kept.
+    pub fn learn_totals<I>(&mut self, totals: I)
+    where
+        I: IntoIterator<Item = (u64, Totals)>,
+    {
+        for (window, counts) in totals {
+            self.totals.entry(window).or_insert(counts);
+        }
+        while self.totals.len() > MAX_WINDOWS {
+            self.totals.pop_first();
+        }
+    }
+
     /// Confirms a record that was read back. If this node holds the lease with this fence, the record
     /// is its own, and the lease counts as renewed at the time at which the record was sent.
     fn confirm(&mut self, fence: u64, number: u64) {
@@ -346,6 +378,32 @@
             .map(|tenure| (Arc::clone(&tenure.node), tenure.fence))
     }
 
+    /// Returns the value of `lost_before` for a record that acquires the lease now.
+    #[must_use]
+    pub fn lost_before(&self, wall: Millis) -> Millis {
+        // A topic without a record that acquires the lease may have lost it with a restore.
+        let unknown = if self.next == 0 { Millis::ZERO } else { wall };
+        self.lost_before.unwrap_or(unknown)
+    }
+
+    /// Returns whether totals may have been committed for a window that this node does not know: they
+    /// would have been committed at this wall time, and the store has been restored since.
+    #[must_use]
+    pub fn has_unknown_totals(&self, window: u64, committed_at: Millis) -> bool {
+        let unknown_before = self.unknown_before.unwrap_or_default();
+        !self.totals.contains_key(&window) && committed_at <= unknown_before
+    }
+
+    /// Returns the committed totals of the latest windows, if this node holds the lease.
+    #[must_use]
+    pub fn own_totals(&self) -> Vec<(u64, Totals)> {
+        if !self.is_held() {
+            return Vec::new();
+        }
+        let totals = self.totals.iter();
+        totals.map(|(window, t)| (*window, t.clone())).collect()
+    }
+
     /// Returns the totals that were committed for a window.
     #[must_use]
     pub fn totals(&self, window: u64) -> Option<&Totals> {
--- a/src/gateway/restore.rs
+++ b/src/gateway/restore.rs
@@ -61,6 +61,7 @@
     /// Notes the era in which the store responded to a call on a topic.
     pub(super) fn note_era(&self, era: Era, topic: Topic) {
         let now = self.clock.now();
+        let wall = self.wall_time();
         let state = &mut *self.state();
         if !state.restores.is_known() {
             state.lease.begin(era);
@@ -70,6 +71,6 @@
         };
         warn!(self.log, "the store was restored"; "era" => era.0, "before" => before.0,
             "topic" => ?topic, "position" => state.next_in(topic));
-        state.lease.restart(era, self.clock.since_boot());
+        state.lease.restart(era, self.clock.since_boot(), wall);
     }
 }
--- a/tests/integration/gateway_lease.rs
+++ b/tests/integration/gateway_lease.rs
@@ -82,7 +82,7 @@
         let lease = &mut self.nodes[node];
         let known = lease.era() == self.era;
         if !known {
-            lease.restart(self.era, now);
+            lease.restart(self.era, now, now);
         }
         known
     }
@@ -123,6 +123,7 @@
                 node: format!("n{node}").into(),
                 incarnation: 1,
                 number: lease.begin_append(now),
+                lost_before: lease.lost_before(now),
             }
         } else {
             return;
@@ -245,3 +246,52 @@
     lease.mark_caught_up();
     assert!(lease.is_available(Millis(1)));
 }
+
+/// Guards against a second report of a window with other totals, after the ones that were committed
+/// are lost with a restore of the store.
+#[test]
+fn totals_that_may_be_lost_are_not_committed_again() {
+    struct Case {
+        name: &'static str,
+        /// The node that held the lease before the restore.
+        holder: &'static str,
+        /// Whether that node passed its totals on.
+        told: bool,
+        committed_at: Millis,
+        unknown: bool,
+    }
+    let case = |name, holder, told, committed_at, unknown| Case {
+        name,
+        holder,
+        told,
+        committed_at: Millis(committed_at),
+        unknown,
+    };
+    let cases = [
+        case("the holder itself", "a", false, 90_000, false),
+        case("another node", "b", false, 90_000, true),
+        case("another node that was told", "b", true, 90_000, false),
+        case("a window of the time after", "b", false, 110_000, false),
+    ];
+    for case in cases {
+        let mut lease = Lease::new("a".into(), 1, TERMS, Millis(0));
+        lease.begin(Era(1));
+        let take = DutyRecord::Take {
+            node: case.holder.into(),
+            incarnation: 1,
+            number: lease.begin_append(Millis(0)),
+            lost_before: Millis::ZERO,
+        };
+        let entry = DutyEntry {
+            era: Some(Era(1)),
+            record: take,
+        };
+        lease.apply(0, entry, Millis(0));
+        if case.told {
+            lease.learn_totals([(7, [("account".into(), 3)].into())]);
+        }
+        lease.restart(Era(2), Millis(1_000), Millis(100_000));
+        let unknown = lease.has_unknown_totals(7, case.committed_at);
+        assert_eq!(unknown, case.unknown, "{}", case.name);
+    }
+}
