Keep a rollout across a restore of the store

Found by reading: a rollout was identified by the offset of its order. An order that a restore lost and the operator wrote again at a higher offset started a second rollout; a new order at a lower offset than the lost one was ignored. The recorded status was not written again, and a conditional record expected an offset of the earlier era.

Now the era is part of what identifies a rollout and of the recorded status. When the store is restored, nodes forget what it has recorded, and the holder reads the status and records what is missing.

Tests: gateway_rollouts::the_status_of_a_rollout_is_written_again_after_a_restore. Before: no status after the restore. gateway_rollouts::an_order_that_is_written_again_is_the_same_rollout (unit; did not compile before).

--- a/src/gateway/restore.rs
+++ b/src/gateway/restore.rs
@@ -71,6 +71,7 @@
         };
         warn!(self.log, "the store was restored"; "era" => era.0, "before" => before.0,
             "topic" => ?topic, "position" => state.next_in(topic));
+        state.rollouts.forget_recorded();
         state.lease.restart(era, self.clock.since_boot(), wall);
     }
 }
--- a/src/gateway/rollout/control.rs
+++ b/src/gateway/rollout/control.rs
@@ -3,16 +3,16 @@
 use slog::{info, warn};
 
 use crate::error::Error;
-use crate::gateway::{Append, Node, Topic};
+use crate::gateway::{Append, Era, Node, Topic};
 
 use super::{Progress, Stage};
 
 /// The part of the holder of the duties in rollouts: it records their status in the store.
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct Control {
-    /// Offset at which the next record is expected; none until the topic has been read, and again
-    /// after a record whose outcome is unknown.
-    next: Option<u64>,
+    /// Era and offset at which the next record is expected; none until the topic has been read, and
+    /// again after a record whose outcome is unknown.
+    next: Option<(Era, u64)>,
 }
 
 impl Control {
@@ -41,7 +41,8 @@
     }
 
     async fn record(&mut self, node: &Arc<Node>, progress: &Progress) -> Result<(), Error> {
-        let Some(at) = self.next else {
+        let era = node.state().restores.era();
+        let Some((_, at)) = self.next.filter(|(known, _)| *known == era) else {
             // What is due is decided again with the records that were read.
             self.next = Some(node.read_rollout_status().await?);
             return Ok(());
@@ -49,9 +50,12 @@
         let key = node.documents.rollout_status_key(&progress.order.service);
         let status = node.documents.rollout_status(progress);
         let put = node.store.put(Topic::Status, Some(at), &key, &status);
-        match node.accept(Topic::Status, put.await?)? {
+        let reply = put.await?;
+        let is_later_era = reply.era != era;
+        match node.accept(Topic::Status, reply)? {
+            _ if is_later_era => self.next = None,
             Append::Stored { offset } => {
-                self.next = Some(offset + 1);
+                self.next = Some((era, offset + 1));
                 info!(node.log, "rollout recorded"; "service" => &*progress.order.service,
                     "target" => &*progress.order.target, "stage" => ?progress.stage);
                 node.state().rollouts.record_stored(progress);
@@ -67,8 +71,8 @@
 }
 
 impl Node {
-    /// Applies an order that was read at this offset of the operator's topic. `is_fresh` is whether it
-    /// was given just now.
+    /// Applies an order that was read at this offset of the operator's topic, in the present era.
+    /// `is_fresh` is whether it was given just now.
     pub(in crate::gateway) fn apply_order(
         &self,
         key: &str,
@@ -84,15 +88,22 @@
                 return;
             }
         };
-        let progress = Progress {
+        let mut progress = Progress {
             order,
             offset,
             started: self.wall_time(),
             stage: Stage::Trial,
+            era: Era::default(),
         };
         let now = self.clock.now();
         let is_new = {
             let state = &mut *self.state();
+            let era = state.restores.era();
+            let known = state.rollouts.get(&progress.order.service);
+            let known = known.filter(|_| !is_fresh);
+            progress.era = known.map_or(era, |trial| {
+                trial.progress.era_of(&progress.order, offset, era)
+            });
             let (nodes, _) = state.roster.count_serving(now);
             state.rollouts.learn(&progress, is_fresh.then_some(nodes))
         };
@@ -101,9 +112,11 @@
         }
     }
 
-    /// Reads the status of all rollouts from the store; returns the offset after the last record.
-    pub(in crate::gateway) async fn read_rollout_status(&self) -> Result<u64, Error> {
+    /// Reads the status of all rollouts from the store; returns the era and the offset after the last
+    /// record.
+    pub(in crate::gateway) async fn read_rollout_status(&self) -> Result<(Era, u64), Error> {
         let reply = self.store.snapshot(Topic::Status).await?;
+        let era = reply.era;
         let snapshot = self.accept(Topic::Status, reply)?;
         for record in snapshot.records {
             let (Some(key), Some(document)) = (record.key, record.value) else {
@@ -123,7 +136,7 @@
                 }
             }
         }
-        Ok(snapshot.end)
+        Ok((era, snapshot.end))
     }
 
     /// Reverts the versions that the evidence finds worse.
@@ -147,7 +160,7 @@
 
     pub(in crate::gateway) fn log_rollout(&self, progress: &Progress, source: &str) {
         info!(self.log, "rollout"; "service" => &*progress.order.service,
-            "target" => &*progress.order.target, "offset" => progress.offset,
+            "target" => &*progress.order.target, "era" => progress.era.0, "offset" => progress.offset,
             "stage" => ?progress.stage, "deadline" => progress.deadline().0, "source" => source);
     }
 }
--- a/src/gateway/rollout/evidence.rs
+++ b/src/gateway/rollout/evidence.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::gateway::Era;
 use crate::gateway::endpoint::Key;
 use crate::rollout::{
     Arm, Comparison, Detector, MAX_FALSE_TRIP_PROBABILITY, Metric, Outcome, SUSPICION_LIMIT,
@@ -31,7 +32,9 @@
 pub struct Report {
     /// The service.
     pub service: Arc<str>,
-    /// Offset of the order, which identifies the rollout.
+    /// Era of the order, which identifies the rollout together with the offset.
+    pub era: Era,
+    /// Offset of the order.
     pub offset: u64,
     /// Counters by route.
     pub routes: Vec<(Arc<str>, Comparison)>,
--- a/src/gateway/rollout/rollouts.rs
+++ b/src/gateway/rollout/rollouts.rs
@@ -76,6 +76,7 @@
         open.map(|trial| Report {
             service: Arc::clone(&trial.progress.order.service),
             offset: trial.progress.offset,
+            era: trial.progress.era,
             routes: trial.evidence.counters(),
         })
         .collect()
@@ -108,12 +109,12 @@
     pub fn learn(&mut self, progress: &Progress, nodes: Option<usize>) -> bool {
         let service = &progress.order.service;
         if let Some(trial) = self.trials.get_mut(service) {
-            if trial.progress.offset > progress.offset {
-                return false;
-            }
-            if trial.progress.offset == progress.offset {
+            if trial.progress.is_same(progress) {
                 return trial.merge(progress);
             }
+            if trial.progress.position() > progress.position() {
+                return false;
+            }
         } else if self.trials.len() >= MAX_SERVICES {
             return false;
         }
@@ -127,13 +128,20 @@
     pub fn record_stored(&mut self, progress: &Progress) -> bool {
         let is_new = self.learn(progress, None);
         if let Some(trial) = self.trials.get_mut(&progress.order.service)
-            && trial.progress.offset == progress.offset
+            && trial.progress.is_same(progress)
         {
             trial.recorded = Some(progress.stage);
         }
         is_new
     }
 
+    /// Forgets which stages the store has, because it was restored.
+    pub fn forget_recorded(&mut self) {
+        for trial in self.trials.values_mut() {
+            trial.recorded = None;
+        }
+    }
+
     /// Counts a request that is sent to an endpoint of this version.
     pub fn record_sent(&mut self, service: &str, version: &str) {
         if let Some(trial) = self.trials.get_mut(service) {
--- a/src/gateway/rollout/trial.rs
+++ b/src/gateway/rollout/trial.rs
@@ -150,7 +150,7 @@
 
     /// Merges the counters of another node.
     pub fn merge_report(&mut self, node: &Arc<str>, incarnation: u64, report: &Report) {
-        if report.offset == self.progress.offset {
+        if (report.era, report.offset) == self.progress.position() {
             self.evidence.merge(node, incarnation, &report.routes);
         }
     }
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -8,8 +8,8 @@
 use crate::error::{Error, ErrorKind};
 use crate::gateway::rollout::{Order, Progress, Stage};
 use crate::gateway::{
-    Account, Config, Documents, Engine, Identity, Limits, Quota, Registration, RetryPolicy, Route,
-    Scale, Service, Share,
+    Account, Config, Documents, Engine, Era, Identity, Limits, Quota, Registration, RetryPolicy,
+    Route, Scale, Service, Share,
 };
 
 /// Key of the configuration in the operator's topic.
@@ -172,6 +172,9 @@
     order: u64,
     /// Wall time in milliseconds at which the order became known.
     started: u64,
+    /// Era of the store in which the order has its offset.
+    #[serde(default)]
+    era: u64,
 }
 
 impl Documents for Decoder {
@@ -236,6 +239,7 @@
             duration_s: progress.order.duration.as_f64() / 1_000.0,
             order: progress.offset,
             started: progress.started.0,
+            era: progress.era.0,
         };
         serde_json::to_vec(&status).expect("a status has string keys only")
     }
@@ -279,6 +283,7 @@
         offset: document.order,
         started: Millis(document.started),
         stage,
+        era: Era(document.era),
     })
 }
 
--- a/tests/integration/gateway_rollouts.rs
+++ b/tests/integration/gateway_rollouts.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use almondpath::clock::Millis;
-use almondpath::gateway::Key;
 use almondpath::gateway::rollout::{ExposureLimit, Order, Progress, Rollouts, Stage, Versions};
+use almondpath::gateway::{Era, Key};
 use almondpath::rollout::Outcome;
 use futures::future::join_all;
 use rand::rngs::SmallRng;
@@ -174,6 +174,75 @@
     assert_eq!(rollout.exposed(), before);
 }
 
+/// Guards against a status that a restored store lost and nobody writes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_of_a_rollout_is_written_again_after_a_restore() {
+    let rollout = Rollout::start(Behaviour::Respond(200, 10)).await;
+    rollout.send_for(Duration::from_secs(1)).await;
+    let copy = rollout.deployment.store.copy();
+    rollout.order();
+    eventually("the rollout is recorded", async || {
+        rollout.state() == Some(json!("active"))
+    })
+    .await;
+    rollout.deployment.store.restore(copy);
+    rollout.order();
+    rollout.send_for(DURATION / 2).await;
+    assert_eq!(rollout.state(), Some(json!("active")));
+}
+
+/// Guards against a second rollout by an order that was lost with a restore of the store and written
+/// again, and against an order that is ignored because its offset is lower than the one before.
+#[test]
+fn an_order_that_is_written_again_is_the_same_rollout() {
+    struct Case {
+        name: &'static str,
+        orders: &'static [(u64, u64, &'static str)],
+        stage: Stage,
+    }
+    let case = |name, orders, stage| Case {
+        name,
+        orders,
+        stage,
+    };
+    let cases = [
+        case("lower offset", &[(2, 38, "v2")], Stage::Reverted),
+        case("higher offset", &[(2, 45, "v2")], Stage::Reverted),
+        case(
+            "late news",
+            &[(2, 38, "v2"), (1, 40, "v2")],
+            Stage::Reverted,
+        ),
+        case("another order", &[(2, 38, "v3")], Stage::Trial),
+        case(
+            "same once more",
+            &[(2, 38, "v2"), (2, 39, "v2")],
+            Stage::Trial,
+        ),
+        case("earlier order", &[(1, 5, "v1")], Stage::Reverted),
+    ];
+    for case in cases {
+        let mut rollouts = Rollouts::new(LIMIT);
+        let progress = |(era, offset, target): (u64, u64, &str), stage| Progress {
+            order: Order {
+                service: "app".into(),
+                target: target.into(),
+                duration: Millis(15_000),
+            },
+            offset,
+            started: Millis(10_000),
+            stage,
+            era: Era(era),
+        };
+        rollouts.learn(&progress((1, 40, "v2"), Stage::Reverted), Some(1));
+        for order in case.orders {
+            rollouts.learn(&progress(*order, Stage::Trial), Some(1));
+        }
+        let trial = rollouts.get("app").expect("a rollout");
+        assert_eq!(trial.progress.stage, case.stage, "{}", case.name);
+    }
+}
+
 const LIMIT: ExposureLimit = ExposureLimit {
     share: EXPOSURE_SHARE,
     slack: 50.0,
@@ -338,6 +407,7 @@
             offset: 1,
             started,
             stage: Stage::Trial,
+            era: Era::default(),
         };
         let count = self.nodes.len();
         for node in &mut self.nodes {
