Write the record of a node again after a restore of the store

Cause: a node wrote its record in `keyed.nodes` once, at its start. A restore to a copy from before lost it for good, and nodes that start later did not find it there.

Now a node writes its record whenever the era has risen; it checks each second, and reads the records of the others as often as before.

Test: gateway_restore::the_record_of_a_node_is_written_again_after_a_restore. Before: "timed out waiting until the record is written again" (20 s).

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -12,7 +12,7 @@
 
 use super::changelog::{EntryState, Position};
 use super::fleet::{Fleet, MISSING_TIMEOUT};
-use super::{Node, Page, Record, Topic};
+use super::{Era, Node, Page, Record, Topic};
 
 /// Time for which a read waits for records, as a fraction of the time limit for updates of the
 /// topic. A longer wait saves reads, each of which is charged for, but only a response confirms that
@@ -360,7 +360,8 @@
     peer: SocketAddr,
 }
 
-/// Writes the record of this node once, and reads those of the other nodes from time to time.
+/// Writes the record of this node, again after each restore of the store, and reads those of the
+/// other nodes from time to time.
 ///
 /// # Errors
 ///
@@ -370,33 +371,47 @@
         peer: node.settings.peer,
     })?;
     let started = node.clock.now();
-    let mut written = false;
+    let mut written = None;
+    let mut read_at = None;
     loop {
-        if !written {
-            let put = node
-                .store
-                .put(Topic::Nodes, None, &node.settings.node, &own_record);
-            let put = put.await.and_then(|reply| node.accept(Topic::Nodes, reply));
-            written = put.is_ok();
+        if written != Some(node.state().restores.era()) {
+            written = write_own_record(&node, &own_record).await;
         }
+        let now = node.clock.now();
         let alone = node.state().roster.members().next().is_none();
-        if alone || node.is_reader() {
-            let snapshot = node.store.snapshot(Topic::Nodes).await;
-            match snapshot.and_then(|reply| node.accept(Topic::Nodes, reply)) {
-                Ok(snapshot) => merge_known_nodes(&node, &snapshot.records),
-                Err(error) => {
-                    slog::debug!(node.log, "reading the records of the nodes failed";
-                        "reason" => %error);
-                }
-            }
-        }
-        let starting = node.clock.now() - started < STARTUP_PERIOD || !written || alone;
-        let pause = if starting {
+        let starting = now - started < STARTUP_PERIOD || written.is_none() || alone;
+        let interval = if starting {
             STARTUP_NODES_INTERVAL
         } else {
             NODES_INTERVAL
         };
-        sleep(pause.into()).await;
+        if read_at.is_none_or(|at| at + interval <= now) {
+            read_at = Some(now);
+            if alone || node.is_reader() {
+                read_node_records(&node).await;
+            }
+        }
+        sleep(STARTUP_NODES_INTERVAL.into()).await;
+    }
+}
+
+/// Writes the record of this node; returns the era in which it was stored.
+async fn write_own_record(node: &Node, record: &[u8]) -> Option<Era> {
+    let name = &node.settings.node;
+    let put = node.store.put(Topic::Nodes, None, name, record).await;
+    let reply = put.ok()?;
+    let era = reply.era;
+    node.accept(Topic::Nodes, reply).ok()?;
+    Some(era)
+}
+
+async fn read_node_records(node: &Node) {
+    let snapshot = node.store.snapshot(Topic::Nodes).await;
+    match snapshot.and_then(|reply| node.accept(Topic::Nodes, reply)) {
+        Ok(snapshot) => merge_known_nodes(node, &snapshot.records),
+        Err(error) => {
+            slog::debug!(node.log, "reading the records of the nodes failed"; "reason" => %error);
+        }
     }
 }
 
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -5,8 +5,8 @@
 use almondpath::clock::Millis;
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
-    Changelog, EntryState, Era, Fleet, Identity, Lifecycle, Load, Position, Prompt, Query, Registration,
-    Segment, choose,
+    Changelog, EntryState, Era, Fleet, Identity, Lifecycle, Load, Position, Prompt, Query,
+    Registration, Segment, choose,
 };
 
 const SERVICE: &str = "engines";
--- a/tests/integration/gateway_restore.rs
+++ b/tests/integration/gateway_restore.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::harness::eventually;
-use crate::platform::{Behaviour, Deployment, Engine, Request, config};
+use crate::platform::{Behaviour, Content, Deployment, Engine, Request, config};
 
 /// Time after which a restored store has other records at the offsets that were lost.
 const LOST_TIME: Duration = Duration::from_secs(4);
@@ -144,3 +144,19 @@
     }
     assert_eq!(leaves.received().len(), before);
 }
+
+/// Guards against the loss of a node's record, which other nodes need to find it.
+#[tokio::test]
+async fn the_record_of_a_node_is_written_again_after_a_restore() {
+    let deployment = deployment(1).await;
+    eventually("the record is written", async || {
+        deployment.store.value("keyed.nodes", "edge-0").is_some()
+    })
+    .await;
+    deployment.store.restore(Content::default());
+    deployment.store.put("keyed.op", "config", &config(1));
+    eventually("the record is written again", async || {
+        deployment.store.value("keyed.nodes", "edge-0").is_some()
+    })
+    .await;
+}
--- a/tests/integration/platform/mod.rs
+++ b/tests/integration/platform/mod.rs
@@ -11,4 +11,4 @@
 pub(crate) use self::cloud::Cloud;
 pub(crate) use self::deployment::{Deployment, config};
 pub(crate) use self::engine::{Behaviour, Engine};
-pub(crate) use self::store::{Faults, Store};
+pub(crate) use self::store::{Content, Faults, Store};
