Break off a stream whose body contains anything but events

What callers saw: a stream that broke off and resumed at another endpoint contained the text of that endpoint's error, at times a whole HTTP head, and ended as if it were complete. On streaming routes, the first endpoint's error text came with status 200 as well.

Cause: the relay splits a body at empty lines, and checked ids only where there were any. Text, JSON, HTML and an HTTP head with an empty line passed as events without an id. So did text that precedes the fields of an event with the right id.

Ruled out: responses with status 404, 500 and 503, without a signature, or with the id of another request, and events that are repeated or skipped; these cases passed before. Text without an empty line was an incomplete event, which was never passed on.

Why the fix works: all events of a stream have consecutive ids, so that an event without one is none, and each line of an event has to be a comment or a field. The endpoint counts as failed, and another one resumes or the connection to the caller is broken off. Text that looks like a field, in an event with the right id, can't be told from a field that is not known yet.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -3,6 +3,9 @@
 /// Largest event that is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Names of fields that may lack a colon and a value.
+const BARE_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
 /// One complete event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -12,6 +15,8 @@
     pub id: Option<u64>,
     /// Whether it has no fields, only comments, which endpoints send to keep connections open.
     pub is_comment: bool,
+    /// Whether each line is a field or a comment; lines of other text are neither.
+    pub is_well_formed: bool,
 }
 
 /// Splits an event stream into complete events without changing any byte.
@@ -78,10 +83,12 @@
         self.searched = 0;
         let id = id(&bytes);
         let is_comment = is_comment(&bytes);
+        let is_well_formed = bytes.split(|byte| *byte == b'\n').all(is_field);
         Some(Event {
             bytes,
             id,
             is_comment,
+            is_well_formed,
         })
     }
 }
@@ -92,6 +99,19 @@
     lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
+/// Returns whether a line of an event is empty, a comment or a field.
+///
+/// Names of fields are in lower case, unlike those of HTTP headers, and all but the standard ones come
+/// with a colon, unlike the words of an error message.
+fn is_field(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    let has_colon = name.len() < line.len();
+    let is_name_byte =
+        |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || *byte == b'-';
+    line.is_empty() || BARE_FIELDS.contains(&name) || (has_colon && name.iter().all(is_name_byte))
+}
+
 /// Returns the number in the `id` field of an event.
 fn id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -191,7 +191,7 @@
         Some(bytes.freeze())
     }
 
-    /// Splits bytes of the endpoint into events and checks that their ids are consecutive.
+    /// Splits bytes of the endpoint into events and checks that they are events with consecutive ids.
     fn ingest(&mut self, bytes: &[u8]) -> Result<(), String> {
         if !self.events.push(bytes) {
             return Err("an event exceeds the size limit".to_owned());
@@ -208,7 +208,10 @@
             }
             events += 1;
             self.comment_bytes = 0;
-            if let (Some(id), Some(last)) = (event.id, self.last_event) {
+            let Some(id) = event.id.filter(|_| event.is_well_formed) else {
+                return Err("the body contains text that is no event with an id".to_owned());
+            };
+            if let Some(last) = self.last_event {
                 if id <= last {
                     return Err(format!("event {id} repeated or out of order after {last}"));
                 }
@@ -216,7 +219,7 @@
                     return Err(format!("events missing between {last} and {id}"));
                 }
             }
-            self.last_event = event.id.or(self.last_event);
+            self.last_event = Some(id);
             self.pending.push_back(event.bytes);
         }
         if events > 0 {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -20,6 +20,7 @@
 mod gateway_rollouts;
 mod gateway_scaler;
 mod gateway_serving;
+mod gateway_streams;
 mod gateway_upstream;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
--- a/tests/integration/platform/deployment.rs
+++ b/tests/integration/platform/deployment.rs
@@ -155,6 +155,11 @@
 impl Deployment {
     /// Starts a platform with these engines and this many gateways, and waits until all are ready.
     pub(crate) async fn start(gateways: usize, engines: Vec<Engine>) -> Self {
+        Self::start_with(gateways, engines, &config(1)).await
+    }
+
+    /// As [`Deployment::start`], with another first configuration.
+    pub(crate) async fn start_with(gateways: usize, engines: Vec<Engine>, config: &Value) -> Self {
         let mut deployment = Self {
             store: Store::start().await,
             cloud: Cloud::start().await,
@@ -162,7 +167,7 @@
             gateways: Vec::new(),
             temp_dir: TempDir::new().expect("a temporary directory"),
         };
-        deployment.store.put("keyed.op", "config", &config(1));
+        deployment.store.put("keyed.op", "config", config);
         for engine in &deployment.engines {
             let entry = engine.entry("ready", 1);
             deployment.store.put("keyed.servers", &engine.id, &entry);
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -22,6 +23,12 @@
     StreamUntilClose(u64, &'static str),
     /// Writes the first text, and the second one until the gateway closes the connection.
     Endless(&'static str, &'static str),
+    /// Responds with this body, framed as whole. `{next}` stands for the next event of the stream,
+    /// `{last}` for the one before, and `{skip}` for the one after.
+    Whole(Framing, &'static str),
+    /// Writes this text and ends the connection. `{head}` stands for a status line and the headers of
+    /// a success, without the empty line, and `{id}` for the id of the request.
+    Raw(&'static str, End),
     /// Declines the request and states that it was not run.
     Decline,
     /// Responds that the request was meant for another endpoint.
@@ -42,6 +49,22 @@
     Close,
 }
 
+/// How the body of a response is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By its length.
+    Length,
+    /// In one chunk, and the last one.
+    Chunks,
+}
+
+/// How a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    Close,
+    Reset,
+}
+
 /// A request that an engine received.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -52,6 +75,8 @@
     pub(crate) ran: bool,
     /// Whether the gateway closed the connection before the response ended.
     pub(crate) disconnected: bool,
+    /// Whether the connection had carried an earlier request.
+    pub(crate) reused: bool,
 }
 
 impl ReceivedRequest {
@@ -70,6 +95,8 @@
     pub(crate) service: String,
     pub(crate) address: SocketAddr,
     behaviour: Arc<Mutex<Behaviour>>,
+    /// Behaviours for the next requests, in order; shared by the engines of a group.
+    sequence: Arc<Mutex<VecDeque<Behaviour>>>,
     /// Header lines that all responses have in addition.
     headers: Arc<Mutex<String>>,
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
@@ -77,12 +104,36 @@
 
 impl Engine {
     pub(crate) async fn start(id: &str, service: &str, behaviour: Behaviour) -> Self {
+        Self::start_with(id, service, behaviour, Arc::default()).await
+    }
+
+    /// Starts engines that behave like this in the order in which they get requests, whichever of
+    /// them gets one, and like the last behaviour from then on.
+    pub(crate) async fn group(service: &str, count: usize, behaviours: &[Behaviour]) -> Vec<Self> {
+        let sequence: Arc<Mutex<VecDeque<_>>> =
+            Arc::new(Mutex::new(behaviours.iter().copied().collect()));
+        let last = *behaviours.last().expect("a behaviour");
+        let mut engines = Vec::new();
+        for number in 0..count {
+            let sequence = Arc::clone(&sequence);
+            engines.push(Self::start_with(&format!("e{number}"), service, last, sequence).await);
+        }
+        engines
+    }
+
+    async fn start_with(
+        id: &str,
+        service: &str,
+        behaviour: Behaviour,
+        sequence: Arc<Mutex<VecDeque<Behaviour>>>,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let engine = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr().expect("a bound address"),
             behaviour: Arc::new(Mutex::new(behaviour)),
+            sequence,
             headers: Arc::default(),
             received: Arc::default(),
         };
@@ -130,15 +181,19 @@
     }
 
     async fn connection(&self, mut stream: TcpStream) {
+        let mut reused = false;
         while let Some((head, body)) = read(&mut stream).await {
-            let behaviour = *self.behaviour.lock().expect("no panic");
+            let next = self.sequence.lock().expect("no panic").pop_front();
+            let behaviour = next.unwrap_or(*self.behaviour.lock().expect("no panic"));
             let ran = !matches!(behaviour, Behaviour::Decline | Behaviour::Misdirected);
             let request = ReceivedRequest {
                 head,
                 body,
                 ran,
                 disconnected: false,
+                reused,
             };
+            reused = true;
             let index = {
                 let mut all = self.received.lock().expect("no panic");
                 all.push(request.clone());
@@ -230,6 +285,30 @@
                 self.received.lock().expect("no panic")[index].disconnected = true;
                 false
             }
+            Behaviour::Whole(framing, body) => {
+                let body = number_events(body, first);
+                let text = match framing {
+                    Framing::Length => {
+                        let length = format!("Content-Length: {}\r\n", body.len());
+                        head(200, id, &length) + &body
+                    }
+                    Framing::Chunks => {
+                        let chunks = if body.is_empty() { body } else { chunk(&body) };
+                        head(200, id, "Transfer-Encoding: chunked\r\n") + &chunks + "0\r\n\r\n"
+                    }
+                };
+                write(stream, &text).await
+            }
+            Behaviour::Raw(text, end) => {
+                let head = head(200, id, "");
+                let lines = head.strip_suffix("\r\n").expect("an empty line");
+                write(stream, &text.replace("{head}", lines).replace("{id}", id)).await;
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                if end == End::Reset {
+                    reset(stream);
+                }
+                false
+            }
             Behaviour::Decline => {
                 let text = format!(
                     "HTTP/1.1 503 X\r\nX-Almondpath-Attempt-Id: {id}\r\n{added}X-Almondpath-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -289,6 +368,20 @@
     format!("id: {number}\ndata: piece {number}\n\n")
 }
 
+/// Replaces the placeholders of a body, which continues a stream at the event `first`.
+fn number_events(body: &str, first: u64) -> String {
+    let mut body = body
+        .replace("{last}", &event(first.saturating_sub(1)))
+        .replace("{skip}", &event(first + 1));
+    for number in first.. {
+        if !body.contains("{next}") {
+            break;
+        }
+        body = body.replacen("{next}", &event(number), 1);
+    }
+    body
+}
+
 async fn write(stream: &mut TcpStream, text: &str) -> bool {
     stream.write_all(text.as_bytes()).await.is_ok()
 }
