Break off a resumed stream that ends without an event

What callers saw: a stream that broke off, and whose next endpoint responded with an empty body, ended as if it were complete. An empty body of the first endpoint came with status 200.

Cause: the relay took the end of a body with a length or chunks for the end of the stream, also if the endpoint had sent no event.

Ruled out: status 204 and bodies that end with their connection; these cases passed before.

Evidence: gateway_streams::a_resumed_stream_without_an_event_is_not_complete, run against the unchanged gateway, failed in 6 of 8 cases, for example

length 0: complete true, "id: 0 ... id: 2\ndata: piece 2\n\n"

Why the fix works: the end counts only after an event of the same endpoint. After an end within an event, the rest can't be empty. After an end between two events, it may be, but no header or event says that the one before was the last, and a stream that wrongly looks complete is worse than one that is broken off, which the caller may resume. A caller that resumes may have had the last event, so that an empty rest from its first endpoint remains a success if its framing is whole.

--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -307,17 +307,27 @@
         Ok(())
     }
 
-    /// Returns what the end of the body means: the stream is broken off within an event, and, if only
-    /// the connection marks the end, before the first one.
+    /// Returns what the end of the body means: the stream is broken off within an event, and mostly
+    /// before the first one.
     fn end_of_body(&self) -> Chunk {
-        let is_empty = self.ends_with_connection && !self.started;
-        if !self.events.has_partial() && !is_empty {
+        let has_partial = self.events.has_partial();
+        if !has_partial && (self.started || self.may_be_empty()) {
             return Chunk::End;
         }
-        self.call.record_crash(&self.reservation);
+        if has_partial || self.ends_with_connection {
+            self.call.record_crash(&self.reservation);
+        }
         Chunk::Failed("the stream ended within an event or before the first one".to_owned())
     }
 
+    /// Returns whether a whole body without events is the rest of the stream, which it may be if the
+    /// caller resumes: it may have had the last event. If an endpoint broke off the stream here, nothing
+    /// shows that the event before was the last one.
+    fn may_be_empty(&self) -> bool {
+        let caller_resumes = self.call.metadata.resume_after.is_some();
+        caller_resumes && self.status.is_none() && !self.ends_with_connection
+    }
+
     /// Waits for the next chunk of the endpoint's response.
     async fn read_chunk(&mut self) -> Chunk {
         let now = self.call.node.clock.now();
--- a/tests/integration/gateway_streams.rs
+++ b/tests/integration/gateway_streams.rs
@@ -7,6 +7,12 @@
 /// Breaks off after three events and a part of the next one.
 const WITHIN_EVENT: Behaviour = Behaviour::Truncate(3);
 
+/// Breaks off after one event.
+const AFTER_EVENT: Behaviour = Behaviour::Raw(
+    "{head}Transfer-Encoding: chunked\r\n\r\n15\r\nid: 0\ndata: piece 0\n\n\r\n",
+    End::Reset,
+);
+
 /// The rest of a stream of eight events.
 const REST: Behaviour = Behaviour::Stream(8, 1);
 
@@ -142,3 +148,68 @@
     });
     assert_none(join_all(checks).await);
 }
+
+/// Guards against a broken stream that looks complete, because another endpoint responded with an empty
+/// body that is framed as whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_without_an_event_is_not_complete() {
+    struct Case {
+        name: &'static str,
+        broken: Behaviour,
+        rest: Behaviour,
+        events: u64,
+    }
+    let case = |name, broken, rest, events| Case {
+        name,
+        broken,
+        rest,
+        events,
+    };
+    let length = |body| Behaviour::Whole(Framing::Length, body);
+    let chunks = |body| Behaviour::Whole(Framing::Chunks, body);
+    let no_content = Behaviour::Raw(
+        "HTTP/1.1 204 X\r\nX-Almondpath-Attempt-Id: {id}\r\n\
+         X-Almondpath-Engine-Signature: e.1\r\n\r\n",
+        End::Close,
+    );
+    let until_close = Behaviour::Raw("{head}\r\n", End::Close);
+    let cases = [
+        case("no length", WITHIN_EVENT, until_close, 3),
+        case("status 204", WITHIN_EVENT, no_content, 3),
+        case("length 0", WITHIN_EVENT, length(""), 3),
+        case("only comments", WITHIN_EVENT, length(":\n\n:\n\n"), 3),
+        case("no chunk", WITHIN_EVENT, chunks(""), 3),
+        case("comments in a chunk", WITHIN_EVENT, chunks(":\n\n"), 3),
+        // The endpoint may have broken off after its last event, but nothing shows that it has.
+        case("length 0 after an event", AFTER_EVENT, length(""), 1),
+        case("no chunk after an event", AFTER_EVENT, chunks(""), 1),
+    ];
+    let checks = cases.iter().map(async |case| {
+        let behaviours = [case.broken, case.rest];
+        differences(case.name, &behaviours, case.events).await
+    });
+    assert_none(join_all(checks).await);
+}
+
+/// Guards against an empty success for the caller of a stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_an_event_is_a_failure() {
+    assert_fails_before_first_event(&[
+        ("length 0", Framing::Length, ""),
+        ("no chunk", Framing::Chunks, ""),
+        ("only comments", Framing::Length, ":\n\n"),
+    ])
+    .await;
+}
+
+/// Guards against a failure for a caller that resumes and already has all events.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_has_all_events_gets_an_empty_rest() {
+    for framing in [Framing::Length, Framing::Chunks] {
+        let mut request = Request::new("/resumed/x");
+        request.headers.push(("last-event-id", "7".to_owned()));
+        let response = send(&request, &[Behaviour::Whole(framing, "")]).await;
+        assert_eq!((response.status, &*response.body), (200, ""), "{framing:?}");
+        assert!(response.complete, "{framing:?}");
+    }
+}
