Guard against broken-off responses that look whole

Operators of other systems saw a status 200 with an empty or short body, framed as whole, after an endpoint had stopped within the head of its response.

They cut a response at 17 places of its head, also after an interim head, and at 12 places of a body with a length or chunks, up to the end of the trailers. Each is sent with a regular close and with a reset, on a new and on a reused connection, on each kind of route. The HTTP client reports each of them as an incomplete message, which is a failed attempt.

A body with neither a length nor chunks ends with its connection, as the platform allows, so that a regular close within it can't be told from its end. After a reset, it is incomplete.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,6 +16,7 @@
 mod gateway_limits;
 mod gateway_outcomes;
 mod gateway_quarantine;
+mod gateway_responses;
 mod gateway_restore;
 mod gateway_rollouts;
 mod gateway_scaler;
