Read a topic on after a malformed record

What callers saw: after another writer left one record without a readable key among the entries of the endpoints, new endpoints got no requests and those that left were not noticed. In the operator's topic, new configurations were not taken.

Cause: a record that is empty, or shorter than the length of its key, was an error for the whole page. The follower read the same page again and again.

Ruled out: values of entries, orders and configurations that are nested 10,000 and 200,000 levels deep, numbers that are out of range, invalid addresses, invalid UTF-8, 200 kB of garbage, empty keys and keys with odd bytes. They were in the topics of the failing tests and are passed over now that the page is read; no process ended and no task failed.

Evidence: run against the unchanged code, gateway_store::a_malformed_record_does_not_stop_the_topic failed with "malformed records in the response of the store", gateway_odd_entries::odd_entries_among_the_endpoints_are_passed_over with "timed out waiting until edge-0 responds with 200", and odd_records_in_the_operators_topic_are_passed_over with "timed out waiting until the configuration is active everywhere". All pass now.

Why the fix works: such a record is read as one without key and value, which all followers pass over, and its offset counts. A page whose framing is broken is still an error, since the offsets of its records are unknown.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -189,35 +189,32 @@
             return Err(malformed());
         }
         let content = body.split_to(length);
-        records.push(decode_record(content, offset, keyed)?);
+        records.push(decode_record(content, offset, keyed));
         offset += 1;
     }
     Ok(Page::Records { records, end })
 }
 
 /// Decodes the content of a record. In keyed topics it starts with the length of the key and the
-/// key, and a record without a value removes the key.
-fn decode_record(mut content: Bytes, offset: u64, keyed: bool) -> Result<Record, Error> {
-    if !keyed {
-        return Ok(Record {
-            key: None,
-            value: Some(content),
-            offset,
-        });
-    }
-    if !content.has_remaining() {
-        return Err(malformed());
-    }
-    let length = usize::from(content.get_u8());
-    if content.remaining() < length {
-        return Err(malformed());
-    }
-    let key = content.split_to(length);
-    Ok(Record {
-        key: Some(String::from_utf8_lossy(&key).into()),
-        value: (!content.is_empty()).then_some(content),
+/// key, and a record without a value removes the key. A malformed record has neither key nor value, so
+/// that the topic is read on after it.
+fn decode_record(content: Bytes, offset: u64, keyed: bool) -> Record {
+    let (key, value) = if keyed {
+        split_key(content).unzip()
+    } else {
+        (None, Some(content))
+    };
+    Record {
+        key: key.map(|key| String::from_utf8_lossy(&key).into()),
+        value: value.filter(|value| !keyed || !value.is_empty()),
         offset,
-    })
+    }
+}
+
+/// Splits the content of a record into key and value.
+fn split_key(mut content: Bytes) -> Option<(Bytes, Bytes)> {
+    let length = usize::from(content.try_get_u8().ok()?);
+    (content.remaining() >= length).then(|| (content.split_to(length), content))
 }
 
 #[async_trait]
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod gateway_fleet;
 mod gateway_lease;
 mod gateway_limits;
+mod gateway_odd_entries;
 mod gateway_outcomes;
 mod gateway_quarantine;
 mod gateway_responses;
@@ -21,6 +22,7 @@
 mod gateway_rollouts;
 mod gateway_scaler;
 mod gateway_serving;
+mod gateway_store;
 mod gateway_streams;
 mod gateway_upstream;
 #[allow(dead_code, reason = "not every feature uses every helper")]
--- a/tests/integration/platform/store.rs
+++ b/tests/integration/platform/store.rs
@@ -45,6 +45,10 @@
     topics: HashMap<String, Topic>,
     /// The latest value of each key and its offset, by topic; these never expire.
     latest: HashMap<String, BTreeMap<String, (u64, Vec<u8>)>>,
+    /// Items that the lists of the latest values have in addition, by topic.
+    odd_items: HashMap<String, Vec<Value>>,
+    /// Largest number of items in a list; no limit if 0.
+    page_items: usize,
 }
 
 struct State {
@@ -113,6 +117,24 @@
         self.appended.notify_waiters();
     }
 
+    /// Appends a record as it is, which need not contain a key.
+    pub(crate) fn append_raw(&self, topic: &str, record: &[u8]) {
+        let record = record.to_vec();
+        self.state.lock().expect("no panic").append(topic, record);
+        self.appended.notify_waiters();
+    }
+
+    /// Adds an item, which need not have a key or a value, to the lists of the latest values.
+    pub(crate) fn add_odd_item(&self, topic: &str, item: Value) {
+        let odd_items = &mut self.state.lock().expect("no panic").content.odd_items;
+        odd_items.entry(topic.to_owned()).or_default().push(item);
+    }
+
+    /// Limits the number of items in a list of the latest values.
+    pub(crate) fn set_page_items(&self, items: usize) {
+        self.state.lock().expect("no panic").content.page_items = items;
+    }
+
     /// Removes a key.
     pub(crate) fn remove(&self, topic: &str, key: &str) {
         self.put_bytes(topic, key, &[]);
@@ -164,10 +186,11 @@
     fn append(&mut self, name: &str, record: Vec<u8>) -> u64 {
         let topic = self.topics.entry(name.to_owned()).or_default();
         let offset = topic.end();
-        if name.starts_with("keyed.") {
-            let length = usize::from(record[0]);
-            let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
-            let value = record[length + 1..].to_vec();
+        if name.starts_with("keyed.")
+            && let Some((key, value)) = split_record(&record)
+        {
+            let key = String::from_utf8_lossy(key).into_owned();
+            let value = value.to_vec();
             let latest = self.latest.entry(name.to_owned()).or_default();
             if value.is_empty() {
                 latest.remove(&key);
@@ -180,6 +203,26 @@
     }
 }
 
+/// Splits a record into key and value; none if it is too short.
+fn split_record(record: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (length, rest) = record.split_first()?;
+    rest.split_at_checked(usize::from(*length))
+}
+
+/// Decodes the percent-encoding of a query value.
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let code = after.get(..2).filter(|_| *first == b'%');
+        let code = code.and_then(|code| std::str::from_utf8(code).ok());
+        let byte = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        bytes.push(byte.unwrap_or(*first));
+        rest = if byte.is_some() { &after[2..] } else { after };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Returns the response to a call, with the header that all responses have.
 async fn handle(state: &Mutex<State>, appended: &Notify, call: Call) -> (Response, HeaderMap) {
     let (response, era) = respond(state, appended, call).await;
@@ -259,14 +302,21 @@
 
 fn latest(content: &Content, call: &Call) -> Response {
     let name = topic_of(call);
-    let items: Vec<Value> = content.latest.get(name).map_or_else(Vec::new, |latest| {
-        let items = latest.iter().map(|(key, (offset, value))| {
+    let after = call.query_value("after").map(percent_decode);
+    let latest = content.latest.get(name).into_iter().flatten();
+    let mut items: Vec<Value> = latest
+        .filter(|(key, _)| after.as_ref().is_none_or(|after| *key > after))
+        .map(|(key, (offset, value))| {
             json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
-        });
-        items.collect()
-    });
+        })
+        .collect();
+    let truncated = content.page_items > 0 && items.len() > content.page_items;
+    if truncated {
+        items.truncate(content.page_items);
+    }
+    items.extend(content.odd_items.get(name).into_iter().flatten().cloned());
     let end = content.topics.get(name).map_or(0, Topic::end);
-    let body = json!({ "items": items, "truncated": false, "end_offset": end });
+    let body = json!({ "items": items, "truncated": truncated, "end_offset": end });
     Some((200, body.to_string().into_bytes()))
 }
 
