Read the latest records of a topic despite an unreadable one

What callers saw: a node that started did not learn of any endpoint, or of new configurations, while one item in the store's list of the latest records had a value that is no Base64, or a key that is no text.

Cause: the list was decoded as a whole, and one such item was an error. The node read the list again and again; an unreadable status of a rollout also held up the operator's topic, since a node reads all of them first.

Ruled out: odd documents in the topics of nodes, status and duties, as in the tests of the other topics; only the unreadable items failed. A record in the topic of duties without a valid document was passed over before.

Why the fix works: each item is decoded by itself. One without a readable key is left out. One with a key stays as a record with an empty value, which describes nothing, because an endpoint that is missing from the list would count as removed.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use hyper::{HeaderMap, Method, StatusCode};
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
@@ -132,19 +133,12 @@
 /// One page of the latest records of all keys.
 #[derive(Deserialize)]
 struct Newest {
-    items: Vec<Item>,
+    /// Objects with a key, a value in Base64 and an offset; another writer may have left others.
+    items: Vec<Value>,
     truncated: bool,
     end_offset: u64,
 }
 
-#[derive(Deserialize)]
-struct Item {
-    key: Arc<str>,
-    /// The value in Base64.
-    value: String,
-    offset: u64,
-}
-
 fn parse<T>(body: &[u8]) -> Result<T, Error>
 where
     T: for<'a> Deserialize<'a>,
@@ -170,6 +164,21 @@
     )
 }
 
+/// Decodes an item of the latest records; none if its key is unreadable. If anything else is, the record
+/// has an empty value: the key is present, but its value describes nothing.
+fn decode_item(item: &Value) -> Option<Record> {
+    let key = item.get("key")?.as_str()?;
+    let value = item.get("value").and_then(Value::as_str);
+    let value = value.and_then(|value| STANDARD.decode(value).ok());
+    let offset = item.get("offset").and_then(Value::as_u64);
+    let (value, offset) = value.zip(offset).unwrap_or_default();
+    Some(Record {
+        key: Some(key.into()),
+        value: Some(value.into()),
+        offset,
+    })
+}
+
 /// Decodes a page: the end offset of the topic and the first retained offset, then the records,
 /// each preceded by its length.
 fn decode_page(mut body: Bytes, from: u64, keyed: bool) -> Result<Page, Error> {
@@ -245,21 +254,19 @@
                 // the caller reads all records that were appended since then.
                 snapshot.end = page.end_offset;
             }
-            after = page.items.last().map(|item| Arc::clone(&item.key));
-            for item in page.items {
-                let value = STANDARD.decode(&item.value).map_err(|_| malformed())?;
-                snapshot.records.push(Record {
-                    key: Some(item.key),
-                    value: Some(value.into()),
-                    offset: item.offset,
-                });
-            }
-            if !page.truncated || after.is_none() {
+            let records: Vec<_> = page.items.iter().filter_map(decode_item).collect();
+            let last = records.last().and_then(|record| record.key.clone());
+            snapshot.records.extend(records);
+            if !page.truncated || page.items.is_empty() {
                 return Ok(Reply {
                     era,
                     content: snapshot,
                 });
             }
+            if last.is_none() || last == after {
+                return Err(malformed());
+            }
+            after = last;
         }
     }
 
--- a/tests/integration/gateway_odd_entries.rs
+++ b/tests/integration/gateway_odd_entries.rs
@@ -245,3 +245,56 @@
     });
     versions.collect()
 }
+
+/// Guards against a record of another writer in the gateway's own topics that ends a process, or after
+/// which the duties are not performed.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_records_in_the_gateways_own_topics_are_passed_over() {
+    let mut deployment = start(2).await;
+    let node = json!({ "peer": "127.0.0.1:1" });
+    let mut nodes = odd_documents(&node, &["peer"]);
+    nodes.extend(ODD_ADDRESSES.map(|text| with_field(&node, "peer", text).into_bytes()));
+    let status = json!({
+        "service": "app", "target": "v2", "state": "active", "duration_s": 5, "order": 1, "started": 1,
+    });
+    let statuses = odd_documents(&status, &["duration_s", "order", "started"]);
+    let renewal = json!({ "kind": "renew", "fence": 1, "number": 1 });
+    let mut duties = odd_documents(&renewal, &["fence", "number"]);
+    let usage = json!({
+        "kind": "usage", "fence": u64::MAX, "window": u64::MAX, "number": u64::MAX,
+        "counts": { "one": u64::MAX, "small": u64::MAX },
+    });
+    duties.push(usage.to_string().into_bytes());
+    for (number, document) in nodes.iter().enumerate() {
+        let key = format!("odd {number}");
+        deployment.store.put_bytes("keyed.nodes", &key, document);
+    }
+    for (number, document) in statuses.iter().enumerate() {
+        let document = String::from_utf8_lossy(document);
+        let document = document.replace("\"app\"", &format!("\"app{number}\""));
+        let key = format!("rollout/app{number}");
+        deployment
+            .store
+            .put_bytes("keyed.status", &key, document.as_bytes());
+    }
+    for topic in ["keyed.nodes", "keyed.status"] {
+        deployment.store.append_raw(topic, b"\x05abc");
+        let item = json!({ "key": "odd item", "value": "***", "offset": 0 });
+        deployment.store.add_odd_item(topic, item);
+    }
+    for document in &duties {
+        deployment.store.append_raw("duties", document);
+    }
+    for version in [2, 3] {
+        let before = deployment.cloud.duty_calls().len();
+        wait_for_status(&deployment, "/unsafe/x", 200).await;
+        eventually("usage is reported", async || {
+            deployment.cloud.duty_calls().len() > before
+        })
+        .await;
+        deployment.store.put("keyed.op", "config", &config(version));
+        wait_for_version(&deployment, version).await;
+        assert_sound(&mut deployment);
+        restart(&mut deployment);
+    }
+}
