Continue the store's list after a key with any characters

What callers saw: a node that started did not learn of any endpoint if a page of the store's list ended with a key that another writer had chosen oddly, for example with a space in it.

Cause: the key went into the URL of the next page without percent-encoding.

Ruled out: keys in records, which are not part of a URL.

Evidence: run against the unchanged code, gateway_store::a_list_continues_after_any_key failed with "invalid uri character" at the first key, "a b". It passes now for 19 keys.

Why the fix works: all bytes but those that have no other meaning in a query are percent-encoded.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -179,6 +179,19 @@
     })
 }
 
+/// Encodes text for the query of a URL.
+fn percent_encode(text: &str) -> String {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~/:".contains(&byte);
+    let encode = |byte: u8| {
+        if is_plain(byte) {
+            char::from(byte).to_string()
+        } else {
+            format!("%{byte:02X}")
+        }
+    };
+    text.bytes().map(encode).collect()
+}
+
 /// Decodes a page: the end offset of the topic and the first retained offset, then the records,
 /// each preceded by its length.
 fn decode_page(mut body: Bytes, from: u64, keyed: bool) -> Result<Page, Error> {
@@ -235,7 +248,7 @@
         loop {
             let mut target = format!("/api/log-newest?topic={}&part=0", topic_name(topic));
             if let Some(after) = &after {
-                target.push_str(&format!("&after={after}"));
+                target.push_str(&format!("&after={}", percent_encode(after)));
             }
             let call = self.call(&self.client, Method::GET, &target, Bytes::new());
             let (era, status, body) = call.await?;
--- a/tests/integration/gateway_store.rs
+++ b/tests/integration/gateway_store.rs
@@ -88,3 +88,36 @@
         );
     }
 }
+
+/// Guards against a list that can't be continued after a key with bytes that have a meaning in a URL.
+#[tokio::test]
+async fn a_list_continues_after_any_key() {
+    let odd = [
+        "a b",
+        "a&topic=x",
+        "a#b",
+        "a%20b",
+        "a%",
+        "a+b",
+        "a?b",
+        "a/b",
+        "a\"b",
+        "a\\b",
+        "a\nb",
+        "a\u{0}b",
+        "\u{e4}",
+        "\u{1f600}",
+        "a\u{fffd}",
+        "a<b>",
+        "a{b}",
+        "a|b",
+        "a^b`",
+    ];
+    for key in odd {
+        let store = Store::start().await;
+        store.set_page_items(1);
+        store.put("keyed.servers", key, &json!(0));
+        store.put("keyed.servers", "\u{1f700}", &json!(1));
+        assert_eq!(keys(&latest(&store).await), [key, "\u{1f700}"], "{key:?}");
+    }
+}
