Reject entries of endpoints at addresses that can't be connected to

What callers saw: an entry of another writer with port 0, or with 0.0.0.0 as its address, counted as an endpoint. Found by reading: requests may be sent there before they go elsewhere, and a node that knows of no other endpoint counts as ready.

Cause: such an address is valid in form.

Ruled out: ports that are too large, and names instead of addresses, are rejected by the parser.

Evidence: gateway_documents::entries_that_do_not_describe_an_endpoint_are_rejected failed with "port 0" before the change and passes now.

Why the fix works: the entry is malformed, as if it had no address, so that it names no endpoint to use.

--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -204,6 +204,9 @@
         if entry.service.is_empty() || id.is_empty() {
             return Err(malformed("service or id is empty".to_owned()));
         }
+        if entry.address.port() == 0 || entry.address.ip().is_unspecified() {
+            return Err(malformed("address cannot be connected to".to_owned()));
+        }
         Ok(Registration {
             identity: Identity {
                 id: id.into(),
--- a/tests/integration/gateway_documents.rs
+++ b/tests/integration/gateway_documents.rs
@@ -152,6 +152,26 @@
             from: "1787322464338",
             to: "1787322464338.5",
         },
+        Case {
+            name: "port that is too large",
+            from: "127.0.0.1:8080",
+            to: "127.0.0.1:70000",
+        },
+        Case {
+            name: "port 0",
+            from: "127.0.0.1:8080",
+            to: "127.0.0.1:0",
+        },
+        Case {
+            name: "unspecified address",
+            from: "127.0.0.1:8080",
+            to: "0.0.0.0:8080",
+        },
+        Case {
+            name: "address that is a name",
+            from: "127.0.0.1:8080",
+            to: "localhost:8080",
+        },
         Case {
             name: "truncated",
             from: "\"spot\":true}",
