Split large entries over several messages between nodes

What callers saw: nothing yet; found while testing entries of other writers. A node that does not read the store itself would learn of no change of an endpoint any more.

Cause: up to 256 entries are passed on at once, whatever their size. An entry that describes an endpoint may have unknown fields of any size, and a message between nodes is limited to 8 MiB, so that 42 entries of 200 kB each make each exchange fail.

Ruled out: entries that describe no endpoint; they are not passed on. A few large ones: gateway_odd_entries passes on entries of 20 kB and 400 kB.

Evidence: gateway_fleet::changes_with_large_entries_are_split failed with "40 entries" of 400 kB in one message, and passes now. That the exchange fails is concluded from the limit, not tried with processes.

Why the fix works: changes are passed on oldest first up to 2 MiB, and at least one, with the version that they lead to; the next exchange continues there.

--- a/src/gateway/changelog.rs
+++ b/src/gateway/changelog.rs
@@ -7,6 +7,10 @@
 
 use super::Era;
 
+/// Maximum size of the entries that are passed on at once, in bytes; a message between nodes may have
+/// 8 MiB. Entries usually have about 250 bytes, but those of other writers may be large.
+const MAX_CHANGE_BYTES: usize = 2 * 1024 * 1024;
+
 /// How far a topic has been read, by this node or by another one that passed its records on.
 ///
 /// A restored store gives offsets out again, so that a position holds only in its era.
@@ -82,7 +86,7 @@
     }
 
     /// Returns up to `limit` changes after `version`, oldest first, with the version that they lead
-    /// to and whether these are all changes.
+    /// to and whether these are all changes. There are fewer if the entries are large.
     #[must_use]
     pub fn changes_since(
         &self,
@@ -92,8 +96,9 @@
         let changes = self.entries.iter().filter(|(_, (at, _))| *at > version);
         let mut changes: Vec<_> = changes.collect();
         changes.sort_unstable_by_key(|(_, (at, _))| *at);
-        let complete = changes.len() <= limit;
-        changes.truncate(limit);
+        let count = count_within(&changes, limit);
+        let complete = changes.len() <= count;
+        changes.truncate(count);
         let last = changes.last().map_or(version, |(_, (at, _))| *at);
         let until = if complete { self.version } else { last };
         let changes = changes.into_iter();
@@ -110,3 +115,15 @@
             .retain(|id, (_, state)| matches!(state, EntryState::Present(_)) || keep(id));
     }
 }
+
+/// Returns how many of the changes are passed on at once: at least one, so that the others follow.
+fn count_within(changes: &[(&Arc<str>, &(u64, EntryState))], limit: usize) -> usize {
+    let mut bytes = 0;
+    let within = changes.iter().take(limit).take_while(|(_, (_, state))| {
+        if let EntryState::Present(document) = state {
+            bytes += document.len();
+        }
+        bytes <= MAX_CHANGE_BYTES
+    });
+    within.count().max(1)
+}
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -410,3 +410,32 @@
     let (_, changes, _) = changelog.changes_since(version, 10);
     assert_eq!(changes, [("e".into(), EntryState::Removed)]);
 }
+
+/// Guards against changes that exceed the size of a message between nodes, so that none arrives.
+#[test]
+fn changes_with_large_entries_are_split() {
+    const ENTRY_BYTES: usize = 400_000;
+    const COUNT: usize = 40;
+    const MAX_BYTES: usize = 2 * 1024 * 1024;
+    let mut changelog = Changelog::default();
+    for number in 0..COUNT {
+        let entry = EntryState::Present(vec![b' '; ENTRY_BYTES].into());
+        changelog.record(&format!("e{number}"), entry);
+    }
+    let (mut version, mut ids, mut complete) = (0, Vec::new(), false);
+    while !complete {
+        let (until, changes, is_last) = changelog.changes_since(version, 256);
+        assert!(!changes.is_empty(), "no progress after {version}");
+        assert!(
+            changes.len() * ENTRY_BYTES <= MAX_BYTES,
+            "{} entries",
+            changes.len()
+        );
+        ids.extend(changes.into_iter().map(|(id, _)| id));
+        (version, complete) = (until, is_last);
+    }
+    let expected: Vec<_> = (0..COUNT)
+        .map(|number| format!("e{number}").into())
+        .collect();
+    assert_eq!(ids, expected);
+}
