--- a/tests/integration/gateway_store.rs
+++ b/tests/integration/gateway_store.rs
@@ -17,7 +17,7 @@
     let client = LogStore::new(store.address);
     let snapshot = timeout(TIMEOUT, client.snapshot(Topic::Endpoints));
     let snapshot = snapshot.await.expect("an end of the list");
-    snapshot.expect("a snapshot").records
+    snapshot.expect("a snapshot").content.records
 }
 
 fn keys(records: &[Record]) -> Vec<&str> {
@@ -34,9 +34,12 @@
         store.put("keyed.servers", "e0", &json!(0));
         store.append_raw("keyed.servers", record);
         let client = LogStore::new(store.address);
-        let read = async |from| match client.read(Topic::Endpoints, from, Millis::ZERO).await {
-            Ok(Page::Records { records, .. }) => records,
-            other => panic!("{record:?}: {other:?}"),
+        let read = async |from| {
+            let reply = client.read(Topic::Endpoints, from, Millis::ZERO).await;
+            match reply.map(|reply| reply.content) {
+                Ok(Page::Records { records, .. }) => records,
+                other => panic!("{record:?}: {other:?}"),
+            }
         };
         let before = read(0).await;
         // The position moves on past the malformed record.
--- a/tests/integration/platform/store.rs
+++ b/tests/integration/platform/store.rs
@@ -119,8 +119,8 @@
 
     /// Appends a record as it is, which need not contain a key.
     pub(crate) fn append_raw(&self, topic: &str, record: &[u8]) {
-        let record = record.to_vec();
-        self.state.lock().expect("no panic").append(topic, record);
+        let content = &mut self.state.lock().expect("no panic").content;
+        content.append(topic, record.to_vec());
         self.appended.notify_waiters();
     }
 
