Read the rest of a refused body that was given a go-ahead

What callers saw: a caller that asked for a go-ahead (Expect: 100-continue), got it, and sent a body that is too large lost the 413: its connection was reset.

Cause: the rest of a refused body was not read from any caller that asks for a go-ahead. The HTTP server gives the go-ahead once the body is read, after which the caller sends.

Why the fix works: Upload holds the body and whether its caller still waits; reading the body ends the wait.

--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -2,13 +2,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, header};
 use rand::Rng;
 use slog::info;
-use tokio::time::timeout;
 
 use crate::clock::Millis;
 use crate::gateway::activity::limits;
@@ -19,8 +17,8 @@
 
 use super::attempts::Attempts;
 use super::call::Call;
-use super::discard::discard;
 use super::reservation::InflightGuard;
+use super::upload::Upload;
 
 /// Time reserved for the response to travel back to the caller before the caller's timeout.
 const RESPONSE_MARGIN: Millis = Millis(10);
@@ -70,13 +68,14 @@
     arrived: Millis,
     inflight: InflightGuard,
 ) -> Result<Call, Refusal> {
-    let (head, mut unread) = request.into_parts();
+    let (head, body) = request.into_parts();
+    let mut upload = Upload::new(&head, body);
     let metadata = node.dialect.parse_request(&head.headers);
-    let (admission, service, body) = match read_request(node, &metadata, &head, &mut unread).await {
+    let (admission, service, body) = match read_request(node, &metadata, &head, &mut upload).await {
         Ok(read) => read,
         Err(refused) => {
             refused.report(node, metadata.id.as_deref(), arrived);
-            discard(&head, unread, limits(node).body_bytes);
+            upload.discard(limits(node).body_bytes);
             return Err(refused.refusal);
         }
     };
@@ -106,7 +105,7 @@
     node: &Arc<Node>,
     metadata: &RequestMetadata,
     head: &Parts,
-    body: &mut Incoming,
+    upload: &mut Upload,
 ) -> Result<(Admission, Arc<str>, Bytes), Refused> {
     let preliminary = resolve(node, metadata, head)?;
     if node.requests.load(Ordering::Relaxed) > node.settings.max_requests {
@@ -120,7 +119,9 @@
             .with_retry_after(delay)
             .into());
     }
-    let body = read_body(body, limit, timeout.min(preliminary.route.timeout)).await?;
+    let body = upload
+        .read(limit, timeout.min(preliminary.route.timeout))
+        .await?;
     // Reading the body may have taken long; the configuration in force now decides.
     let admission = resolve(node, metadata, head)?;
     take_quota(node, admission.account.as_ref(), metadata).await?;
@@ -163,19 +164,6 @@
         .ok_or(Refusal::new(Reason::UnknownKey))
 }
 
-async fn read_body(
-    body: &mut Incoming,
-    limit: usize,
-    time_limit: Millis,
-) -> Result<Bytes, Refusal> {
-    match timeout(time_limit.into(), Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::TooLarge)),
-        Ok(Err(_)) => Err(Refusal::new(Reason::Malformed)),
-        Err(_) => Err(Refusal::new(Reason::SlowCaller)),
-    }
-}
-
 async fn take_quota(
     node: &Arc<Node>,
     account: Option<&Arc<Account>>,
--- a/src/gateway/forward/mod.rs
+++ b/src/gateway/forward/mod.rs
@@ -5,13 +5,13 @@
 mod buffered;
 mod call;
 mod choose;
-mod discard;
 mod dispatch;
 mod failure;
 mod relay;
 mod replacement;
 mod reservation;
 mod serve;
+mod upload;
 
 pub use self::choose::{Choice, Query, choose};
 
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -349,27 +349,37 @@
         chunked: bool,
         /// Size of the body; it is sent in ten pieces.
         bytes: usize,
-        status: u16,
+        /// Whether the caller asks for a go-ahead.
+        expects: bool,
+        statuses: &'static [u16],
     }
-    let case = |path, key, chunked, bytes, status| Case {
+    let case = |path, key, chunked, bytes, statuses| Case {
         path,
         key,
         chunked,
         bytes,
-        status,
+        expects: false,
+        statuses,
     };
     let cases = [
-        case("/nothing/x", "key-one", false, 900, 404),
-        case("/nothing/x", "key-one", true, 900, 404),
-        case("/safe/x", "key-nobody", false, 900, 401),
-        case("/safe/x", "key-nobody", true, 900, 401),
-        case("/safe/x", "key-one", false, 1_900, 413),
-        case("/safe/x", "key-one", true, 1_900, 413),
+        case("/nothing/x", "key-one", false, 900, &[404, 200]),
+        case("/nothing/x", "key-one", true, 900, &[404, 200]),
+        case("/safe/x", "key-nobody", false, 900, &[401, 200]),
+        case("/safe/x", "key-nobody", true, 900, &[401, 200]),
+        case("/safe/x", "key-one", false, 1_900, &[413, 200]),
+        case("/safe/x", "key-one", true, 1_900, &[413, 200]),
+        Case {
+            expects: true,
+            ..case("/safe/x", "key-one", false, 1_900, &[100, 413, 200])
+        },
     ];
     let deployment = engine_per_service(1, OK).await;
     let front = deployment.gateways[0].front;
     let play = async |case: Case| {
-        let name = format!("{} {} {}", case.path, case.key, case.chunked);
+        let name = format!(
+            "{}-{}-{}-{}",
+            case.path, case.key, case.chunked, case.expects
+        );
         let stream = TcpStream::connect(front).await.expect("a connection");
         let (mut reader, mut writer) = stream.into_split();
         let head = |path, key, framing: String| {
@@ -382,6 +392,10 @@
             true => "Transfer-Encoding: chunked".to_owned(),
             false => format!("Content-Length: {}", case.bytes),
         };
+        let framing = match case.expects {
+            true => format!("Expect: 100-continue\r\n{framing}"),
+            false => framing,
+        };
         let mut pieces = vec![head(case.path, case.key, framing)];
         let piece = "x".repeat(case.bytes / 10);
         for _ in 0..10 {
@@ -404,7 +418,9 @@
         let reading = async {
             let mut received = Vec::new();
             let mut statuses = Vec::new();
-            while statuses.len() < 2 && reader.read_buf(&mut received).await.is_ok_and(|n| n > 0) {
+            while statuses.len() < case.statuses.len()
+                && reader.read_buf(&mut received).await.is_ok_and(|n| n > 0)
+            {
                 let text = String::from_utf8_lossy(&received).into_owned();
                 let lines = text.split("HTTP/1.1 ").skip(1);
                 statuses = lines.filter_map(|line| line[..3].parse().ok()).collect();
@@ -413,7 +429,7 @@
         };
         let (written, statuses) = tokio::join!(writing, reading);
         let written = written.map_err(|error| error.to_string());
-        (name, written, statuses, vec![case.status, 200])
+        (name, written, statuses, case.statuses.to_vec())
     };
     let results = futures::future::join_all(cases.map(play)).await;
     for (name, written, statuses, expected) in &results {
