Count a connection as in use while a refused body arrives

What callers saw: a caller that was refused while it sent its body lost its kept connection if the rest took as long as the idle timeout.

Cause: the connection counted as idle from the end of the refusal on, although the rest of the request still arrived.

Evidence: a_refusal_reaches_a_caller_that_still_sends_its_body now has an idle timeout of 700 ms, and its bodies take 1 s.

Why the fix works: the task that drops the rest holds the connection's mark of use. Connections in use, and idle ones, are checked every second instead of every 500 ms, which is still within the time that a lower timeout may take to apply.

--- a/src/gateway/activity.rs
+++ b/src/gateway/activity.rs
@@ -10,7 +10,7 @@
 use super::{Body, Limits, Node};
 
 /// Longest time between two checks of a connection, so that a lower idle timeout takes effect soon.
-const MAX_CHECK_INTERVAL: Millis = Millis(500);
+const MAX_CHECK_INTERVAL: Millis = Millis(1_000);
 
 #[derive(Debug)]
 struct State {
--- a/src/gateway/forward/upload.rs
+++ b/src/gateway/forward/upload.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -6,6 +8,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Millis;
+use crate::gateway::activity::{Activity, InUse};
 use crate::gateway::{Reason, Refusal};
 
 /// Time for which the rest of a refused request is read; the time that a request head may take by
@@ -17,6 +20,8 @@
     body: Incoming,
     /// Whether the caller waits for a go-ahead before it sends the body.
     awaits_go_ahead: bool,
+    /// The connection on which the body arrives.
+    activity: Option<Arc<Activity>>,
 }
 
 impl Upload {
@@ -25,6 +30,7 @@
         Self {
             body,
             awaits_go_ahead: head.headers.contains_key(header::EXPECT),
+            activity: head.extensions.get::<Arc<Activity>>().cloned(),
         }
     }
 
@@ -50,6 +56,7 @@
     }
 
     /// Reads and drops the rest of a refused request's body in the background, at most `limit` bytes.
+    /// The connection counts as in use until then.
     ///
     /// Closing a connection with unread bytes resets it, and the reset may overtake the refusal.
     pub(super) fn discard(self, limit: usize) {
@@ -58,6 +65,7 @@
             return;
         }
         tokio::spawn(async move {
+            let _in_use = self.activity.as_ref().map(InUse::new);
             let mut rest = Limited::new(self.body, limit);
             let reading = async { while let Some(Ok(_)) = rest.frame().await {} };
             // The connection closes unless the body ended in time.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -133,8 +133,9 @@
     let activity = Arc::new(Activity::new(&node));
     let service = {
         let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
-        service_fn(move |request| {
+        service_fn(move |mut request: Request<Incoming>| {
             let in_use = InUse::new(&activity);
+            request.extensions_mut().insert(Arc::clone(&activity));
             let node = Arc::clone(&node);
             async move {
                 let response = forward::serve(node, request).await;
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -374,6 +374,11 @@
         },
     ];
     let deployment = engine_per_service(1, OK).await;
+    let mut changed = config(2);
+    // Shorter than it takes to send a body.
+    changed["limits"]["idle_timeout_ms"] = json!(700);
+    deployment.store.put("keyed.op", "config", &changed);
+    deployment.wait_for_propagation().await;
     let front = deployment.gateways[0].front;
     let play = async |case: Case| {
         let name = format!(
