--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -463,6 +463,42 @@
     assert!(bounded.is_ok(), "the body is still being read");
 }
 
+/// Guards against a service that is refused as a whole after an outage of the store in which its
+/// entries lapsed, however short the outage was.
+#[tokio::test]
+async fn endpoints_whose_entries_lapse_in_an_outage_keep_serving() {
+    for outage in [1_000, 2_000, 3_600].map(Duration::from_millis) {
+        let deployment = engine_per_service(2, OK).await;
+        let engine = &deployment.engines[0];
+        let down = crate::platform::Faults {
+            down: true,
+            ..Default::default()
+        };
+        deployment.store.set_faults(down);
+        tokio::time::sleep(outage).await;
+        deployment.store.remove("keyed.servers", &engine.id);
+        deployment
+            .store
+            .set_faults(crate::platform::Faults::default());
+        // Entries that lapsed are back within two seconds.
+        for number in 0..20 {
+            let status = status(&deployment, number % 2, &Request::new("/unsafe/x")).await;
+            assert_eq!(
+                status, 200,
+                "request {number} after an outage of {outage:?}"
+            );
+            tokio::time::sleep(Duration::from_millis(80)).await;
+        }
+        let entry = engine.entry("ready", 9);
+        deployment.store.put("keyed.servers", &engine.id, &entry);
+        deployment.wait_for_propagation().await;
+        for number in 0..6 {
+            let status = status(&deployment, number % 2, &Request::new("/unsafe/x")).await;
+            assert_eq!(status, 200, "request {number} after the entry is back");
+        }
+    }
+}
+
 /// Guards against requests that depend on the store.
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_unavailable() {
