Log why a request stays at a silent endpoint

Since a silent endpoint is kept while no other may take the request, a stream that ends at its deadline says only that the deadline has passed. The line tells why the endpoint counted as silent and what ruled another one out, once for each silence. No decision changes.

--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -82,6 +82,13 @@
             retry_after,
         }
     }
+
+    /// Returns the reason for log lines.
+    pub(super) fn reason(&self) -> &str {
+        self.reason
+            .as_deref()
+            .unwrap_or("the attempts are used up, or too little time is left")
+    }
 }
 
 /// Reserves an endpoint for the next attempt, if the request may be sent and an endpoint is
--- a/src/gateway/forward/replacement.rs
+++ b/src/gateway/forward/replacement.rs
@@ -30,12 +30,20 @@
     loop {
         sleep((current.next_look - call.node.clock.now()).into()).await;
         let reason = current.until_silent(due).await;
-        current.record_silence();
-        if let Ok(reservation) = try_reserve(call, delivered) {
-            return Replacement {
-                reason,
-                reservation: Box::new(reservation),
-            };
+        let is_new = current.record_silence();
+        let unavailable = match try_reserve(call, delivered) {
+            Ok(reservation) => {
+                return Replacement {
+                    reason,
+                    reservation: Box::new(reservation),
+                };
+            }
+            Err(unavailable) => unavailable,
+        };
+        if is_new {
+            slog::info!(call.node.log, "silent endpoint kept"; "id" => call.id(),
+                "endpoint" => &*current.endpoint, "why" => reason,
+                "no_other" => unavailable.reason());
         }
         current.next_look = call.node.clock.now() + LOOK_INTERVAL;
     }
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -241,10 +241,11 @@
         self.record_silence();
     }
 
-    /// Records that the endpoint does not respond at present; once, until data arrives.
-    pub(super) fn record_silence(&mut self) {
+    /// Records that the endpoint does not respond at present; once, until data arrives. Returns whether
+    /// this is the first record of the silence.
+    pub(super) fn record_silence(&mut self) -> bool {
         if std::mem::replace(&mut self.silent, true) {
-            return;
+            return false;
         }
         let now = self.node.clock.now();
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key)
@@ -252,6 +253,7 @@
         {
             slog::info!(self.node.log, "endpoint blocked"; "endpoint" => &*self.endpoint);
         }
+        true
     }
 }
 
