--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -100,7 +100,7 @@
     ///
     /// Connections that were idle for `max_idle` or longer are not reused. The request is sent only
     /// if `may_send` still returns true once there is a connection: opening one takes up to
-    /// [`CONNECT_TIMEOUT`], in which the endpoint may begin to leave.
+    /// 400 ms, in which the endpoint may begin to leave.
     ///
     /// # Errors
     ///
