Split the gossip of nodes into rounds, responses and merged state

The responder and what a node takes over from another one move to files of their own, unchanged. No logic changes.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -2,26 +2,21 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use async_trait::async_trait;
 use bytes::Bytes;
 use tokio::time::sleep;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::clock::Millis;
-use crate::error::{Error, ErrorKind};
+use crate::error::Error;
 use crate::gateway::changelog::Position;
-use crate::gateway::state::State;
-use crate::gateway::{Config, Grant, GrantReport, Node, Quotas, Run, Slot, Topic, quota};
-use crate::membership;
-use crate::peer::{Handle, Handler, Method};
+use crate::gateway::{GrantReport, Node, Quotas, Topic};
+use crate::peer::{Handle, Method};
 
-use super::announcement::Announcement;
 use super::liveness::Liveness;
+use super::merge::{apply_header, header};
 use super::message::{
-    Delta, EntryUpdate, Header, Message, Progress, Report, Request, Response, Versions, decode,
-    encode,
+    Delta, Message, Progress, Report, Request, Response, Versions, decode, encode,
 };
-use super::phase::OWNERSHIP_DELAY;
 use super::selector::{Target, View};
 
 /// Time between two rounds in a small cluster, and of a node that has just started.
@@ -42,13 +37,6 @@
 /// Number of nodes that may own a bucket next to which its grants are reported.
 const GRANT_REPORT_TARGETS: usize = 2;
 
-/// Maximum size of a configuration that nodes pass on to each other, in bytes. A larger one is read
-/// from the store, to which the link has more bandwidth.
-const MAX_DOCUMENT_BYTES: usize = 64 * 1024;
-
-/// Maximum number of endpoint entries in one message; each takes about 250 bytes.
-const MAX_ENTRIES: usize = 256;
-
 /// The state of the exchanges with other nodes, by address.
 #[derive(Default)]
 struct Exchanges {
@@ -354,67 +342,6 @@
     }
 }
 
-/// Returns the header of a request or response of this node.
-fn header(node: &Node, is_response: bool) -> Header {
-    let announcement = node.announcement();
-    let now = node.clock.now();
-    let wall = if is_response {
-        node.wall_time()
-    } else {
-        node.clock.wall()
-    };
-    Header {
-        announcement,
-        uptime: now - node.started,
-        wall,
-        config: node.config_version(),
-    }
-}
-
-/// Applies the header of another node's request or response.
-fn apply_header(node: &Node, header: Header) {
-    node.merge_rollouts(&header.announcement);
-    let now = node.clock.now();
-    let active = node.active.load();
-    let config = active.as_ref().map(|active| &active.config);
-    let wall = node.wall_time();
-    let state = &mut *node.state();
-    state.quarantine.merge(&header.announcement.evidence, wall);
-    state
-        .clocks
-        .record(&header.announcement.node, header.wall, now);
-    state.latest_config_version = state.latest_config_version.max(header.config);
-    state.merge_announced_grants([(&header.announcement, header.uptime)], config, now);
-    if state
-        .roster
-        .record_contact(header.announcement, header.uptime, now)
-    {
-        state.selector.record_recovery();
-    }
-    state.update_remote_inflight(now);
-}
-
-impl Node {
-    /// Adopts what another node knows of rollouts.
-    fn merge_rollouts(&self, announcement: &Announcement) {
-        if announcement.rollouts.is_empty() {
-            return;
-        }
-        let now = self.clock.now();
-        let new = {
-            let state = &mut *self.state();
-            let (nodes, _) = state.roster.count_serving(now);
-            let running_since = Millis(self.incarnation);
-            state
-                .rollouts
-                .merge_progress(&announcement.rollouts, nodes, running_since)
-        };
-        for progress in new {
-            self.log_rollout(&progress, "node");
-        }
-    }
-}
-
 /// Adopts the position of another node after its changes have been applied. The node responded
 /// after `sent`.
 fn adopt_position(position: &mut Position, sent: Millis, progress: Option<Progress>) {
@@ -426,197 +353,3 @@
         });
     }
 }
-
-fn progress(position: &Position, now: Millis) -> Option<Progress> {
-    Some(Progress {
-        era: position.era,
-        next: position.next?,
-        age: position.age(now)?,
-    })
-}
-
-/// Returns the configuration document, unless it is too large to be passed on.
-fn config_document(node: &Node) -> Option<Vec<u8>> {
-    let active = node.active.load();
-    let document = &active.as_ref()?.document;
-    (document.len() <= MAX_DOCUMENT_BYTES).then(|| document.to_vec())
-}
-
-impl State {
-    /// Merges the grants that nodes which have just started announced.
-    fn merge_announced_grants<'a, I>(
-        &mut self,
-        announcements: I,
-        config: Option<&Config>,
-        now: Millis,
-    ) where
-        I: IntoIterator<Item = (&'a Announcement, Millis)>,
-    {
-        for (announcement, uptime) in announcements {
-            let run = Run {
-                node: Arc::clone(&announcement.node),
-                incarnation: announcement.incarnation,
-            };
-            let has_just_started = uptime < OWNERSHIP_DELAY;
-            let reports = announcement.granted.iter().map(|(account, units)| {
-                let slot = Slot {
-                    age: Millis::ZERO,
-                    units: *units,
-                };
-                let grant = Grant {
-                    run: run.clone(),
-                    units: *units,
-                    recent: has_just_started.then_some(slot).into_iter().collect(),
-                };
-                GrantReport {
-                    account: Arc::clone(account),
-                    level: None,
-                    grants: vec![grant],
-                }
-            });
-            self.merge_grants(reports, config, now);
-        }
-    }
-
-    /// Merges reports of grants to accounts.
-    fn merge_grants<I>(&mut self, reports: I, config: Option<&Config>, now: Millis)
-    where
-        I: IntoIterator<Item = GrantReport>,
-    {
-        for report in reports {
-            let account = config.and_then(|config| config.account_by_name(&report.account));
-            let quota = account.and_then(|account| account.quota.as_ref());
-            self.quotas.merge(&report, quota, now);
-        }
-    }
-
-    /// Sums up the requests that the other nodes have in flight at each endpoint.
-    fn update_remote_inflight(&mut self, now: Millis) {
-        if !self.roster.is_small() {
-            return;
-        }
-        let mut sums: HashMap<&str, (u32, u64)> = HashMap::new();
-        for inflight in self
-            .roster
-            .alive(now)
-            .flat_map(|m| &m.announcement.inflight)
-        {
-            let sum = sums.entry(&inflight.endpoint).or_default();
-            sum.0 += inflight.requests;
-            sum.1 += inflight.tokens;
-        }
-        for (_, endpoint) in self.fleet.iter_mut() {
-            let sum = sums.get(&*endpoint.registration.identity.id);
-            let (requests, tokens) = sum.copied().unwrap_or_default();
-            endpoint.remote_inflight = requests;
-            endpoint.remote_pending_tokens = tokens;
-        }
-    }
-}
-
-/// Responds to the messages of other nodes.
-pub(in crate::gateway) struct Responder {
-    node: Arc<Node>,
-}
-
-impl Responder {
-    pub(in crate::gateway) fn new(node: Arc<Node>) -> Self {
-        Self { node }
-    }
-
-    fn exchange(&self, request: Request) -> Result<Bytes, Error> {
-        let node = &self.node;
-        let config = request.header.config;
-        apply_header(node, request.header);
-        if !request.claims.is_empty() {
-            let now = node.clock.now();
-            node.state().roster.apply(request.claims, now);
-        }
-        let header = header(node, true);
-        let outdated = config < header.config;
-        encode(&Response {
-            delta: request.have.map(|have| self.delta(have)),
-            document: outdated.then(|| config_document(node)).flatten(),
-            header,
-        })
-    }
-
-    /// Returns the changes after the versions that the requester has.
-    fn delta(&self, have: Versions) -> Delta {
-        let node = &self.node;
-        let have = if have.incarnation == node.incarnation {
-            have
-        } else {
-            Versions::default()
-        };
-        let now = node.clock.now();
-        let state = node.state();
-        let (members_version, members) = state.roster.updates_since(have.members, now);
-        let (entries_version, entries, complete) =
-            state.changelog.changes_since(have.entries, MAX_ENTRIES);
-        let endpoints = progress(&state.endpoints_position, now);
-        let entries = entries.into_iter().map(|(id, entry)| {
-            let missing_for = state.fleet.missing_for(&id, now).unwrap_or_default();
-            EntryUpdate::new(id, entry, missing_for)
-        });
-        Delta {
-            versions: Versions {
-                incarnation: node.incarnation,
-                members: members_version,
-                entries: entries_version,
-            },
-            members,
-            entries: entries.collect(),
-            endpoints: endpoints.filter(|_| complete),
-            operator: progress(&state.operator_position, now),
-        }
-    }
-
-    fn record_report(&self, report: Report) {
-        let now = self.node.clock.now();
-        let state = &mut *self.node.state();
-        let (node, incarnation) = (report.node, report.incarnation);
-        state.rollouts.merge(&node, incarnation, &report.rollouts);
-        state.usage.merge(&node, incarnation, report.usage);
-        state.lease.learn_totals(report.totals);
-        state
-            .demand_reports
-            .record(node, incarnation, report.demand, now);
-    }
-
-    fn record_grants(&self, reports: Vec<GrantReport>) {
-        let now = self.node.clock.now();
-        let active = self.node.active.load();
-        let config = active.as_ref().map(|active| &active.config);
-        self.node.state().merge_grants(reports, config, now);
-    }
-}
-
-#[async_trait]
-impl Handler for Responder {
-    async fn probe(
-        &self,
-        _: SocketAddr,
-        _: membership::Message,
-    ) -> Result<membership::Message, Error> {
-        Err(Error::not_run(
-            ErrorKind::Unavailable,
-            "gateway nodes do not answer membership probes",
-        ))
-    }
-
-    async fn gossip(&self, payload: Bytes) -> Result<Bytes, Error> {
-        match decode(&payload)? {
-            Message::Exchange(request) => self.exchange(*request),
-            Message::Quota(request) => quota::respond(&self.node, &request),
-            Message::Report(report) => {
-                self.record_report(report);
-                encode(&())
-            }
-            Message::Grants(reports) => {
-                self.record_grants(reports);
-                encode(&())
-            }
-        }
-    }
-}
--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -13,9 +13,11 @@
 mod known_nodes;
 mod liveness;
 mod member;
+mod merge;
 mod message;
 mod phase;
 mod readers;
+mod responder;
 mod roster;
 mod selector;
 
@@ -26,7 +28,8 @@
 pub use self::roster::Roster;
 pub use self::selector::{Selector, Target, View};
 
-pub(super) use self::gossip::{Responder, run};
+pub(super) use self::gossip::run;
 pub(super) use self::known_nodes::KnownNodes;
 pub(super) use self::message::{Message, decode, encode};
 pub(super) use self::phase::OWNERSHIP_DELAY;
+pub(super) use self::responder::Responder;
