Prefer totals that were committed in a later era

Found in the review.

Cause: a standby node reads totals whose record a restore then loses, before their sender knows that they were stored. The sender commits other totals, since more counts have arrived, and reports them; the standby node keeps the first ones it knew, and reports these if it takes the duties over.

Test: totals_of_a_later_era_replace_earlier_ones. With the comparison of eras taken out it failed (era 2, 7: left Some(5), right Some(7)). The totals that nodes pass on to each other have their era as well.

--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -11,7 +11,7 @@
 use crate::gateway::rollout;
 use crate::gateway::scaler::Demand;
 use crate::gateway::usage::Counts;
-use crate::gateway::{Era, Totals};
+use crate::gateway::{Committed, Era};
 
 use super::announcement::Announcement;
 use super::member::MemberUpdate;
@@ -137,7 +137,7 @@
     /// What the responses say of versions on trial.
     pub(super) rollouts: Vec<rollout::Report>,
     /// Totals that the sender, as the holder of the duties, committed for the latest windows.
-    pub(super) totals: Vec<(u64, Totals)>,
+    pub(super) totals: Vec<(u64, Committed)>,
 }
 
 /// Encodes a message or a response.
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -10,6 +10,15 @@
 /// Number of requests in a window by account, as committed for a usage report.
 pub type Totals = BTreeMap<Arc<str>, u64>;
 
+/// Totals of a window as a holder committed them to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Committed {
+    /// Era of the record.
+    pub era: Era,
+    /// The totals.
+    pub totals: Totals,
+}
+
 /// A record in the topic of duties, with the era that its sender knew.
 ///
 /// A record counts only in its own era. One that a restored store still has may have been followed
@@ -115,7 +124,7 @@
     /// When the latest records of this node were sent, by number.
     sent_at: BTreeMap<u64, Millis>,
     /// Committed totals, by window.
-    totals: BTreeMap<u64, Totals>,
+    totals: BTreeMap<u64, Committed>,
     /// As in the records that acquire the lease; none until one has been read in this era.
     lost_before: Option<Millis>,
     /// As `lost_before`, for this node, which knows the totals of its own tenure.
@@ -266,18 +275,26 @@
             } => {
                 self.extend(fence, false, now);
                 self.confirm(fence, number);
-                self.learn_totals([(window, counts)]);
+                let committed = Committed {
+                    era,
+                    totals: counts,
+                };
+                self.learn_totals([(window, committed)]);
             }
         }
     }
 
-    /// Records committed totals. The first ones of a window are kept.
+    /// Records committed totals. Of one era, the first ones of a window are kept. Those of a later era
+    /// replace them: a holder commits a window again only if earlier totals can't have been reported.
     pub fn learn_totals<I>(&mut self, totals: I)
     where
-        I: IntoIterator<Item = (u64, Totals)>,
+        I: IntoIterator<Item = (u64, Committed)>,
     {
-        for (window, counts) in totals {
-            self.totals.entry(window).or_insert(counts);
+        for (window, committed) in totals {
+            let known = self.totals.get(&window);
+            if known.is_none_or(|known| known.era < committed.era) {
+                self.totals.insert(window, committed);
+            }
         }
         while self.totals.len() > MAX_WINDOWS {
             self.totals.pop_first();
@@ -396,17 +413,19 @@
 
     /// Returns the committed totals of the latest windows, if this node holds the lease.
     #[must_use]
-    pub fn own_totals(&self) -> Vec<(u64, Totals)> {
+    pub fn own_totals(&self) -> Vec<(u64, Committed)> {
         if !self.is_held() {
             return Vec::new();
         }
         let totals = self.totals.iter();
-        totals.map(|(window, t)| (*window, t.clone())).collect()
+        totals
+            .map(|(window, committed)| (*window, committed.clone()))
+            .collect()
     }
 
     /// Returns the totals that were committed for a window.
     #[must_use]
     pub fn totals(&self, window: u64) -> Option<&Totals> {
-        self.totals.get(&window)
+        self.totals.get(&window).map(|committed| &committed.totals)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,7 +60,7 @@
 pub use self::fleet::{Fleet, RegisterOutcome, Transition};
 pub use self::forward::{Choice, Query, choose};
 pub use self::health::Health;
-pub use self::lease::{DutyEntry, DutyRecord, Lease, Terms, Totals};
+pub use self::lease::{Committed, DutyEntry, DutyRecord, Lease, Terms, Totals};
 pub use self::load::Load;
 pub use self::node::{Adapters, Node};
 pub use self::prefix_cache::PrefixCache;
--- a/tests/integration/gateway_lease.rs
+++ b/tests/integration/gateway_lease.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use almondpath::clock::Millis;
-use almondpath::gateway::{DutyEntry, DutyRecord, Era, Lease, Terms};
+use almondpath::gateway::{Committed, DutyEntry, DutyRecord, Era, Lease, Terms};
 use proptest::prelude::*;
 
 const TERMS: Terms = Terms {
@@ -234,6 +234,22 @@
     assert_eq!(lease.totals(7).and_then(|c| c.get("account")), Some(&5));
 }
 
+/// Guards against a report of totals that a restore lost, after a holder that did not know them
+/// committed others.
+#[test]
+fn totals_of_a_later_era_replace_earlier_ones() {
+    let committed = |era, count| Committed {
+        era: Era(era),
+        totals: [("account".into(), count)].into(),
+    };
+    let mut lease = Lease::new("n".into(), 1, TERMS, Millis(0));
+    for (era, count, expected) in [(1, 5, 5), (1, 6, 5), (2, 7, 7), (1, 5, 7), (2, 8, 7)] {
+        lease.learn_totals([(7, committed(era, count))]);
+        let known = lease.totals(7).and_then(|totals| totals.get("account"));
+        assert_eq!(known, Some(&expected), "era {era}, {count}");
+    }
+}
+
 /// Guards against duties that are never performed because all nodes wait for a holder that never
 /// existed.
 #[test]
@@ -288,7 +304,11 @@
         };
         lease.apply(0, entry, Millis(0));
         if case.told {
-            lease.learn_totals([(7, [("account".into(), 3)].into())]);
+            let committed = Committed {
+                era: Era(1),
+                totals: [("account".into(), 3)].into(),
+            };
+            lease.learn_totals([(7, committed)]);
         }
         lease.restart(Era(2), Millis(1_000), Millis(100_000));
         let unknown = lease.has_unknown_totals(7, case.committed_at);
