Wait for an earlier holder from the first response of the store on

Found in the review.

Cause: a node that starts without the store counts the wait for an earlier holder from its start. If the store is restored meanwhile, the topic has no record of the new era, and the node takes the lease at its first response, while the holder, which is cut off as well or has not called since, still acts.

Test: a_node_that_first_hears_from_a_restored_store_waits. With the wait counted from the start it failed (assertion failed: !lease.is_available(waits_until - Millis(1))).

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -129,7 +129,7 @@
     lost_before: Option<Millis>,
     /// As `lost_before`, for this node, which knows the totals of its own tenure.
     unknown_before: Option<Millis>,
-    /// When the node started, or noticed the latest restore.
+    /// When the node first heard from the store, or noticed the latest restore.
     waits_since: Millis,
     /// Whether a restore has been noticed.
     restored: bool,
@@ -188,9 +188,10 @@
         self.era
     }
 
-    /// Records the era of the first response of the store.
-    pub fn begin(&mut self, era: Era) {
+    /// Records the era of the first response of the store. Restores before that went unnoticed.
+    pub fn begin(&mut self, era: Era, now: Millis) {
         self.era = era;
+        self.waits_since = now;
     }
 
     /// Records that the store has been restored, as was noticed at this wall time: the topic has to be
--- a/src/gateway/restore.rs
+++ b/src/gateway/restore.rs
@@ -64,7 +64,7 @@
         let wall = self.wall_time();
         let state = &mut *self.state();
         if !state.restores.is_known() {
-            state.lease.begin(era);
+            state.lease.begin(era, self.clock.since_boot());
         }
         let Some(before) = state.restores.note(era, now) else {
             return;
--- a/tests/integration/gateway_lease.rs
+++ b/tests/integration/gateway_lease.rs
@@ -38,7 +38,7 @@
 
 /// Returns the lease of a node that has read the empty store.
 fn begun(mut lease: Lease) -> Lease {
-    lease.begin(Era(1));
+    lease.begin(Era(1), Millis(0));
     lease
 }
 
@@ -250,6 +250,27 @@
     }
 }
 
+/// Guards against two holders at a time, one of which started without the store and first hears from
+/// it after a restore that the other has not noticed.
+#[test]
+fn a_node_that_first_hears_from_a_restored_store_waits() {
+    let mut lease = Lease::new("n".into(), 1, TERMS, Millis(0));
+    let first_response = Millis(10_000);
+    lease.begin(Era(2), first_response);
+    let renewal = DutyEntry {
+        era: Some(Era(1)),
+        record: DutyRecord::Renew {
+            fence: 0,
+            number: 0,
+        },
+    };
+    lease.apply(0, renewal, first_response);
+    lease.mark_caught_up();
+    let waits_until = first_response + TERMS.takeover_after;
+    assert!(!lease.is_available(waits_until - Millis(1)));
+    assert!(lease.is_available(waits_until));
+}
+
 /// Guards against duties that are never performed because all nodes wait for a holder that never
 /// existed.
 #[test]
@@ -291,7 +312,7 @@
     ];
     for case in cases {
         let mut lease = Lease::new("a".into(), 1, TERMS, Millis(0));
-        lease.begin(Era(1));
+        lease.begin(Era(1), Millis(0));
         let take = DutyRecord::Take {
             node: case.holder.into(),
             incarnation: 1,
