Wait for a holder whose first record has expired

Cause: the record that begins a tenure expires after the retention period. A node that starts later reads renewals of a tenure that it does not know, ignored them, and took the lease over 3.8 s after its start, from a holder that was alive and acted until its next renewal was rejected, up to 1 s later.

Test: a_node_that_reads_only_renewals_waits_for_their_holder. With renewals ignored it failed for the renewed tenure.

Why the fix works: a renewal of an unknown tenure shows that a holder was alive when it was written. Its tenure counts as that of an unknown node, which this node waits for as for any other.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -88,6 +88,7 @@
 /// The latest acquisition of the lease.
 #[derive(Clone, Debug)]
 struct Tenure {
+    /// Name of the holder; empty if it is not known.
     node: Arc<str>,
     incarnation: u64,
     fence: u64,
@@ -315,15 +316,23 @@
     }
 
     /// Extends, or ends, the tenure with this fence.
+    ///
+    /// If the record that began it has expired, it is the tenure of an unknown node.
     fn extend(&mut self, fence: u64, released: bool, now: Millis) {
-        if let Some(tenure) = &mut self.tenure
-            && tenure.fence == fence
-        {
-            tenure.last_read = now;
-            tenure.released |= released;
-            if released {
-                self.renewed_at = None;
-            }
+        let tenure = self.tenure.get_or_insert_with(|| Tenure {
+            node: "".into(),
+            incarnation: 0,
+            fence,
+            released: false,
+            last_read: now,
+        });
+        if tenure.fence != fence {
+            return;
+        }
+        tenure.last_read = now;
+        tenure.released |= released;
+        if released {
+            self.renewed_at = None;
         }
     }
 }
--- a/tests/integration/gateway_lease.rs
+++ b/tests/integration/gateway_lease.rs
@@ -271,6 +271,54 @@
     assert!(lease.is_available(waits_until));
 }
 
+/// Guards against two holders at a time, one of which started after the record with which the other
+/// took the lease had expired.
+#[test]
+fn a_node_that_reads_only_renewals_waits_for_their_holder() {
+    struct Case {
+        name: &'static str,
+        last: DutyRecord,
+        /// When the lease may be taken.
+        available: Millis,
+    }
+    let started = Millis(10_000);
+    let read_at = Millis(60_000);
+    let cases = [
+        Case {
+            name: "renewed",
+            last: DutyRecord::Renew {
+                fence: 3,
+                number: 9,
+            },
+            available: read_at + TERMS.takeover_after,
+        },
+        Case {
+            name: "released",
+            last: DutyRecord::Release { fence: 3 },
+            available: read_at,
+        },
+    ];
+    for case in cases {
+        let mut lease = Lease::new("n".into(), 1, TERMS, started);
+        lease.begin(Era(1), started);
+        lease.skip_to(20);
+        let entry = DutyEntry {
+            era: Some(Era(1)),
+            record: case.last,
+        };
+        lease.apply(20, entry, read_at);
+        lease.mark_caught_up();
+        let before = case.available - Millis(1);
+        assert!(
+            !lease.is_available(before) || before < read_at,
+            "{}",
+            case.name
+        );
+        assert!(lease.is_available(case.available), "{}", case.name);
+        assert!(!lease.is_held(), "{}", case.name);
+    }
+}
+
 /// Guards against duties that are never performed because all nodes wait for a holder that never
 /// existed.
 #[test]
