Do not cut requests in silence at the end of a planned stop

Cause: the decision to take a request ignored when the process ends, neither for the head, nor after a body that arrives late, nor before another attempt; what ran 0.6 s before SIGKILL was cut without a response or a log line.

Now a leaving node takes what it can answer before its end, and what may be sent again during its first 2.5 s; it declines the rest at once (503, not run, Retry-After 10 ms). What still runs at the end is answered with 502, or cut and logged if it is a stream.

Ruled out: connections without a request (closed by the HTTP server), the directory (the other nodes stop listing the node at once, existing test).

--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -26,6 +26,9 @@
 /// `Retry-After` of a node that has no configuration or too many requests in flight.
 const OVERLOAD_RETRY_AFTER: Millis = Millis(400);
 
+/// `Retry-After` of a node that shuts down: other nodes can serve the request at once.
+pub(super) const LEAVING_RETRY_AFTER: Millis = Millis(10);
+
 /// The configuration, route and client account that a request resolved to.
 struct Admission {
     active: Arc<Active>,
@@ -71,7 +74,11 @@
     let (head, body) = request.into_parts();
     let mut upload = Upload::new(&head, body);
     let metadata = node.dialect.parse_request(&head.headers);
-    let (admission, service, body) = match read_request(node, &metadata, &head, &mut upload).await {
+    let read = tokio::select! {
+        read = read_request(node, &metadata, &head, &mut upload, arrived) => read,
+        () = node.ending.cancelled() => Err(leaving().into()),
+    };
+    let (admission, service, body) = match read {
         Ok(read) => read,
         Err(refused) => {
             refused.report(node, metadata.id.as_deref(), arrived);
@@ -79,9 +86,7 @@
             return Err(refused.refusal);
         }
     };
-    let route_timeout = admission.route.timeout;
-    let caller_timeout = metadata.timeout.unwrap_or(route_timeout);
-    let time_limit = route_timeout.min(Millis(caller_timeout.0.saturating_sub(RESPONSE_MARGIN.0)));
+    let deadline = deadline(&admission.route, &metadata, arrived);
     Ok(Call {
         node: Arc::clone(node),
         metadata,
@@ -93,7 +98,7 @@
         headers: head.headers,
         body,
         arrived,
-        deadline: arrived + time_limit,
+        deadline,
         config_version: admission.active.config.version,
         attempts: Attempts::default().into(),
         reported: AtomicBool::new(false),
@@ -106,8 +111,10 @@
     metadata: &RequestMetadata,
     head: &Parts,
     upload: &mut Upload,
+    arrived: Millis,
 ) -> Result<(Admission, Arc<str>, Bytes), Refused> {
     let preliminary = resolve(node, metadata, head)?;
+    check_departure(node, &preliminary.route, metadata, arrived)?;
     if node.requests.load(Ordering::Relaxed) > node.settings.max_requests {
         let refusal = Refusal::new(Reason::Overload);
         return Err(refusal.with_retry_after(OVERLOAD_RETRY_AFTER).into());
@@ -124,12 +131,40 @@
         .await?;
     // Reading the body may have taken long; the configuration in force now decides.
     let admission = resolve(node, metadata, head)?;
+    check_departure(node, &admission.route, metadata, arrived)?;
     take_quota(node, admission.account.as_ref(), metadata).await?;
     let service = admission.route.pick_service(rand::rng().random());
     let service = service.cloned().ok_or(Refusal::new(Reason::NoEndpoint))?;
     Ok((admission, service, body))
 }
 
+/// Returns when the final response to a request is due, by the caller's timeout or the route's.
+fn deadline(route: &Route, metadata: &RequestMetadata, arrived: Millis) -> Millis {
+    let caller_timeout = metadata.timeout.unwrap_or(route.timeout);
+    arrived + route.timeout.min(caller_timeout - RESPONSE_MARGIN)
+}
+
+/// Refuses a request that this node may not be able to answer before it ends.
+fn check_departure(
+    node: &Node,
+    route: &Route,
+    metadata: &RequestMetadata,
+    arrived: Millis,
+) -> Result<(), Refusal> {
+    let Some(departure) = node.departure() else {
+        return Ok(());
+    };
+    let deadline = deadline(route, metadata, arrived);
+    if departure.may_take(route.retry_policy, deadline, node.clock.now()) {
+        return Ok(());
+    }
+    Err(leaving())
+}
+
+fn leaving() -> Refusal {
+    Refusal::new(Reason::Leaving).with_retry_after(LEAVING_RETRY_AFTER)
+}
+
 /// Resolves the route and the client account of a request in the configuration in force.
 fn resolve(node: &Node, metadata: &RequestMetadata, head: &Parts) -> Result<Admission, Refusal> {
     let no_config = Refusal::new(Reason::NoConfig).with_retry_after(OVERLOAD_RETRY_AFTER);
@@ -152,7 +187,7 @@
     metadata: &RequestMetadata,
 ) -> Result<Option<Arc<Account>>, Refusal> {
     if route.anonymous || !active.config.has_accounts() {
-        return Ok(None);
+        return Ok(());
     }
     let account = metadata
         .api_key
@@ -170,7 +205,7 @@
     metadata: &RequestMetadata,
 ) -> Result<(), Refused> {
     let Some((account, quota)) = account.and_then(|a| Some((a, a.quota.as_ref()?))) else {
-        return Ok(());
+        return Ok(None);
     };
     let cost = quota.cost(metadata.prompt.as_ref().map(Prompt::total_tokens));
     let taken = quota::take(node, account, quota, cost).await;
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::gateway::{ForwardMetadata, Node, ResponseMetadata, RetryPolicy};
 use crate::verdict::Verdict;
 
+use super::admit::LEAVING_RETRY_AFTER;
 use super::attempts::Attempts;
 use super::call::Call;
 use super::choose::{Choice, Query, choose};
@@ -122,6 +123,12 @@
     if left < MIN_TIME_LEFT || delivered >= call.route.max_attempts {
         return Err(Unavailable::default());
     }
+    if !may_take(call, attempts, now) {
+        return Err(Unavailable::new(
+            "the node shuts down",
+            Some(LEAVING_RETRY_AFTER),
+        ));
+    }
     if let Some(delay) = call.node.quarantined_for(call.metadata.prompt.as_ref()) {
         let reason = "a prompt segment is quarantined";
         return Err(Unavailable::new(reason, Some(delay)));
@@ -141,6 +148,15 @@
     Ok(reservation)
 }
 
+/// Returns whether a node that shuts down may still send the request. A stream that its caller
+/// receives already is better resumed than cut.
+fn may_take(call: &Call, attempts: &Attempts, now: Millis) -> bool {
+    let departure = call.node.departure();
+    let policy = call.route.retry_policy;
+    attempts.first_event.is_some()
+        || departure.is_none_or(|departure| departure.may_take(policy, call.deadline, now))
+}
+
 /// Chooses an endpoint that is expected to respond in time.
 fn choose_in_time(call: &Call, attempts: &Attempts, now: Millis) -> Result<Choice, Unavailable> {
     let Some(choice) = choose_endpoint(call, attempts, now) else {
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -112,7 +112,7 @@
         headers.remove(header::CONTENT_LENGTH);
         let stream = futures::stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
-            match relay.next_chunk().await {
+            match relay.next_chunk_in_time().await {
                 Some(Ok(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Some(Err(error)) => Some((Err(error), None)),
                 None => None,
@@ -124,6 +124,18 @@
         Opened::Stream(response)
     }
 
+    /// As [`Relay::next_chunk`]; ends the response as incomplete when this node ends.
+    async fn next_chunk_in_time(&mut self) -> Option<io::Result<Bytes>> {
+        let call = Arc::clone(&self.call);
+        tokio::select! {
+            biased;
+            chunk = self.next_chunk() => chunk,
+            () = call.node.ending.cancelled() => {
+                Some(Err(self.abort("cut", "the node shuts down")))
+            }
+        }
+    }
+
     /// Waits for the first event, or the end, of the endpoint's response.
     async fn wait_for_first_event(&mut self) -> Result<(), Failure> {
         let failed = |reason: String| Failure::new(Verdict::MayHaveRun, reason);
--- a/src/gateway/forward/serve.rs
+++ b/src/gateway/forward/serve.rs
@@ -32,7 +32,7 @@
     let arrived = node.clock.now();
     let inflight = InflightGuard::new(&node);
     let mut response = match admit(&node, request, arrived, inflight).await {
-        Ok(call) => respond(Arc::new(call)).await,
+        Ok(call) => respond_in_time(Arc::new(call)).await,
         Err(refusal) => refusal.response(),
     };
     if node.leaving.is_cancelled() {
@@ -42,6 +42,19 @@
     Ok(response)
 }
 
+/// Responds to an admitted request, at the latest when this node ends.
+async fn respond_in_time(call: Arc<Call>) -> Response<Body> {
+    tokio::select! {
+        biased;
+        response = respond(Arc::clone(&call)) => response,
+        () = call.node.ending.cancelled() => {
+            let reason = Reason::Interrupted;
+            call.report(Some(reason.status().as_u16()), reason.as_str());
+            Refusal::new(reason).response()
+        }
+    }
+}
+
 /// Attempts an admitted request at one endpoint after another until there is a response.
 async fn respond(call: Arc<Call>) -> Response<Body> {
     let now = call.node.clock.now();
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -23,8 +23,8 @@
 use super::state::State;
 use super::upstream::Upstream;
 use super::{
-    Account, Body, Cloud, Config, Dialect, Documents, Prompt, Run, Settings, Store, cluster,
-    duties, follower, server,
+    Account, Body, Cloud, Config, Departure, Dialect, Documents, Prompt, Run, Settings, Store,
+    cluster, duties, follower, server,
 };
 
 /// Time within which another node has to respond to a call.
@@ -91,6 +91,10 @@
     pub(super) grants_unreported: Notify,
     /// Cancelled when the node begins to shut down.
     pub(super) leaving: CancellationToken,
+    /// The course of the shutdown, set when it begins.
+    departure: OnceLock<Departure>,
+    /// Cancelled when the requests that still run have to be answered, since the process ends.
+    pub(super) ending: CancellationToken,
     /// Cancelled when the node stops serving.
     pub(super) stopped: CancellationToken,
     metrics: PrometheusHandle,
@@ -127,6 +131,8 @@
             response_buffer: Semaphore::new(RESPONSE_BUFFER_BYTES),
             grants_unreported: Notify::new(),
             leaving: CancellationToken::new(),
+            departure: OnceLock::new(),
+            ending: CancellationToken::new(),
             stopped: CancellationToken::new(),
             metrics: metrics_handle(),
             state: Mutex::new(state),
@@ -175,10 +181,11 @@
         Ok(())
     }
 
-    /// Begins a graceful shutdown: the node accepts no new requests and ends once it has answered
-    /// the current ones.
+    /// Begins a graceful shutdown: other nodes stop listing this one, which ends once it has answered
+    /// its requests. It takes only those that it can answer before then.
     pub fn leave(&self) {
-        if !self.leaving.is_cancelled() {
+        let departure = Departure::new(self.clock.now(), self.settings.grace);
+        if self.departure.set(departure).is_ok() {
             info!(self.log, "leaving"; "requests" => self.requests.load(Ordering::Relaxed));
             self.leaving.cancel();
         }
@@ -239,6 +246,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the course of the shutdown; `None` until it begins.
+    pub(super) fn departure(&self) -> Option<Departure> {
+        self.departure.get().copied()
+    }
+
     /// Returns whether the node accepts requests.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -37,6 +37,10 @@
     Timeout,
     /// The caller did not send the whole request in time.
     SlowCaller,
+    /// The node shuts down and may end before the request does.
+    Leaving,
+    /// The node ends while the request is at an endpoint; it may have run.
+    Interrupted,
 }
 
 impl Reason {
@@ -58,6 +62,8 @@
             Self::Lost => "lost",
             Self::Timeout => "timeout",
             Self::SlowCaller => "slow_caller",
+            Self::Leaving => "leaving",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -78,9 +84,10 @@
             | Self::Overload
             | Self::Quarantined
             | Self::Declined
-            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Expired
+            | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
             Self::SlowCaller => StatusCode::REQUEST_TIMEOUT,
-            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::Interrupted => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -31,12 +31,6 @@
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
-/// Time for which a leaving node still accepts connections: callers keep its address for a while.
-const ACCEPT_GRACE: Millis = Millis(2_500);
-
-/// Time before SIGKILL at which open requests are abandoned.
-const SHUTDOWN_MARGIN: Millis = Millis(600);
-
 /// Interval at which a leaving node checks whether its requests have ended.
 const DRAIN_POLL_INTERVAL: Millis = Millis(50);
 
@@ -64,25 +58,30 @@
 /// Waits until all requests and connections of callers have ended, at most until shortly before
 /// SIGKILL.
 async fn drain(node: &Node, open: &AtomicUsize, closing: &CancellationToken) {
-    let started = node.clock.now();
-    let time_limit = node.settings.grace - SHUTDOWN_MARGIN;
+    let Some(departure) = node.departure() else {
+        return;
+    };
     loop {
         sleep(DRAIN_POLL_INTERVAL.into()).await;
-        let passed = node.clock.now() - started;
-        if passed >= ACCEPT_GRACE {
-            // From now on, each connection closes after its current request.
+        let now = node.clock.now();
+        if now >= departure.exits_at() || (closing.is_cancelled() && is_idle(node, open)) {
+            return;
+        }
+        if now >= departure.closes_at() {
             closing.cancel();
         }
-        let idle = node.requests.load(Ordering::Relaxed) == 0;
-        let done = passed > ACCEPT_GRACE + DRAIN_POLL_INTERVAL
-            && idle
-            && open.load(Ordering::Relaxed) == 0;
-        if done || passed >= time_limit {
-            return;
+        if now >= departure.answers_at() && !node.ending.is_cancelled() {
+            let requests = node.requests.load(Ordering::Relaxed);
+            slog::warn!(node.log, "interrupting requests"; "requests" => requests);
+            node.ending.cancel();
         }
     }
 }
 
+fn is_idle(node: &Node, open: &AtomicUsize) -> bool {
+    node.requests.load(Ordering::Relaxed) == 0 && open.load(Ordering::Relaxed) == 0
+}
+
 fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
     let bind = || {
         let socket = TcpSocket::new_v4()?;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -22,6 +22,7 @@
 mod gateway_rollouts;
 mod gateway_scaler;
 mod gateway_serving;
+mod gateway_shutdown;
 mod gateway_store;
 mod gateway_streams;
 mod gateway_upstream;
