Keep within a quota when an owner is lost with its next owners

Cause: an owner of a bucket reports its grants to the next two owners. Killed with both of them, it left an owner that took the account for unused: half of the burst and the whole allowance were granted again, while the nodes that asked the dead owners decided by themselves as well.

Now a bucket starts overdrawn by half of the allowance if nodes were lost within the window, as the owner knows itself or from the node that asks, and up to four owners are asked before a node decides alone. The log line `request` has the units and the decider of granted requests too.

Ruled out: late reports (an exhausted account is reported within 25 ms), the restarted nodes (small shares).

--- a/src/gateway/cluster/known_nodes.rs
+++ b/src/gateway/cluster/known_nodes.rs
@@ -65,6 +65,7 @@
         Reachability {
             nodes: nodes + missing,
             unreachable: unreachable + missing,
+            lost_at: roster.lost_at(),
         }
     }
 }
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -27,6 +27,8 @@
     Report(Report),
     /// Grants for the next owner of the buckets; acknowledged without content.
     Grants(Vec<GrantReport>),
+    /// As [`Message::Quota`], of a node to which the preferred owners of the bucket did not respond.
+    QuotaAfterLoss(GrantRequest),
 }
 
 /// The state of the sender, which is part of each request and response.
--- a/src/gateway/cluster/responder.rs
+++ b/src/gateway/cluster/responder.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 use crate::gateway::changelog::Position;
+use crate::gateway::quota::Succession;
 use crate::gateway::{GrantReport, Node, quota};
 use crate::membership;
 use crate::peer::Handler;
@@ -117,7 +118,10 @@
     async fn gossip(&self, payload: Bytes) -> Result<Bytes, Error> {
         match decode(&payload)? {
             Message::Exchange(request) => self.exchange(*request),
-            Message::Quota(request) => quota::respond(&self.node, &request),
+            Message::Quota(request) => quota::respond(&self.node, &request, Succession::Preferred),
+            Message::QuotaAfterLoss(request) => {
+                quota::respond(&self.node, &request, Succession::AfterLoss)
+            }
             Message::Report(report) => {
                 self.record_report(report);
                 encode(&())
--- a/src/gateway/cluster/roster.rs
+++ b/src/gateway/cluster/roster.rs
@@ -53,6 +53,8 @@
     /// Nodes that this one cannot reach. A call is made twice before it fails.
     unreachable: HashMap<Arc<str>, Failures>,
     isolation: Isolation,
+    /// When a node was last found to have ended without a shutdown.
+    lost_at: Option<Millis>,
 }
 
 /// Failure detection.
@@ -66,6 +68,7 @@
             version: 0,
             unreachable: HashMap::new(),
             isolation: Isolation::default(),
+            lost_at: None,
         }
     }
 
@@ -108,6 +111,9 @@
         let known = self.members.get(node);
         let was_alive = known.is_some_and(|member| self.is_alive(member, now));
         let failures = self.unreachable.entry(Arc::clone(node));
+        if known.is_some_and(|member| !member.announcement.leaving) {
+            self.lost_at = Some(now);
+        }
         let first = Failures {
             since: now,
             latest: now,
@@ -283,6 +289,10 @@
             // Earlier failed calls were to a previous run.
             self.unreachable.remove(&name);
             self.isolation.clear(&name);
+            let earlier = self.members.get(&name);
+            if earlier.is_some_and(|earlier| !earlier.announcement.leaving) {
+                self.lost_at = Some(now);
+            }
             let member = Member {
                 announcement,
                 claim,
@@ -309,6 +319,9 @@
             if claim.alive {
                 self.unreachable.remove(&name);
             }
+            if !claim.alive && !known.announcement.leaving {
+                self.lost_at = Some(now);
+            }
             known.claim = claim;
             known.claimed_at = now;
             known.claimed_locally = false;
@@ -381,6 +394,12 @@
         dead_since.or(self.unreachable.get(watcher).map(|failures| failures.since))
     }
 
+    /// Returns when a node was last found to have ended without a shutdown, or to be unreachable.
+    #[must_use]
+    pub fn lost_at(&self) -> Option<Millis> {
+        self.lost_at
+    }
+
     /// Returns whether the cluster is small.
     #[must_use]
     pub fn is_small(&self) -> bool {
--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -12,7 +12,8 @@
 use crate::gateway::activity::limits;
 use crate::gateway::node::Active;
 use crate::gateway::{
-    Account, Denial, Node, Prompt, Reason, Refusal, RequestMetadata, Route, quota,
+    Account, Denial, Node, Prompt, Reason, Refusal, RequestMetadata, Route,
+    quota::{self, Charge},
 };
 
 use super::attempts::Attempts;
@@ -78,7 +79,7 @@
         read = read_request(node, &metadata, &head, &mut upload, arrived) => read,
         () = node.ending.cancelled() => Err(leaving().into()),
     };
-    let (admission, service, body) = match read {
+    let (admission, charge, service, body) = match read {
         Ok(read) => read,
         Err(refused) => {
             refused.report(node, metadata.id.as_deref(), arrived);
@@ -93,6 +94,7 @@
         route: admission.route,
         service,
         account: admission.account,
+        charge,
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -112,7 +114,7 @@
     head: &Parts,
     upload: &mut Upload,
     arrived: Millis,
-) -> Result<(Admission, Arc<str>, Bytes), Refused> {
+) -> Result<(Admission, Option<Charge>, Arc<str>, Bytes), Refused> {
     let preliminary = resolve(node, metadata, head)?;
     check_departure(node, &preliminary.route, metadata, arrived)?;
     if node.requests.load(Ordering::Relaxed) > node.settings.max_requests {
@@ -132,10 +134,10 @@
     // Reading the body may have taken long; the configuration in force now decides.
     let admission = resolve(node, metadata, head)?;
     check_departure(node, &admission.route, metadata, arrived)?;
-    take_quota(node, admission.account.as_ref(), metadata).await?;
+    let charge = take_quota(node, admission.account.as_ref(), metadata).await?;
     let service = admission.route.pick_service(rand::rng().random());
     let service = service.cloned().ok_or(Refusal::new(Reason::NoEndpoint))?;
-    Ok((admission, service, body))
+    Ok((admission, charge, service, body))
 }
 
 /// Returns when the final response to a request is due, by the caller's timeout or the route's.
@@ -187,7 +189,7 @@
     metadata: &RequestMetadata,
 ) -> Result<Option<Arc<Account>>, Refusal> {
     if route.anonymous || !active.config.has_accounts() {
-        return Ok(());
+        return Ok(None);
     }
     let account = metadata
         .api_key
@@ -199,25 +201,33 @@
         .ok_or(Refusal::new(Reason::UnknownKey))
 }
 
+/// Takes the cost of a request from the quota of its account, if it has one.
 async fn take_quota(
     node: &Arc<Node>,
     account: Option<&Arc<Account>>,
     metadata: &RequestMetadata,
-) -> Result<(), Refused> {
+) -> Result<Option<Charge>, Refused> {
     let Some((account, quota)) = account.and_then(|a| Some((a, a.quota.as_ref()?))) else {
         return Ok(None);
     };
     let cost = quota.cost(metadata.prompt.as_ref().map(Prompt::total_tokens));
     let taken = quota::take(node, account, quota, cost).await;
-    taken.map_err(|(denial, decider)| Refused {
-        refusal: Refusal::new(Reason::Quota).with_retry_after(denial.retry_after),
-        quota: Some(OverQuota {
-            account: Arc::clone(&account.name),
-            units: cost,
-            denial,
-            decider,
-        }),
-    })
+    let charge = |decider| Charge {
+        units: cost,
+        decider,
+    };
+    taken
+        .map(charge)
+        .map(Some)
+        .map_err(|(denial, decider)| Refused {
+            refusal: Refusal::new(Reason::Quota).with_retry_after(denial.retry_after),
+            quota: Some(OverQuota {
+                account: Arc::clone(&account.name),
+                units: cost,
+                denial,
+                decider,
+            }),
+        })
 }
 
 impl Refused {
--- a/src/gateway/forward/call.rs
+++ b/src/gateway/forward/call.rs
@@ -6,6 +6,7 @@
 use slog::info;
 
 use crate::clock::Millis;
+use crate::gateway::quota::Charge;
 use crate::gateway::{Account, Crash, Node, RequestMetadata, RetryPolicy, Route};
 
 use super::attempts::Attempts;
@@ -18,6 +19,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     pub(super) account: Option<Arc<Account>>,
+    /// What the request took from the account's quota.
+    pub(super) charge: Option<Charge>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
@@ -125,6 +128,8 @@
         info!(self.node.log, "request"; "id" => self.id(), "outcome" => outcome, "status" => status,
             "route" => &*self.route.name, "service" => &*self.service,
             "account" => self.account.as_ref().map(|account| &*account.name),
+            "units" => self.charge.map(|charge| charge.units),
+            "decider" => self.charge.map(|charge| format!("{:?}", charge.decider)),
             "endpoints" => attempts.endpoints.join(","), "why" => &attempts.reason,
             "expected_ms" => attempts.choice.map(|choice| choice.first_event_ms as u64),
             "uncached" => attempts.choice.map(|choice| choice.uncached_tokens),
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -17,4 +17,6 @@
 pub use self::quotas::{GrantReport, Level, Quotas, Reachability};
 pub use self::tolerance::Tolerance;
 
-pub(super) use self::ownership::{Decider, GrantRequest, OwnerBackoff, respond, take};
+pub(super) use self::ownership::{
+    Charge, Decider, GrantRequest, OwnerBackoff, Succession, respond, take,
+};
--- a/src/gateway/quota/ownership.rs
+++ b/src/gateway/quota/ownership.rs
@@ -19,8 +19,12 @@
 /// Time for which a node that did not respond is not asked again.
 const BACKOFF: Millis = Millis(1_000);
 
-/// Maximum number of nodes that are asked for one request, one after the other.
-const MAX_OWNERS: usize = 2;
+/// Maximum number of nodes that are asked for one request, one after the other: the preferred ones may
+/// all be lost at once.
+const MAX_OWNERS: usize = 4;
+
+/// Time after which no further node is asked for a request.
+const MAX_ASKING_TIME: Millis = Millis(100);
 
 /// A request to the owner of an account's bucket to grant units.
 #[derive(Debug, Serialize, Deserialize)]
@@ -29,6 +33,15 @@
     units: f64,
 }
 
+/// Why a node is asked for a decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) enum Succession {
+    /// It is the preferred owner of the bucket.
+    Preferred,
+    /// The nodes that are preferred to it did not respond, and may be lost with their grants.
+    AfterLoss,
+}
+
 /// The decision of a bucket's owner.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 enum Decision {
@@ -49,6 +62,14 @@
     Alone,
 }
 
+/// What a request took from the quota of its account.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(in crate::gateway) struct Charge {
+    /// Quota units.
+    pub(in crate::gateway) units: f64,
+    pub(in crate::gateway) decider: Decider,
+}
+
 /// Backoff for owners of buckets that did not respond.
 #[derive(Debug, Default)]
 pub(in crate::gateway) struct OwnerBackoff {
@@ -69,7 +90,8 @@
     }
 }
 
-/// Takes the cost of a request from an account's quota, by the decision of the bucket's owner.
+/// Takes the cost of a request from an account's quota, by the decision of the bucket's owner; returns
+/// the node that decided.
 ///
 /// # Errors
 ///
@@ -79,19 +101,30 @@
     account: &Account,
     quota: &Quota,
     cost: f64,
-) -> Result<(), (Denial, Decider)> {
+) -> Result<Decider, (Denial, Decider)> {
     if quota.rate <= 0.0 {
-        return Ok(());
+        return Ok(Decider::Own);
     }
-    for owner in candidates(node, &account.name) {
+    let started = node.clock.now();
+    let mut succession = Succession::Preferred;
+    for owner in owners(node, &account.name) {
+        let now = node.clock.now();
+        if now - started > MAX_ASKING_TIME {
+            break;
+        }
+        if is_backed_off(node, owner, now) {
+            succession = Succession::AfterLoss;
+            continue;
+        }
         let Some(owner) = owner else {
-            let taken = decide(node, &account.name, quota, cost);
-            return taken.map_err(|denial| (denial, Decider::Own));
+            let taken = decide(node, &account.name, quota, cost, succession);
+            return decided_by(Decider::Own, taken);
         };
-        match request_decision(node, owner, &account.name, cost).await {
-            Some(Decision::Granted) => return Ok(()),
+        match request_decision(node, owner, &account.name, cost, succession).await {
+            Some(Decision::Granted) => return Ok(Decider::Owner(owner)),
             Some(Decision::Denied(denial)) => return Err((denial, Decider::Owner(owner))),
-            Some(Decision::Unknown) | None => {}
+            Some(Decision::Unknown) => {}
+            None => succession = Succession::AfterLoss,
         }
     }
     metrics::counter!("almondpath_quota_alone_total").increment(1);
@@ -101,30 +134,40 @@
     let taken = state
         .quotas
         .take_local(&account.name, quota, cost, reachability, now);
-    taken.map_err(|denial| (denial, Decider::Alone))
+    decided_by(Decider::Alone, taken)
+}
+
+fn decided_by(decider: Decider, taken: Result<(), Denial>) -> Result<Decider, (Denial, Decider)> {
+    taken.map(|()| decider).map_err(|denial| (denial, decider))
 }
 
 /// Returns the nodes that may decide for an account, in order of preference; `None` stands for this
 /// node.
-fn candidates(node: &Node, account: &str) -> Vec<Option<SocketAddr>> {
+fn owners(node: &Node, account: &str) -> Vec<Option<SocketAddr>> {
     let now = node.clock.now();
     let phase = node.phase(now);
     let state = node.state();
-    let owners = state.roster.owners(phase, account, now, MAX_OWNERS);
-    let is_backed_off = |owner: &Option<SocketAddr>| {
-        owner.is_some_and(|address| state.owner_backoff.is_backed_off(address, now))
-    };
-    owners
-        .into_iter()
-        .filter(|owner| !is_backed_off(owner))
-        .collect()
+    state.roster.owners(phase, account, now, MAX_OWNERS)
+}
+
+fn is_backed_off(node: &Node, owner: Option<SocketAddr>, now: Millis) -> bool {
+    owner.is_some_and(|address| node.state().owner_backoff.is_backed_off(address, now))
 }
 
 /// Decides on a request as the owner of the account's bucket.
-fn decide(node: &Node, account: &Arc<str>, quota: &Quota, cost: f64) -> Result<(), Denial> {
+fn decide(
+    node: &Node,
+    account: &Arc<str>,
+    quota: &Quota,
+    cost: f64,
+    succession: Succession,
+) -> Result<(), Denial> {
     let now = node.clock.now();
     let state = &mut *node.state();
-    let reachability = state.reachability(now);
+    let mut reachability = state.reachability(now);
+    if succession == Succession::AfterLoss {
+        reachability.lost_at = Some(now);
+    }
     state.quotas.take(account, quota, cost, reachability, now)?;
     if state.quotas.has_to_report(account, quota) {
         node.grants_unreported.notify_one();
@@ -137,12 +180,17 @@
     owner: SocketAddr,
     account: &Arc<str>,
     units: f64,
+    succession: Succession,
 ) -> Option<Decision> {
     let handle = node.peer_handle.get()?;
-    let message = Message::Quota(GrantRequest {
+    let request = GrantRequest {
         account: Arc::clone(account),
         units,
-    });
+    };
+    let message = match succession {
+        Succession::Preferred => Message::Quota(request),
+        Succession::AfterLoss => Message::QuotaAfterLoss(request),
+    };
     let response = timeout(DECISION_TIMEOUT.into(), call(handle, owner, &message)).await;
     let reason = match response {
         Ok(Ok(decision)) => return Some(decision),
@@ -163,12 +211,17 @@
 /// Responds to another node that asks this one as the owner of an account's bucket.
 ///
 /// A request that is delivered twice is charged twice, which only makes the account wait longer.
-pub(in crate::gateway) fn respond(node: &Node, request: &GrantRequest) -> Result<Bytes, Error> {
+pub(in crate::gateway) fn respond(
+    node: &Node,
+    request: &GrantRequest,
+    succession: Succession,
+) -> Result<Bytes, Error> {
     let active = node.active.load();
     let config = active.as_ref().map(|active| &active.config);
     let account = config.and_then(|config| config.account_by_name(&request.account));
     let quota = account.and_then(|account| account.quota);
-    let decision = match quota.map(|quota| decide(node, &request.account, &quota, request.units)) {
+    let decide = |quota| decide(node, &request.account, &quota, request.units, succession);
+    let decision = match quota.map(decide) {
         None => Decision::Unknown,
         Some(Ok(())) => Decision::Granted,
         Some(Err(denial)) => Decision::Denied(denial),
--- a/src/gateway/quota/quotas.rs
+++ b/src/gateway/quota/quotas.rs
@@ -18,6 +18,10 @@
 /// [`INITIAL_LEVEL_SHARE`].
 const INITIAL_RATE_SHARE: f64 = 0.5;
 
+/// Level of a new bucket, as a share of the allowance below zero, after a loss of nodes that may have
+/// known what the previous owner granted.
+const LEVEL_AFTER_LOSS_SHARE: f64 = 0.5;
+
 /// Time within which grants reduce the initial level of a bucket.
 const RECENT_TIME: Millis = Millis(4_000);
 
@@ -35,6 +39,8 @@
     pub nodes: usize,
     /// Nodes among them that do not count as alive.
     pub unreachable: usize,
+    /// When a node was last found to have ended without a shutdown, on the steady clock.
+    pub lost_at: Option<Millis>,
 }
 
 impl Reachability {
@@ -122,7 +128,7 @@
         let limit = self.limit(quota, reachability.reachable_share());
         let headroom = self.headroom(account, quota, now);
         if self.outdated_bucket(account, now) {
-            let level = self.initial_level(account, &limit, now);
+            let level = self.initial_level(account, &limit, reachability, now);
             self.owned
                 .insert(Arc::clone(account), Bucket::new(level, now));
         }
@@ -195,14 +201,27 @@
 
     /// Returns the level of a bucket that this node starts to own without knowing the previous
     /// owner's: a share of the burst, less what others recently granted beyond a share of the rate.
-    fn initial_level(&self, account: &Arc<str>, limit: &Limit, now: Millis) -> f64 {
+    ///
+    /// After a loss of nodes, the previous owner may be among them together with those that knew of its
+    /// grants.
+    fn initial_level(
+        &self,
+        account: &Arc<str>,
+        limit: &Limit,
+        reachability: Reachability,
+        now: Millis,
+    ) -> f64 {
         let history = self.histories.get(account);
         let recent = history.map_or(0.0, |history| {
             history.recent_of_others(&self.run, RECENT_TIME, now)
         });
         let passed = RECENT_TIME.min(now - self.started).as_f64();
         let expected = limit.rate * INITIAL_RATE_SHARE * passed / 1_000.0;
-        let most = limit.burst * INITIAL_LEVEL_SHARE;
+        let window = self.tolerance.window;
+        let most = match reachability.lost_at {
+            Some(at) if at + window > now => -limit.allowance * LEVEL_AFTER_LOSS_SHARE,
+            _ => limit.burst * INITIAL_LEVEL_SHARE,
+        };
         (most - (recent - expected).max(0.0)).max(-limit.allowance)
     }
 
--- a/tests/integration/gateway_limits.rs
+++ b/tests/integration/gateway_limits.rs
@@ -60,7 +60,11 @@
 }
 
 const fn reachability(nodes: usize, unreachable: usize) -> Reachability {
-    Reachability { nodes, unreachable }
+    Reachability {
+        nodes,
+        unreachable,
+        lost_at: None,
+    }
 }
 
 /// The node that decides on a request, with its view of the other nodes.
@@ -326,6 +330,37 @@
     }
 }
 
+/// Guards against a new owner that grants the burst again, because the owner before it was lost
+/// together with the nodes that knew its grants.
+#[test]
+fn an_owner_lost_with_its_next_owners_stays_within_a_quota() {
+    for rate in [29_000.0, 146_000.0, 700_000.0] {
+        for lost_at in (2_000..12_000).step_by(500) {
+            let mut deployment = Deployment::new(NODES, rate, rate / 8.0);
+            for start in (0..lost_at).step_by(250) {
+                deployment.overload(start, start + 250, false, |_, _| {
+                    Decider::Owner(0, reachability(NODES, 0))
+                });
+                deployment.report(0, true, Millis(start + 250));
+            }
+            // The nodes that are left have not noticed yet whom they can't reach.
+            let after_loss = Reachability {
+                lost_at: Some(Millis(lost_at)),
+                ..reachability(NODES, 0)
+            };
+            let no_owner_until = lost_at + 200;
+            deployment.overload(lost_at, no_owner_until, false, |node, _| match node {
+                0..3 => Decider::Owner(3, after_loss),
+                _ => Decider::Local(after_loss),
+            });
+            deployment.overload(no_owner_until, lost_at + 10_000, false, |_, _| {
+                Decider::Owner(3, after_loss)
+            });
+            deployment.check(&format!("{rate} a second, lost at {lost_at} ms"), 10_000);
+        }
+    }
+}
+
 /// Guards against nodes that each act as the only node after all were killed at once, while an
 /// account sends requests to all of them; a simulated day of heavy load has both. The number of
 /// nodes that know each other doubles every 250 ms.
