Pass on the successes that keep a sound segment out of quarantine

Cause: a node passed on its successes with the first 16 suspected segments in the order of their ids, so that the success with a later one stayed unknown elsewhere.

Now up to 64 are passed on, those first that the crashes speak against most.

Before: successes_with_all_suspected_segments_reach_other_nodes failed each time (16 of 40). After: it passes, as does a new test with 700 suspected segments.

--- a/src/gateway/quarantine/quarantine.rs
+++ b/src/gateway/quarantine/quarantine.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::clock::Millis;
@@ -51,8 +52,12 @@
 /// Time for which a node announces its crashes to the others, which then remember them.
 const ANNOUNCEMENT_PERIOD: Millis = Millis::from_secs(10);
 
-/// Maximum number of crashes or successes in one announcement.
-const MAX_ANNOUNCED: usize = 16;
+/// Maximum number of crashes in one announcement.
+const MAX_ANNOUNCED_CRASHES: usize = 16;
+
+/// Maximum number of successes in one announcement. Fewer segments than that can have
+/// [`MIN_CRASH_SHARE`] of the crashes, and be quarantined unless a success is known.
+const MAX_ANNOUNCED_SUCCESSES: usize = 64;
 
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 512;
@@ -122,7 +127,7 @@
             return;
         }
         self.own_crashes.push(crash);
-        if self.own_crashes.len() > MAX_ANNOUNCED {
+        if self.own_crashes.len() > MAX_ANNOUNCED_CRASHES {
             self.own_crashes.remove(0);
         }
     }
@@ -160,11 +165,6 @@
     pub fn evidence(&self, now: Millis) -> Evidence {
         let own = self.own_crashes.iter();
         let recent = own.filter(|crash| crash.at + ANNOUNCEMENT_PERIOD > now);
-        let suspects = self.suspects();
-        let successes = suspects.into_iter().filter_map(|segment| {
-            let at = *self.own_successes.get(&segment)?;
-            Some(Success { segment, at })
-        });
         let quarantined = self.quarantined.iter();
         let quarantined = quarantined.map(|(segment, until)| Quarantined {
             segment: *segment,
@@ -172,11 +172,40 @@
         });
         Evidence {
             crashes: recent.cloned().collect(),
-            successes: successes.take(MAX_ANNOUNCED).collect(),
+            successes: self.announced_successes(),
             quarantined: quarantined.collect(),
         }
     }
 
+    /// Returns the successes with suspected segments, those first that the crashes speak against most.
+    fn announced_successes(&self) -> Vec<Success> {
+        let suspects = self.suspects().into_iter();
+        let successes = suspects.filter_map(|segment| {
+            let at = *self.own_successes.get(&segment)?;
+            Some(Success { segment, at })
+        });
+        let mut successes: Vec<Success> = successes.collect();
+        if successes.len() > MAX_ANNOUNCED_SUCCESSES {
+            successes.sort_by_cached_key(|success| Reverse(self.crash_percentage(success.segment)));
+            successes.truncate(MAX_ANNOUNCED_SUCCESSES);
+        }
+        successes
+    }
+
+    /// Returns the percentage of the endpoints that crashed since the segment's first crash which
+    /// requests with the segment crashed.
+    fn crash_percentage(&self, segment: u64) -> usize {
+        let has_segment = |crash: &&Crash| crash.segments.contains(&segment);
+        let with_segment = || self.crashes.iter().filter(has_segment);
+        let Some(first) = with_segment().map(|crash| crash.at).min() else {
+            return 0;
+        };
+        let since = self.crashes.iter().filter(|crash| crash.at >= first);
+        let all: HashSet<u64> = since.map(|crash| crash.endpoint).collect();
+        let crashed: HashSet<u64> = with_segment().map(|crash| crash.endpoint).collect();
+        crashed.len() * 100 / all.len().max(1)
+    }
+
     /// Merges what another node announced.
     pub fn merge(&mut self, evidence: &Evidence, now: Millis) {
         for crash in &evidence.crashes {
--- a/tests/integration/gateway_quarantine.rs
+++ b/tests/integration/gateway_quarantine.rs
@@ -383,3 +383,29 @@
     let passed_on: Vec<u64> = evidence.successes.iter().map(|s| s.segment).collect();
     assert_eq!(passed_on, segments.collect::<Vec<_>>());
 }
+
+/// Guards against a sound segment that is quarantined elsewhere, because so many are suspected that its
+/// success is not passed on.
+#[test]
+fn the_success_with_the_most_accused_segment_reaches_other_nodes() {
+    const ACCUSED: u64 = 1_000_000;
+    let now = Millis(10_000);
+    let mut node = Quarantine::default();
+    for request in 0..200 {
+        let group = request / 2 * 7;
+        let mut segments: Vec<u64> = (group + 1..=group + 7).collect();
+        segments.push(ACCUSED);
+        node.record_crash(Crash {
+            endpoint: request,
+            request: 5_000 + request,
+            segments,
+            at: now,
+        });
+    }
+    node.record_success([ACCUSED], now + Millis(100));
+    for segment in 1..=700 {
+        node.record_success([segment], now + Millis(100));
+    }
+    let evidence = node.evidence(now + Millis(200));
+    assert!(evidence.successes.iter().any(|s| s.segment == ACCUSED));
+}
