Pass the counts of lost holders on to the next holder of the duties

Cause: the holder of the duties reports its own counts to the readers. When another node than these took the duties over, or a reader that had started since, nobody told it what the lost holder had counted, and the window lacked it.

Now a node passes on what it has of runs that ended, as reports of these runs. Counts are merged by their maximum, so that a late relay takes nothing back; all nodes forget closed windows.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::error::Error;
 use crate::gateway::changelog::Position;
+use crate::gateway::state::State;
 use crate::gateway::{GrantReport, Node, Quotas, Topic};
 use crate::peer::{Handle, Method};
 
@@ -31,6 +32,9 @@
 /// Rounds between two reports to the holder of the duties.
 const ROUNDS_PER_REPORT: u64 = 2;
 
+/// Maximum number of reports of other runs that a node passes on at a time.
+const MAX_RELAYED_REPORTS: usize = 16;
+
 /// Minimum time between two reports of grants that have to be reported at once.
 const GRANT_REPORT_PAUSE: Millis = Millis(25);
 
@@ -275,10 +279,13 @@
     ///
     /// The holder itself reports to the readers, which may become its successors, so that its own
     /// counters survive its loss.
+    ///
+    /// What earlier holders reported to this node before they were lost is passed on, since they cannot
+    /// report it to the new holder.
     fn send_report(self: &Arc<Self>, holder: Option<SocketAddr>) {
         let node = &self.node;
         let now = node.clock.now();
-        let (report, readers) = {
+        let (report, relayed, readers) = {
             let state = node.state();
             let report = Report {
                 node: Arc::clone(&node.settings.node),
@@ -291,11 +298,14 @@
             let readers = state.readers(&node.settings, now);
             let readers = readers.iter().filter_map(|name| state.roster.member(name));
             let readers: Vec<_> = readers.map(|member| member.announcement.peer).collect();
-            (report, readers)
+            (report, relayed_reports(&state, now), readers)
         };
         let recipients = holder.map_or(readers, |holder| vec![holder]);
         for to in recipients {
             self.send(to, Message::Report(report.clone()), "report");
+            for relayed in &relayed {
+                self.send(to, Message::Report(relayed.clone()), "relayed report");
+            }
         }
     }
 
@@ -342,6 +352,26 @@
     }
 }
 
+/// Returns the reports of runs that have ended, as far as this node received them.
+fn relayed_reports(state: &State, now: Millis) -> Vec<Report> {
+    let is_live = |name: &Arc<str>, incarnation: u64| {
+        let member = state.roster.member(name);
+        member.is_some_and(|member| {
+            member.announcement.incarnation == incarnation && state.roster.is_alive(member, now)
+        })
+    };
+    let lost = state.usage.of_lost_runs(is_live);
+    let reports = lost.map(|(name, incarnation, counts)| Report {
+        node: Arc::clone(name),
+        incarnation,
+        usage: counts.clone(),
+        demand: Vec::new(),
+        rollouts: Vec::new(),
+        totals: Vec::new(),
+    });
+    reports.take(MAX_RELAYED_REPORTS).collect()
+}
+
 /// Adopts the position of another node after its changes have been applied. The node responded
 /// after `sent`.
 fn adopt_position(position: &mut Position, sent: Millis, progress: Option<Progress>) {
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -267,9 +267,9 @@
 /// Reports the windows that are due.
 async fn report_usage(node: &Arc<Node>, duty: &mut DutyState) {
     let length = node.settings.usage_window.0.max(1);
-    let wall = node.wall_time().0;
-    let first_open = wall.saturating_sub(COUNTS_DELAY.0) / length;
-    let oldest = wall.saturating_sub(node.settings.usage_report_deadline.0) / length;
+    let wall = node.wall_time();
+    let first_open = (wall - COUNTS_DELAY).0 / length;
+    let oldest = node.settings.oldest_open_window(wall);
     for window in oldest..first_open {
         if duty.reported.contains(&window) || is_skipped(node, duty, window, length) {
             continue;
@@ -279,7 +279,6 @@
         }
     }
     duty.reported = duty.reported.split_off(&oldest);
-    node.state().usage.forget_before(oldest);
 }
 
 /// Returns whether a window is not reported. An earlier holder may have reported it, with totals that
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -221,10 +221,12 @@
                 continue;
             }
             cleaned = now;
+            let oldest = self.settings.oldest_open_window(self.wall_time());
             self.upstream.prune(IDLE_CONNECTION_TIMEOUT);
             let state = &mut *self.state();
             state.fleet.prune(now);
             state.clocks.prune(now);
+            state.usage.forget_before(oldest);
             state.demand_reports.prune(now);
             let fleet = &state.fleet;
             state.changelog.retain(|id| fleet.find(id).is_some());
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -70,6 +70,12 @@
         Millis(self.heartbeat.0 * MISSED_HEARTBEATS) + EXPIRY_NEWS_TIME
     }
 
+    /// Returns the first usage window whose report may still be accepted at this wall time.
+    #[must_use]
+    pub fn oldest_open_window(&self, wall: Millis) -> u64 {
+        (wall - self.usage_report_deadline).0 / self.usage_window.0.max(1)
+    }
+
     /// Returns the number of usage windows whose reports may still be accepted.
     #[must_use]
     pub fn open_windows(&self) -> usize {
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -40,10 +40,34 @@
         }
     }
 
-    /// Merges the counts of another node since its start.
+    /// Merges the counts of another node since its start. The counts of a run only grow, so that they
+    /// may arrive in any order and be relayed.
     pub fn merge(&mut self, node: &Arc<str>, incarnation: u64, counts: Counts) {
         let known = self.remote.entry((Arc::clone(node), incarnation));
-        known.or_default().extend(counts);
+        let known = known.or_default();
+        for (window, accounts) in counts {
+            let known = known.entry(window).or_default();
+            for (account, count) in accounts {
+                let latest = known.entry(account).or_default();
+                *latest = count.max(*latest);
+            }
+        }
+        while known.len() > self.max_windows {
+            known.pop_first();
+        }
+    }
+
+    /// Returns the counts of the other nodes' runs that are not among the `live` ones, by name and
+    /// incarnation. The nodes of these runs no longer report them.
+    pub fn of_lost_runs<F>(&self, live: F) -> impl Iterator<Item = (&Arc<str>, u64, &Counts)>
+    where
+        F: Fn(&Arc<str>, u64) -> bool,
+    {
+        let runs = self
+            .remote
+            .iter()
+            .map(|((node, incarnation), counts)| (node, *incarnation, counts));
+        runs.filter(move |(node, incarnation, _)| !live(node, *incarnation))
     }
 
     /// Returns the number of requests started in a window on all nodes, by account.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,6 +26,7 @@
 mod gateway_store;
 mod gateway_streams;
 mod gateway_upstream;
+mod gateway_usage;
 #[allow(dead_code, reason = "not every feature uses every helper")]
 mod harness;
 mod hedging;
