Start a bucket empty after a loss of nodes, not overdrawn

Cause: started overdrawn by half of the allowance, a bucket of a small account takes seconds to refill, since the allowance depends little on the rate.

Now it starts empty.

--- a/src/gateway/quota/quotas.rs
+++ b/src/gateway/quota/quotas.rs
@@ -18,10 +18,6 @@
 /// [`INITIAL_LEVEL_SHARE`].
 const INITIAL_RATE_SHARE: f64 = 0.5;
 
-/// Level of a new bucket, as a share of the allowance below zero, after a loss of nodes that may have
-/// known what the previous owner granted.
-const LEVEL_AFTER_LOSS_SHARE: f64 = 0.5;
-
 /// Time within which grants reduce the initial level of a bucket.
 const RECENT_TIME: Millis = Millis(4_000);
 
@@ -203,7 +199,7 @@
     /// owner's: a share of the burst, less what others recently granted beyond a share of the rate.
     ///
     /// After a loss of nodes, the previous owner may be among them together with those that knew of its
-    /// grants.
+    /// grants. The bucket is empty then, and what it may be overdrawn by is all that is granted twice.
     fn initial_level(
         &self,
         account: &Arc<str>,
@@ -219,7 +215,7 @@
         let expected = limit.rate * INITIAL_RATE_SHARE * passed / 1_000.0;
         let window = self.tolerance.window;
         let most = match reachability.lost_at {
-            Some(at) if at + window > now => -limit.allowance * LEVEL_AFTER_LOSS_SHARE,
+            Some(at) if at + window > now => 0.0,
             _ => limit.burst * INITIAL_LEVEL_SHARE,
         };
         (most - (recent - expected).max(0.0)).max(-limit.allowance)
