Count a node as lost once, not at each failed call to it

Cause: found when reading the change again. Nodes that count as dead are probed for 30 s, and each failed probe counted as a new loss, so that buckets started empty for that long instead of one window.

Now only a failed call to a node that counted as alive is a loss. The decisions of a shutdown have a test without processes.

--- a/src/gateway/cluster/roster.rs
+++ b/src/gateway/cluster/roster.rs
@@ -53,7 +53,7 @@
     /// Nodes that this one cannot reach. A call is made twice before it fails.
     unreachable: HashMap<Arc<str>, Failures>,
     isolation: Isolation,
-    /// When a node was last found to have ended without a shutdown.
+    /// When a node was last found to have ended without a shutdown, or to be unreachable.
     lost_at: Option<Millis>,
 }
 
@@ -110,10 +110,10 @@
     pub fn record_failure(&mut self, node: &Arc<str>, now: Millis) -> bool {
         let known = self.members.get(node);
         let was_alive = known.is_some_and(|member| self.is_alive(member, now));
-        let failures = self.unreachable.entry(Arc::clone(node));
-        if known.is_some_and(|member| !member.announcement.leaving) {
+        if was_alive && known.is_some_and(|member| !member.announcement.leaving) {
             self.lost_at = Some(now);
         }
+        let failures = self.unreachable.entry(Arc::clone(node));
         let first = Failures {
             since: now,
             latest: now,
--- a/src/gateway/quota/quotas.rs
+++ b/src/gateway/quota/quotas.rs
@@ -35,7 +35,8 @@
     pub nodes: usize,
     /// Nodes among them that do not count as alive.
     pub unreachable: usize,
-    /// When a node was last found to have ended without a shutdown, on the steady clock.
+    /// When a node was last found to have ended without a shutdown, or to be unreachable, on the steady
+    /// clock.
     pub lost_at: Option<Millis>,
 }
 
--- a/tests/integration/gateway_shutdown.rs
+++ b/tests/integration/gateway_shutdown.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use almondpath::clock::Millis;
+use almondpath::gateway::{Departure, RetryPolicy};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -43,6 +45,63 @@
     }
 }
 
+/// Guards against a request that is taken although the node may end before it, and against one that is
+/// declined although it can be answered.
+#[test]
+fn a_request_is_taken_if_it_can_be_answered_or_sent_again() {
+    struct Case {
+        policy: RetryPolicy,
+        /// Time of the decision and deadline after the start of the shutdown, in ms.
+        now: u64,
+        deadline: u64,
+        taken: bool,
+    }
+    let case = |policy, now, deadline, taken| Case {
+        policy,
+        now,
+        deadline,
+        taken,
+    };
+    let cases = [
+        case(RetryPolicy::Never, 0, 7_400, true),
+        case(RetryPolicy::Never, 0, 7_401, false),
+        case(RetryPolicy::Never, 7_000, 7_300, true),
+        case(RetryPolicy::Idempotent, 0, 15_000, true),
+        case(RetryPolicy::Idempotent, 2_499, 15_000, true),
+        case(RetryPolicy::Idempotent, 2_500, 15_000, false),
+        case(RetryPolicy::Resume, 2_500, 15_000, false),
+        case(RetryPolicy::Resume, 2_500, 7_400, true),
+    ];
+    let started = Millis(1_000);
+    let departure = Departure::new(started, Millis(8_000));
+    for Case {
+        policy,
+        now,
+        deadline,
+        taken,
+    } in cases
+    {
+        let (now, deadline) = (started + Millis(now), started + Millis(deadline));
+        let name = format!("{policy:?} at {now}, due at {deadline}");
+        assert_eq!(departure.may_take(policy, deadline, now), taken, "{name}");
+    }
+}
+
+/// Guards against a shutdown whose steps are out of order because the grace period is short.
+#[test]
+fn a_short_grace_period_keeps_the_order_of_the_steps() {
+    for grace in [1_000, 2_000, 4_000, 30_000] {
+        let departure = Departure::new(Millis(500), Millis(grace));
+        let steps = [
+            departure.closes_at(),
+            departure.answers_at(),
+            departure.exits_at(),
+        ];
+        assert!(steps.is_sorted(), "{grace}: {steps:?}");
+        assert!(steps[2] < Millis(500 + grace), "{grace}: {steps:?}");
+    }
+}
+
 /// Returns how often the endpoints ran the request of this response.
 fn runs(deployment: &Deployment, response: &Response) -> usize {
     let received = deployment.engines.iter().flat_map(Engine::received);
