Wait for a usage report before the holder of the duties is killed

Cause: usage_is_reported_once_across_duty_holders took the name of the holder from the first report and expected one about 3 s after the start.

The test was wrong to expect a time: the users' bound for a report is 10 s after the end of its window. It waits for the report now; all that it checks is unchanged.

--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -650,6 +650,10 @@
             tokio::time::sleep(Duration::from_millis(40)).await;
         }
         if round == 1 {
+            eventually("usage is reported", async || {
+                !deployment.cloud.duty_calls().is_empty()
+            })
+            .await;
             let duties = deployment.cloud.duty_calls();
             let holder = duties.last().expect("a report").holder.clone();
             let held = deployment.gateways.iter().position(|g| g.name == holder);
