Freeze the relay of the tests before it relays what is sent later

By reading: the test's relay waits for its mode and for data in a select in random order, so that a request sent after the mode was set may be relayed when both are ready at one wake-up. It looks at the mode first now. Not reproduced otherwise; the checks are unchanged.

--- a/tests/integration/relay.rs
+++ b/tests/integration/relay.rs
@@ -78,9 +78,11 @@
         }
         std::future::pending().await
     };
+    // The mode is looked at first, so that nothing is relayed that was sent after it was set.
     let is_frozen = tokio::select! {
-        () = relayed => false,
+        biased;
         () = freeze => true,
+        () = relayed => false,
     };
     if is_frozen {
         // Both sockets stay open, so that neither side sees the connection close.
