--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -19,9 +19,9 @@
 /// the position is up to date.
 const READ_WAIT_FRACTION: f64 = 0.3;
 
-/// Pause after records of endpoints, as a fraction of the time limit for updates of the topic: records
-/// of several endpoints tend to come together.
-const ENDPOINTS_PAUSE_FRACTION: f64 = 0.125;
+/// Pause after records of endpoints. Records of several endpoints tend to come together, and a
+/// departure has to be known within a second or two.
+const ENDPOINTS_PAUSE: Millis = Millis(250);
 
 /// Age of a position, as a fraction of the time limit for updates of the topic, above which a node
 /// reads the store itself because the updates of the other nodes are too old.
@@ -224,9 +224,6 @@
 
     /// Reads how the known rollouts ended, which their orders do not say.
     async fn read_rollout_status(&mut self) {
-        if self.node.state().rollouts.progress().is_empty() {
-            return;
-        }
         while let Err(error) = self.node.read_rollout_status().await {
             self.back_off(&error).await;
         }
@@ -309,7 +306,7 @@
             Batch::Records(records) => apply_entries(&node, records, &absence),
         }
         follower.advance(at);
-        sleep(follower.fraction_of_limit(ENDPOINTS_PAUSE_FRACTION).into()).await;
+        sleep(ENDPOINTS_PAUSE.into()).await;
     }
 }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -30,10 +30,6 @@
 /// Time within which another node has to respond to a call.
 const PEER_TIMEOUT: Millis = Millis(800);
 
-/// Time after its start for which a node does not read the store on behalf of others: until it has
-/// found them, each of many nodes that start together would do so.
-const DISCOVERY_TIME: Millis = Millis(1_000);
-
 /// Interval at which endpoints are checked whose entries are missing.
 const EXPIRY_INTERVAL: Millis = Millis(250);
 
@@ -401,11 +397,7 @@
 
     /// Returns whether this node reads the store on behalf of others.
     pub(super) fn is_reader(&self) -> bool {
-        let now = self.clock.now();
-        if now - self.started < DISCOVERY_TIME {
-            return false;
-        }
-        let readers = self.state().readers(&self.settings, now);
+        let readers = self.state().readers(&self.settings, self.clock.now());
         readers.contains(&self.settings.node)
     }
 
