--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -152,6 +152,12 @@
         Some(kib / 1024)
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod platform;
 mod record;
+mod streams;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -49,6 +50,7 @@
         "exposure" => exposure::play(&play_record, &play_scratch, trouble),
         "leaving" => leaving::play(&play_record, &play_scratch, trouble),
         "orders" => orders::play(&play_record, &play_scratch, trouble),
+        "streams" => streams::play(&play_record, &play_scratch, trouble),
         "memory" => memory::play(&play_record, &play_scratch, trouble),
         _ => Outcome::NotRun("no such case"),
     });
@@ -82,23 +84,29 @@
     exit(code);
 }
 
-/// Returns a configuration with one service, `app`, and a route of each kind to it.
+/// Returns a configuration with a plain service, `app`, with a route of each kind to it, and a service
+/// of model engines, `llm`, with a route for streams that may be resumed.
 pub fn config(version: u64) -> String {
-    let route = |name: &str, kind: &str| {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumes: bool| {
         format!(
             "{{\"name\":\"{name}\",\"hostname\":\"h.example\",\"path_prefix\":\"/{name}/\",\
              \"route_type\":\"{kind}\",\"timeout_ms\":15000,\"target_latency_ms\":500,\"priority\":1,\
-             \"service\":\"app\",\"max_attempts\":1,\"anonymous\":false,\"resume_streams\":false}}"
+             \"service\":\"{service}\",\"max_attempts\":{attempts},\"anonymous\":false,\
+             \"resume_streams\":{resumes},\"gap_target_ms\":500}}"
         )
     };
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\
+        "{{\"version\":{version},\"routes\":[{},{},{}],\
          \"services\":[{{\"name\":\"app\",\"health_path\":\"/health\",\"max_connections\":96,\
-         \"protocol\":\"h1\",\"tls\":false}}],\
+         \"protocol\":\"h1\",\"tls\":false}},\
+         {{\"name\":\"llm\",\"health_path\":\"/health\",\"max_connections\":360,\
+         \"protocol\":\"h1\",\"tls\":false,\
+         \"engine\":{{\"slots\":64,\"kv_capacity\":448646,\"models\":[{{\"name\":\"m\"}}]}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"one\",\"api_keys\":[\"key-one\"]}}]}}",
-        route("activate", "non_idempotent"),
-        route("status", "idempotent"),
+        route("activate", "non_idempotent", "app", 1, false),
+        route("status", "idempotent", "app", 1, false),
+        route("chat", "streaming", "llm", 2, true),
     )
 }
