review: case 1 plays a burst of at most 1.7 times the usual clients

Change: 48 clients usually, and 33 more for 8 s. The stand-ins end all gateways also when a case is given up, and send signals by the shell.

--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,9 @@
 /// Memory of a machine, in MB.
 pub const MEMORY_MB: u64 = 260;
 
+/// Ids of the gateways that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 pub struct Gateway {
     pub name: String,
     pub front: SocketAddr,
@@ -116,15 +120,29 @@
         .append(true)
         .open(output)
         .ok()?;
-    let command = Command::new("target/release/almondpath")
+    let child = Command::new("target/release/almondpath")
         .arg("gateway")
         .env_clear()
         .env("ALMONDPATH_NODE_FILE", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().ok()?)
         .stderr(log)
-        .spawn();
-    command.ok()
+        .spawn()
+        .ok()?;
+    RUNNING.lock().unwrap().push(child.id());
+    Some(child)
+}
+
+/// Ends all gateways that still run, when a case is given up.
+pub fn kill_all() {
+    for id in RUNNING.lock().unwrap().drain(..) {
+        signal("KILL", id);
+    }
+}
+
+fn signal(name: &str, id: u32) {
+    let command = format!("kill -{name} {id}");
+    let _ = Command::new("sh").args(["-c", &command]).status();
 }
 
 impl Gateway {
@@ -154,13 +172,13 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        signal("TERM", self.child.id());
     }
 
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|id| *id != self.child.id());
     }
 
     pub fn restart(&mut self) -> bool {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -80,6 +80,7 @@
         }
     };
     record.flush();
+    gateway::kill_all();
     let _ = std::fs::remove_dir_all(&scratch);
     exit(code);
 }
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -20,9 +20,17 @@
 const STEADY_CLIENTS: usize = 16;
 const STEADY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Clients of each gateway that send large bodies, when many come at once and usually.
-const MANY_UPLOADS: usize = 72;
-const USUAL_UPLOADS: usize = 6;
+/// Pause after a request that could not be sent.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Clients of each gateway that send large bodies all the while, and those that come at once in
+/// addition: 1.69 times as many in all.
+const USUAL_UPLOADS: usize = 48;
+const BURST_UPLOADS: usize = 33;
+
+/// When the burst begins, and how long it lasts.
+const BURST_START: Duration = Duration::from_secs(8);
+const BURST_TIME: Duration = Duration::from_secs(8);
 
 /// Size of a large body: `max_body_bytes` of the configuration.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -31,8 +39,11 @@
 /// `link_mbps`.
 const BYTES_PER_S: usize = 1_500_000;
 
+/// Time that an upload takes.
+const UPLOAD_TIME: Duration = Duration::from_millis(2_800);
+
 const DEADLINE: Duration = Duration::from_secs(15);
-const PLAY_TIME: Duration = Duration::from_secs(20);
+const PLAY_TIME: Duration = Duration::from_secs(22);
 
 /// Delay after which the platform starts a process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
@@ -73,15 +84,28 @@
         thread::spawn(move || watch_memory(&gateways, &record, &stop))
     };
     let mut clients = Vec::new();
-    let uploads = if trouble { MANY_UPLOADS } else { USUAL_UPLOADS };
+    let uploads = USUAL_UPLOADS + if trouble { BURST_UPLOADS } else { 0 };
+    let body: Arc<Vec<u8>> = Arc::new(vec![b'x'; BODY_BYTES]);
     for (gateway, front) in fronts.into_iter().enumerate() {
         for number in 0..STEADY_CLIENTS + uploads {
             let client = Client::new(front, record);
             let (stop, lost) = (Arc::clone(&stop), Arc::clone(&lost));
-            let is_steady = number < STEADY_CLIENTS;
+            let body = (number >= STEADY_CLIENTS).then(|| Arc::clone(&body));
+            let during = if number < STEADY_CLIENTS + USUAL_UPLOADS {
+                // The uploads are at different stages.
+                let stage = number as f64 / USUAL_UPLOADS as f64;
+                (UPLOAD_TIME.mul_f64(stage), PLAY_TIME)
+            } else {
+                (BURST_START, BURST_START + BURST_TIME)
+            };
             let id = format!("{gateway:x}{number:02x}");
+            let started = record.elapsed();
+            let record = record.clone();
             clients.push(thread::spawn(move || {
-                send(client, &id, is_steady, &stop, &lost)
+                let is_over =
+                    || stop.load(Ordering::Relaxed) || record.elapsed() > started + during.1;
+                thread::sleep(during.0);
+                send(client, &id, body.as_deref(), is_over, &lost);
             }));
         }
     }
@@ -155,23 +179,18 @@
     kills
 }
 
-fn send(
+fn send<F>(
     mut client: Client,
     name: &str,
-    is_steady: bool,
-    stop: &AtomicBool,
+    large: Option<&Vec<u8>>,
+    is_over: F,
     lost: &Mutex<Vec<String>>,
-) {
-    let large = if is_steady {
-        Vec::new()
-    } else {
-        vec![b'x'; BODY_BYTES]
-    };
-    if !is_steady {
-        client.bytes_per_s = Some(BYTES_PER_S);
-    }
+) where
+    F: Fn() -> bool,
+{
+    client.bytes_per_s = large.map(|_| BYTES_PER_S);
     let mut count = 0;
-    while !stop.load(Ordering::Relaxed) {
+    while !is_over() {
         count += 1;
         let id = format!("{name}{count:05x}");
         let kept = client.is_kept();
@@ -180,13 +199,13 @@
             path: "/activate/x",
             key: "key-one",
             deadline: DEADLINE,
-            body: if is_steady { b"activate" } else { &large },
+            body: large.map_or(b"activate", |large| large),
         });
         if kept && ending == Ending::Closed {
             lost.lock().unwrap().push(id);
         }
         thread::sleep(if ending == Ending::NotSent {
-            Duration::from_millis(200)
+            RETRY_PAUSE
         } else {
             STEADY_PAUSE
         });
