gateway: a later entry of an endpoint replaces an earlier one

Cause: a node that starts reads a list without the endpoint, then takes it as ready from a node that has not yet read the removal. Nothing compared the age of the two. The restarted nodes are the readers and confirm their positions to each other, although their changelogs lack the removal.

Change: each state of an entry has a revision (era, next offset), in messages as well; only a greater one replaces it, and of an unknown endpoint only one after the node's own position. A position is adopted from a changelog without a gap only.

Why it works: the order of the store's records decides, not the order in which nodes hear of them.

Related: a list that was requested before a registration, a second removal of one run, and a removal that a node with failed reads passes on as an expiry are told apart by the same comparison.

The entries module takes changelog.rs apart, and the code that applies entries out of node.rs.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Millis;
 use crate::error::Error;
-use crate::gateway::changelog::Position;
+use crate::gateway::entries::Position;
 use crate::gateway::state::State;
 use crate::gateway::{GrantReport, Node, Quotas, Topic};
 use crate::peer::{Handle, Method};
@@ -229,7 +229,7 @@
         for update in delta.entries {
             let id = Arc::clone(&update.id);
             let outage_end = sent - update.missing_for.unwrap_or_default();
-            node.apply_entry(&id, update.into_state(), outage_end, "node");
+            node.apply_entry(&id, update.into_entry(), outage_end, "node");
         }
         for update in &delta.members {
             node.merge_rollouts(&update.announcement);
@@ -260,7 +260,14 @@
         }
         state.roster.apply(delta.members, now);
         state.update_remote_inflight(now);
-        adopt_position(&mut state.endpoints_position, sent, delta.endpoints);
+        let position = &mut state.endpoints_position;
+        // Otherwise the other node may not know of removals that this one has not read.
+        let has_no_gap = delta
+            .entries_from
+            .is_some_and(|from| position.is_continued_by(from));
+        if has_no_gap {
+            adopt_position(position, sent, delta.endpoints);
+        }
         if has_config {
             adopt_position(&mut state.operator_position, sent, delta.operator);
         }
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
-use crate::gateway::changelog::EntryState;
+use crate::gateway::entries::{Entry, EntryState, Revision};
 use crate::gateway::quota::{GrantReport, GrantRequest};
 use crate::gateway::rollout;
 use crate::gateway::scaler::Demand;
@@ -79,6 +79,8 @@
     pub(super) versions: Versions,
     pub(super) members: Vec<MemberUpdate>,
     pub(super) entries: Vec<EntryUpdate>,
+    /// Revision from which on the sender records all changes of entries.
+    pub(super) entries_from: Option<Revision>,
     /// Position of the sender in the topic of endpoints, if the delta contains all changes of
     /// entries.
     pub(super) endpoints: Option<Progress>,
@@ -86,10 +88,11 @@
     pub(super) operator: Option<Progress>,
 }
 
-/// The new state of an endpoint's entry.
+/// The new entry of an endpoint.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct EntryUpdate {
     pub(super) id: Arc<str>,
+    revision: Revision,
     /// The content of the entry, if it is present.
     document: Option<Vec<u8>>,
     /// Time since the end of the outage of the store, if an absent entry may merely have expired.
@@ -98,24 +101,29 @@
 
 impl EntryUpdate {
     /// Creates the update of an entry; `missing_for` is used only for one that is missing.
-    pub(super) fn new(id: Arc<str>, state: EntryState, missing_for: Millis) -> Self {
-        let missing_for = (state == EntryState::Missing).then_some(missing_for);
-        let document = match state {
+    pub(super) fn new(id: Arc<str>, entry: Entry, missing_for: Millis) -> Self {
+        let missing_for = (entry.state == EntryState::Missing).then_some(missing_for);
+        let document = match entry.state {
             EntryState::Present(document) => Some(document.into()),
             EntryState::Removed | EntryState::Missing => None,
         };
         Self {
             id,
+            revision: entry.revision,
             document,
             missing_for,
         }
     }
 
-    pub(super) fn into_state(self) -> EntryState {
-        match self.document {
+    pub(super) fn into_entry(self) -> Entry {
+        let state = match self.document {
             Some(document) => EntryState::Present(document.into()),
             None if self.missing_for.is_some() => EntryState::Missing,
             None => EntryState::Removed,
+        };
+        Entry {
+            state,
+            revision: self.revision,
         }
     }
 }
--- a/src/gateway/cluster/responder.rs
+++ b/src/gateway/cluster/responder.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
-use crate::gateway::changelog::Position;
+use crate::gateway::entries::Position;
 use crate::gateway::quota::Succession;
 use crate::gateway::{GrantReport, Node, quota};
 use crate::membership;
@@ -62,10 +62,9 @@
         let now = node.clock.now();
         let state = node.state();
         let (members_version, members) = state.roster.updates_since(have.members, now);
-        let (entries_version, entries, complete) =
-            state.changelog.changes_since(have.entries, MAX_ENTRIES);
+        let changes = state.changelog.changes_since(have.entries, MAX_ENTRIES);
         let endpoints = progress(&state.endpoints_position, now);
-        let entries = entries.into_iter().map(|(id, entry)| {
+        let entries = changes.entries.into_iter().map(|(id, entry)| {
             let missing_for = state.fleet.missing_for(&id, now).unwrap_or_default();
             EntryUpdate::new(id, entry, missing_for)
         });
@@ -73,11 +72,12 @@
             versions: Versions {
                 incarnation: node.incarnation,
                 members: members_version,
-                entries: entries_version,
+                entries: changes.until,
             },
             members,
             entries: entries.collect(),
-            endpoints: endpoints.filter(|_| complete),
+            entries_from: state.changelog.complete_from(),
+            endpoints: endpoints.filter(|_| changes.is_complete),
             operator: progress(&state.operator_position, now),
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -28,12 +28,14 @@
 }
 
 /// The outcome of [`Fleet::register`].
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RegisterOutcome {
-    /// Whether the registration says anything new, which a late or superseded one does not.
-    pub is_new: bool,
-    /// The lifecycle transition that it caused.
-    pub transition: Option<Transition>,
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegisterOutcome {
+    /// The registration is late, or contradicts a departure, and has no effect.
+    Superseded,
+    /// It says nothing new, as a heartbeat.
+    Confirmed,
+    /// It says something new, and may have caused a transition.
+    Changed(Option<Transition>),
 }
 
 /// All endpoints that this node knows.
@@ -152,17 +154,14 @@
         memory_tokens: u64,
         now: Millis,
     ) -> RegisterOutcome {
-        let inserted = |transition| RegisterOutcome {
-            is_new: true,
-            transition: Some(transition),
-        };
+        let inserted = |transition| RegisterOutcome::Changed(Some(transition));
         let Some(key) = self.find(&registration.identity.id) else {
             return inserted(self.insert(registration, memory_tokens, now));
         };
         let known = &mut self.endpoints[key];
         let (old, new) = (known.registration.identity.born, registration.identity.born);
         if new < old || (new == old && registration.sequence < known.registration.sequence) {
-            return RegisterOutcome::default();
+            return RegisterOutcome::Superseded;
         }
         if new > old {
             known.deregistered.cancel();
@@ -172,7 +171,7 @@
             return inserted(self.insert(registration, memory_tokens, now));
         }
         if known.lifecycle == Lifecycle::Leaving && !registration.leaving {
-            return RegisterOutcome::default();
+            return RegisterOutcome::Superseded;
         }
         let leaving = registration.leaving;
         let is_new =
@@ -189,9 +188,11 @@
         } else {
             Lifecycle::Ready
         };
-        RegisterOutcome {
-            is_new,
-            transition: Self::transition(known, lifecycle, now),
+        let transition = Self::transition(known, lifecycle, now);
+        if is_new || transition.is_some() {
+            RegisterOutcome::Changed(transition)
+        } else {
+            RegisterOutcome::Confirmed
         }
     }
 
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -10,7 +10,7 @@
 use crate::clock::Millis;
 use crate::error::Error;
 
-use super::changelog::{EntryState, Position};
+use super::entries::{Entry, EntryState, Position, Revision};
 use super::fleet::{Fleet, MISSING_TIMEOUT};
 use super::{Era, Node, Page, Record, Topic};
 
@@ -295,15 +295,8 @@
         let (batch, at) = follower.next().await;
         let absence = Absence::new(&follower);
         match batch {
-            Batch::Snapshot(records) => {
-                let present: HashSet<_> = records.iter().filter_map(|r| r.key.clone()).collect();
-                apply_entries(&node, records, &absence);
-                let absent = absent_ids(&node.state().fleet, &present);
-                for id in absent {
-                    node.apply_entry(&id, absence.state.clone(), absence.outage_end, "list");
-                }
-            }
-            Batch::Records(records) => apply_entries(&node, records, &absence),
+            Batch::Snapshot(records) => apply_snapshot(&node, records, &at, &absence),
+            Batch::Records(records) => apply_entries(&node, records, at.era, &absence, "record"),
         }
         follower.advance(at);
         sleep(ENDPOINTS_PAUSE.into()).await;
@@ -330,17 +323,51 @@
             },
         }
     }
+
+    /// Returns an entry that is absent as of a revision.
+    fn entry(&self, revision: Revision) -> Entry {
+        Entry {
+            state: self.state.clone(),
+            revision,
+        }
+    }
+}
+
+/// Applies all entries as of a position: endpoints without one are absent.
+fn apply_snapshot(node: &Node, records: Vec<Record>, at: &Position, absence: &Absence) {
+    let Some(revision) = at.revision() else {
+        return;
+    };
+    node.state().changelog.restart_at(revision);
+    let present: HashSet<_> = records.iter().filter_map(|r| r.key.clone()).collect();
+    apply_entries(node, records, at.era, absence, "list");
+    let absent = absent_ids(&node.state().fleet, &present);
+    for id in absent {
+        let entry = absence.entry(revision);
+        node.apply_entry(&id, entry, absence.outage_end, "list");
+    }
 }
 
-fn apply_entries(node: &Node, records: Vec<Record>, absence: &Absence) {
+fn apply_entries(
+    node: &Node,
+    records: Vec<Record>,
+    era: Era,
+    absence: &Absence,
+    source: &'static str,
+) {
     for record in records {
         let Some(id) = record.key else {
             continue;
         };
-        let state = record
-            .value
-            .map_or_else(|| absence.state.clone(), EntryState::Present);
-        node.apply_entry(&id, state, absence.outage_end, "record");
+        let revision = Revision::of_record(era, record.offset);
+        let entry = match record.value {
+            Some(document) => Entry {
+                state: EntryState::Present(document),
+                revision,
+            },
+            None => absence.entry(revision),
+        };
+        node.apply_entry(&id, entry, absence.outage_end, source);
     }
 }
 
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -17,9 +17,7 @@
 use crate::supervisor::Supervisor;
 use crate::{peer, peer::Tokens};
 
-use super::changelog::EntryState;
 use super::cluster::{Announcement, Phase};
-use super::fleet::Transition;
 use super::state::State;
 use super::upstream::Upstream;
 use super::{
@@ -228,8 +226,7 @@
             state.clocks.prune(now);
             state.usage.forget_before(oldest);
             state.demand_reports.prune(now);
-            let fleet = &state.fleet;
-            state.changelog.retain(|id| fleet.find(id).is_some());
+            state.changelog.prune(now);
             state.quotas.prune(now);
             if let Some(active) = self.active.load().as_ref() {
                 let routes = active.config.routes();
@@ -301,73 +298,6 @@
         true
     }
 
-    /// Applies the new state of an endpoint's entry. If the entry may have expired, the store was
-    /// unavailable until `outage_end`.
-    pub(super) fn apply_entry(
-        &self,
-        id: &str,
-        state: EntryState,
-        outage_end: Millis,
-        source: &str,
-    ) {
-        let now = self.clock.now();
-        // An endpoint that leaves does not register again, so that its entry was removed.
-        let state = match state {
-            EntryState::Missing if self.state().fleet.is_leaving(id) => EntryState::Removed,
-            state => state,
-        };
-        match &state {
-            EntryState::Present(document) => {
-                if !self.apply_registration(id, document, source) {
-                    return;
-                }
-            }
-            EntryState::Removed => {
-                let transition = self.state().fleet.remove(id, now);
-                self.log_transition(transition, source);
-            }
-            EntryState::Missing => {
-                if !self.state().fleet.mark_missing(id, outage_end) {
-                    return;
-                }
-            }
-        }
-        self.state().changelog.record(id, state);
-    }
-
-    /// Applies the registration of an endpoint; returns whether it has to be passed on to other
-    /// nodes.
-    fn apply_registration(&self, id: &str, document: &[u8], source: &str) -> bool {
-        let registration = match self.documents.registration(id, document) {
-            Ok(registration) => registration,
-            Err(error) => {
-                slog::warn!(self.log, "invalid endpoint registration"; "endpoint" => id,
-                    "reason" => %error);
-                return false;
-            }
-        };
-        let active = self.active.load();
-        let memory = active
-            .as_ref()
-            .and_then(|active| active.config.service(&registration.service)?.engine)
-            .map_or(0, |engine| engine.memory_tokens);
-        let outcome = self
-            .state()
-            .fleet
-            .register(registration, memory, self.clock.now());
-        self.log_transition(outcome.transition, source);
-        outcome.is_new
-    }
-
-    pub(super) fn log_transition(&self, transition: Option<Transition>, source: &str) {
-        if let Some(transition) = transition {
-            info!(self.log, "endpoint"; "endpoint" => &*transition.identity.id,
-                "born" => transition.identity.born, "service" => &*transition.service,
-                "version" => &*transition.version, "standing" => ?transition.lifecycle,
-                "source" => source);
-        }
-    }
-
     /// Counts a request that has started to run.
     pub(super) fn record_start(&self, account: Option<&Arc<Account>>) {
         if let Some(account) = account {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,10 +5,10 @@
 
 use crate::clock::Millis;
 
-use super::changelog::{Changelog, Position};
 use super::cluster::{
     Announcement, Clocks, Inflight, KnownNodes, OWNERSHIP_DELAY, Roster, Selector,
 };
+use super::entries::{Changelog, Position};
 use super::fleet::Fleet;
 use super::quota::{OwnerBackoff, Quotas, Reachability};
 use super::restore::Restores;
@@ -49,7 +49,8 @@
     /// When a read of the store last failed.
     pub(super) store_failed_at: Option<Millis>,
     pub(super) restores: Restores,
-    /// Changes of the endpoints' entries, for nodes that do not read the store.
+    /// The latest known entries of the endpoints, and their changes for nodes that do not read the
+    /// store.
     pub(super) changelog: Changelog,
     pub(super) meter: Meter,
     pub(super) scaler: Scaler,
