gateway: an endpoint returns when it writes its removed entry again

Cause: a removed entry counted as the endpoint's statement that it leaves, which is final for its run.

Change: `Lifecycle::Unlisted` for a removed entry; a later entry of the same run with a higher sequence number makes the endpoint ready. Only its own statement stays final. After a restore, only what it writes since then counts. A request does not leave an endpoint any more whose entry came back meanwhile.

Why it works: entries are ordered by revision, so that a registration that arrives late is told from one that was written after the removal.

PROTOCOL: an entry is removed "when the engine has left, or after three heartbeat intervals of silence"; the second is no departure.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -28,8 +28,11 @@
 pub enum Lifecycle {
     /// It accepts new requests.
     Ready,
-    /// It finishes its current requests and accepts no new ones.
+    /// It said that it leaves: it finishes its current requests and accepts no new ones.
     Leaving,
+    /// Its entry was removed: it finishes its current requests, and accepts new ones only once it has
+    /// registered again.
+    Unlisted,
     /// Its entry stayed missing, or a later run of the endpoint replaced it.
     Gone,
 }
--- a/src/gateway/entries/apply.rs
+++ b/src/gateway/entries/apply.rs
@@ -90,6 +90,16 @@
         let now = self.clock.now();
         let transition = {
             let state = &mut *self.state();
+            if state.changelog.is_removed_before(id, entry.revision.era) {
+                // What the endpoint writes after the restore brings it back.
+                let removed = Entry {
+                    state: EntryState::Removed,
+                    ..entry
+                };
+                state.changelog.record(id, removed, now);
+                state.fleet.note_outdated(&registration);
+                return;
+            }
             match state.fleet.register(registration, memory, now) {
                 RegisterOutcome::Superseded => None,
                 RegisterOutcome::Confirmed => {
--- a/src/gateway/entries/changelog.rs
+++ b/src/gateway/entries/changelog.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use crate::clock::Millis;
+use crate::gateway::Era;
 
 use super::{Entry, EntryState, Position, Revision};
 
@@ -64,6 +65,15 @@
         Some(known.entry.state.is_present())
     }
 
+    /// Returns whether an entry was removed before the store was restored to the era of a revision.
+    ///
+    /// The restored store may have the entry, which says nothing of the time since.
+    #[must_use]
+    pub fn is_removed_before(&self, id: &str, era: Era) -> bool {
+        let known = self.changes.get(id).map(|change| &change.entry);
+        known.is_some_and(|known| known.state == EntryState::Removed && known.revision.era < era)
+    }
+
     /// Records a change of an entry.
     pub fn record(&mut self, id: &str, entry: Entry, now: Millis) {
         self.version += 1;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -40,8 +40,9 @@
 
 /// All endpoints that this node knows.
 ///
-/// A departure is final for one run of an endpoint: a registration that arrives late must not bring
-/// it back. Only an endpoint whose entry expired while the store was unavailable may return.
+/// That an endpoint says that it leaves is final for its run: a registration that arrives late must not
+/// bring it back. An endpoint whose entry was removed may merely have been cut off from the store, and
+/// returns once it registers again.
 #[derive(Debug, Default)]
 pub struct Fleet {
     endpoints: SlotMap<Key, Endpoint>,
@@ -121,11 +122,13 @@
         })
     }
 
-    /// Returns whether the endpoint with this id is leaving.
+    /// Returns whether the endpoint with this id is leaving, or has left as far as its entry tells.
     #[must_use]
     pub fn is_leaving(&self, id: &str) -> bool {
         let endpoint = self.find(id).and_then(|key| self.get(key));
-        endpoint.is_some_and(|endpoint| endpoint.lifecycle == Lifecycle::Leaving)
+        endpoint.is_some_and(|endpoint| {
+            matches!(endpoint.lifecycle, Lifecycle::Leaving | Lifecycle::Unlisted)
+        })
     }
 
     /// Returns the time until an endpoint of a service wants requests from this node again, if all of
@@ -170,7 +173,13 @@
             known.unlisted_at = Some(now);
             return inserted(self.insert(registration, memory_tokens, now));
         }
-        if known.lifecycle == Lifecycle::Leaving && !registration.leaving {
+        let is_heartbeat = registration.sequence > known.registration.sequence;
+        let returns = match known.lifecycle {
+            Lifecycle::Ready | Lifecycle::Gone => true,
+            Lifecycle::Leaving => registration.leaving,
+            Lifecycle::Unlisted => is_heartbeat,
+        };
+        if !returns {
             return RegisterOutcome::Superseded;
         }
         let leaving = registration.leaving;
@@ -178,7 +187,7 @@
             known.registration.differs_from(&registration) || known.missing_since.is_some();
         known.missing_since = None;
         known.unlisted_at = None;
-        if known.lifecycle == Lifecycle::Gone {
+        if known.deregistered.is_cancelled() {
             // Its entry had expired.
             known.deregistered = tokio_util::sync::CancellationToken::new();
         }
@@ -203,7 +212,22 @@
         let known = &mut self.endpoints[key];
         known.deregistered.cancel();
         known.unlisted_at.get_or_insert(now);
-        Self::transition(known, Lifecycle::Leaving, now)
+        if known.lifecycle == Lifecycle::Leaving {
+            return None;
+        }
+        Self::transition(known, Lifecycle::Unlisted, now)
+    }
+
+    /// Notes that the registration of a removed endpoint was written before its removal, also if the
+    /// sequence number is higher than the known one.
+    pub fn note_outdated(&mut self, registration: &Registration) {
+        let Some(key) = self.find(&registration.identity.id) else {
+            return;
+        };
+        let known = &mut self.endpoints[key].registration;
+        if known.identity == registration.identity {
+            known.sequence = known.sequence.max(registration.sequence);
+        }
     }
 
     /// Records that the entry of an endpoint is missing, which may be because it expired while the
@@ -248,6 +272,13 @@
         transitions
     }
 
+    /// Returns whether an endpoint is still unlisted, as it was when its token was cancelled.
+    #[must_use]
+    pub fn is_deregistered(&self, key: Key) -> bool {
+        self.get(key)
+            .is_none_or(|endpoint| endpoint.deregistered.is_cancelled())
+    }
+
     /// Records that an endpoint is leaving, as learned from elsewhere than its entry.
     pub fn record_departure(&mut self, identity: &Identity, now: Millis) -> Option<Transition> {
         let Some(key) = self.find(&identity.id) else {
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -2,7 +2,6 @@
 use std::sync::atomic::Ordering;
 
 use tokio::time::sleep;
-use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
@@ -26,8 +25,6 @@
     node: Arc<Node>,
     pub(super) key: Key,
     pub(super) endpoint: Arc<str>,
-    /// Cancelled when the endpoint is no longer registered.
-    pub(super) deregistered: CancellationToken,
     uncached_tokens: u64,
     /// Prompt tokens in the segment that no other request shares.
     unique_tokens: u64,
@@ -66,15 +63,11 @@
         state
             .rollouts
             .record_sent(&registration.service, &registration.version);
-        let (endpoint_id, deregistered) = (
-            Arc::clone(&endpoint.registration.identity.id),
-            endpoint.deregistered.clone(),
-        );
+        let endpoint_id = Arc::clone(&endpoint.registration.identity.id);
         Some(Self {
             node: Arc::clone(node),
             key,
             endpoint: endpoint_id,
-            deregistered,
             uncached_tokens: uncached,
             unique_tokens: choice.unique_tokens,
             sent_at: now,
@@ -162,12 +155,30 @@
         }
     }
 
-    /// Waits until the endpoint is no longer registered and sends nothing on any response.
+    /// Waits until the endpoint is no longer registered and sends nothing on any response. One that
+    /// registers again is not gone.
     async fn until_gone(&self) {
-        self.deregistered.cancelled().await;
-        sleep(SILENCE_TIMEOUT.into()).await;
-        while self.is_responsive() {
+        loop {
+            self.until_deregistered().await;
             sleep(SILENCE_TIMEOUT.into()).await;
+            while self.is_responsive() {
+                sleep(SILENCE_TIMEOUT.into()).await;
+            }
+            if self.node.state().fleet.is_deregistered(self.key) {
+                return;
+            }
+        }
+    }
+
+    /// Waits until the endpoint is no longer registered.
+    async fn until_deregistered(&self) {
+        let token = {
+            let state = self.node.state();
+            let endpoint = state.fleet.get(self.key);
+            endpoint.map(|endpoint| endpoint.deregistered.clone())
+        };
+        if let Some(token) = token {
+            token.cancelled().await;
         }
     }
 
--- a/tests/integration/gateway_restore.rs
+++ b/tests/integration/gateway_restore.rs
@@ -145,6 +145,34 @@
     assert_eq!(leaves.received().len(), before);
 }
 
+/// Guards against requests to an endpoint that left without a word, because a restored store has its
+/// entry again; and against giving up one that goes on writing.
+#[tokio::test]
+async fn a_removed_endpoint_returns_from_a_restore_only_by_a_new_entry() {
+    let deployment = deployment(2).await;
+    let engine = &deployment.engines[0];
+    let heartbeat = |sequence| {
+        let entry = engine.entry("ready", sequence);
+        deployment.store.put("keyed.servers", &engine.id, &entry);
+    };
+    heartbeat(7);
+    let copy = deployment.store.copy();
+    deployment.store.remove("keyed.servers", &engine.id);
+    deployment.wait_for_propagation().await;
+    deployment.store.restore(copy);
+    deployment.wait_for_propagation().await;
+    for gateway in &deployment.gateways {
+        let response = gateway.send(&Request::new("/safe/x")).await;
+        assert_eq!(response.map(|r| r.status), Some(503), "{}", gateway.name);
+    }
+    heartbeat(8);
+    deployment.wait_for_propagation().await;
+    for gateway in &deployment.gateways {
+        let response = gateway.send(&Request::new("/safe/x")).await;
+        assert_eq!(response.map(|r| r.status), Some(200), "{}", gateway.name);
+    }
+}
+
 /// Guards against the loss of a node's record, which other nodes need to find it.
 #[tokio::test]
 async fn the_record_of_a_node_is_written_again_after_a_restore() {
