quota: an owner behind a cut counts only nodes that it has evidence for

Cause: each part of a cut cluster has an owner of the bucket, which grants the share of the nodes that it reaches. Until failure detection notices the cut, up to four seconds on the cut-off side, both owners count nearly all nodes.

Change: an owner that took over counts itself and the nodes that have shown since that they reach it, for twice the failure timeout; the usual owner does not count nodes whose steady questions stopped. Accounts that are reported to use little are exempt. Such owners look for the nodes without contact at once.

Why it works: the questions themselves show which part asks, within 0.3 s; the shares of the two parts add up to the whole quota.

gateway_limits::two_parts_of_a_cluster_stay_within_a_quota plays the decisions with and without the signs: it also demands that owners without them exceed the bound.

--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -228,6 +228,7 @@
             state.demand_reports.prune(now);
             state.changelog.prune(now);
             state.quotas.prune(now);
+            state.partition.prune(state.roster.failure_timeout(), now);
             if let Some(active) = self.active.load().as_ref() {
                 let routes = active.config.routes();
                 let is_route = |name: &str| routes.iter().any(|route| *route.name == *name);
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -5,15 +5,18 @@
 //! agree. A static share of the quota at each node would not do: with 80 nodes and requests that
 //! each cost a fraction of a second's quota, no node's share would admit a single request.
 
+mod askers;
 mod bucket;
 mod history;
 mod ownership;
+mod partition;
 mod quotas;
 mod tolerance;
 mod window_limit;
 
 pub use self::bucket::Denial;
 pub use self::history::{Grant, Run, Slot};
+pub use self::partition::{Consumption, Partition, Peers};
 pub use self::quotas::{GrantReport, Level, Quotas, Reachability};
 pub use self::tolerance::Tolerance;
 
--- a/src/gateway/quota/ownership.rs
+++ b/src/gateway/quota/ownership.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use slog::debug;
+use slog::{debug, info};
 use tokio::time::timeout;
 
 use crate::clock::Millis;
@@ -29,6 +29,8 @@
 /// A request to the owner of an account's bucket to grant units.
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::gateway) struct GrantRequest {
+    /// Name of the node that asks.
+    node: Arc<str>,
     account: Arc<str>,
     units: f64,
 }
@@ -164,7 +166,15 @@
 ) -> Result<(), Denial> {
     let now = node.clock.now();
     let state = &mut *node.state();
-    let mut reachability = state.reachability(now);
+    if succession == Succession::AfterLoss {
+        state.partition.record_takeover(account, now);
+    }
+    let (mut reachability, is_new) = state.owner_reachability(account, quota, now);
+    if is_new {
+        info!(node.log, "quota owner counts nodes"; "account" => &**account,
+            "nodes" => reachability.nodes, "unreachable" => reachability.unreachable,
+            "succession" => ?succession);
+    }
     if succession == Succession::AfterLoss {
         reachability.lost_at = Some(now);
     }
@@ -184,6 +194,7 @@
 ) -> Option<Decision> {
     let handle = node.peer_handle.get()?;
     let request = GrantRequest {
+        node: Arc::clone(&node.settings.node),
         account: Arc::clone(account),
         units,
     };
@@ -216,6 +227,10 @@
     request: &GrantRequest,
     succession: Succession,
 ) -> Result<Bytes, Error> {
+    let now = node.clock.now();
+    node.state()
+        .partition
+        .record_question(&request.account, &request.node, now);
     let active = node.active.load();
     let config = active.as_ref().map(|active| &active.config);
     let account = config.and_then(|config| config.account_by_name(&request.account));
--- a/src/gateway/quota/quotas.rs
+++ b/src/gateway/quota/quotas.rs
@@ -8,6 +8,7 @@
 
 use super::bucket::{Bucket, Denial, Limit};
 use super::history::{Grant, History, Run, Slot};
+use super::partition::Consumption;
 use super::tolerance::Tolerance;
 use super::window_limit::WindowLimit;
 
@@ -164,6 +165,21 @@
         Ok(())
     }
 
+    /// Returns what this node knows of an account's use of its quota in the current window.
+    #[must_use]
+    pub fn usage(&self, account: &str, quota: &Quota, now: Millis) -> Consumption {
+        let window = self.tolerance.window;
+        let history = self.histories.get(account);
+        let (all, of_others) = history.map_or((0.0, 0.0), |history| {
+            let of_others = history.recent_of_others(&self.run, window, now);
+            (history.recent(window, now), of_others)
+        });
+        Consumption {
+            share: all / self.tolerance.units_in_window(quota).max(1.0),
+            is_reported: of_others > 0.0,
+        }
+    }
+
     /// Returns the limit of a bucket that holds this share of a quota.
     fn limit(&self, quota: &Quota, share: f64) -> Limit {
         Limit {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use super::rollout::Rollouts;
 use super::scaler::{Demand, DemandReports, Meter, Scaler};
 use super::usage::Usage;
-use super::{Lease, Quarantine, RetryBudget, Run, Settings, Topic};
+use super::{Lease, Partition, Quarantine, Quota, RetryBudget, Run, Settings, Topic};
 
 /// Time after a failed read for which the store counts as unavailable.
 const STORE_FAILURE_PERIOD: Millis = Millis(2_000);
@@ -28,6 +28,7 @@
     started: Millis,
     pub(super) fleet: Fleet,
     pub(super) quotas: Quotas,
+    pub(super) partition: Partition,
     pub(super) quarantine: Quarantine,
     pub(super) rollouts: Rollouts,
     /// Retry budgets, by service.
@@ -67,6 +68,7 @@
             started,
             fleet: Fleet::default(),
             quotas: Quotas::new(run.clone(), settings.quota_tolerance, started),
+            partition: Partition::default(),
             quarantine: Quarantine::default(),
             rollouts: Rollouts::new(settings.exposure_limit),
             retry_budgets: HashMap::new(),
@@ -123,6 +125,31 @@
             .reachability(&self.roster, now - self.started, now)
     }
 
+    /// Returns as [`State::reachability`] what this node may count on as the owner of an account's
+    /// bucket.
+    ///
+    /// Also returns whether to report a change of the number of nodes without evidence. They are
+    /// contacted in the next round.
+    pub(super) fn owner_reachability(
+        &mut self,
+        account: &str,
+        quota: &Quota,
+        now: Millis,
+    ) -> (Reachability, bool) {
+        let known = self.reachability(now);
+        let usage = self.quotas.usage(account, quota, now);
+        let peers = self.roster.peers(now);
+        let confirmed = self
+            .partition
+            .reachability(account, usage, known, &peers, now);
+        let unconfirmed = confirmed.unreachable - known.unreachable;
+        if unconfirmed > 0 {
+            self.selector.record_loss();
+        }
+        let is_new = self.partition.has_to_report(account, unconfirmed, now);
+        (confirmed, is_new)
+    }
+
     /// Returns the demand of this node's requests on each service.
     pub(super) fn own_demand(&self, now: Millis) -> Vec<(Arc<str>, Demand)> {
         let busy = self.meter.busy_endpoints(now).into_iter();
--- a/tests/integration/gateway_limits.rs
+++ b/tests/integration/gateway_limits.rs
@@ -1,11 +1,12 @@
 //! Quotas and retry budgets, enforced over all nodes together.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
 use almondpath::gateway::{
-    Denial, Grant, GrantReport, Quota, Quotas, Reachability, RetryBudget, RetryLimit, Run, Slot,
-    Tolerance,
+    Consumption, Denial, Grant, GrantReport, Partition, Peers, Quota, Quotas, Reachability,
+    RetryBudget, RetryLimit, Run, Slot, Tolerance,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -361,6 +362,194 @@
     }
 }
 
+/// A cluster that is cut into two parts for a while, as the owner of a bucket in one part sees it.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    /// Nodes of the second part; the first part has the others.
+    second: usize,
+    from_ms: u64,
+    /// Time from the cut until failure detection knows which nodes are reachable.
+    noticed_after_ms: u64,
+    /// Whether the owner is in the second part.
+    is_second: bool,
+    now: u64,
+}
+
+impl Cut {
+    const UNTIL_MS: u64 = 9_500;
+
+    fn is_cut(&self) -> bool {
+        (self.from_ms..Self::UNTIL_MS).contains(&self.now)
+    }
+
+    fn is_in_second(&self, node: usize) -> bool {
+        node >= NODES - self.second
+    }
+
+    fn is_noticed(&self) -> bool {
+        self.is_cut() && self.now >= self.from_ms + self.noticed_after_ms
+    }
+
+    fn unreachable(&self) -> usize {
+        if self.is_second {
+            NODES - self.second
+        } else {
+            self.second
+        }
+    }
+
+    fn known(&self) -> Reachability {
+        let unreachable = if self.is_noticed() {
+            self.unreachable()
+        } else {
+            0
+        };
+        Reachability {
+            lost_at: self.is_cut().then_some(Millis(self.now)),
+            ..reachability(NODES, unreachable)
+        }
+    }
+
+    /// Returns when the owner last had contact with a node.
+    fn contact(&self, node: usize) -> u64 {
+        let is_lost = self.is_cut() && self.is_in_second(node) != self.is_second;
+        if is_lost { self.from_ms } else { self.now }
+    }
+}
+
+fn number(node: &str) -> usize {
+    node[1..].parse().expect("a node's number")
+}
+
+impl Peers for Cut {
+    fn is_alive(&self, node: &str) -> bool {
+        !self.is_noticed() || self.is_in_second(number(node)) == self.is_second
+    }
+
+    fn had_contact_since(&self, node: &str, time: Millis) -> bool {
+        self.is_alive(node) && self.contact(number(node)) > time.0
+    }
+
+    fn count_contacts_since(&self, time: Millis) -> usize {
+        let nodes = (0..NODES).map(|node| format!("n{node}"));
+        let contacts = nodes.filter(|node| self.had_contact_since(node, time));
+        // The owner itself is no contact.
+        contacts.count() - 1
+    }
+
+    fn failure_timeout(&self) -> Millis {
+        Millis(1_500)
+    }
+}
+
+/// Overloads an account while the cluster is cut in two, with an owner in each part, which heeds the
+/// signs of a partition or not.
+fn overload_beside_a_cut(rate: f64, owner: usize, cut: Cut, heeds_signs: bool) -> Deployment {
+    let mut deployment = Deployment::new(NODES, rate, rate / 40.0);
+    let account = Arc::clone(&deployment.account);
+    let parts: [RefCell<Partition>; 2] = Default::default();
+    deployment.overload(0, 16_000, false, |node, at| {
+        let mut cut = Cut { now: at, ..cut };
+        let has_other_owner = cut.is_cut() && cut.is_in_second(node) != cut.is_in_second(owner);
+        let decider = match has_other_owner {
+            false => owner,
+            true if cut.is_in_second(owner) => 0,
+            true => NODES - 1,
+        };
+        cut.is_second = cut.is_in_second(decider);
+        let partition = &mut *parts[usize::from(cut.is_second)].borrow_mut();
+        let (name, now) = (format!("n{node}").into(), Millis(at));
+        if has_other_owner && !cut.is_noticed() {
+            partition.record_takeover(&account, now);
+        }
+        if decider != node {
+            partition.record_question(&account, &name, now);
+        }
+        let known = cut.known();
+        let counted = match heeds_signs {
+            // A node that takes the bucket over knows its own grants only.
+            true => partition.reachability(
+                &account,
+                if has_other_owner {
+                    usage(0.0, false)
+                } else {
+                    usage(1.0, true)
+                },
+                known,
+                &cut,
+                now,
+            ),
+            false => known,
+        };
+        Decider::Owner(decider, counted)
+    });
+    deployment
+}
+
+const fn usage(share: f64, is_reported: bool) -> Consumption {
+    Consumption { share, is_reported }
+}
+
+/// Guards against two owners of a bucket, one in each part of a cluster that is cut in two, which both
+/// count the nodes of the other part as their own until failure detection notices the cut.
+#[test]
+fn two_parts_of_a_cluster_stay_within_a_quota() {
+    let mut exceeded = 0;
+    for rate in [29_000.0, 146_000.0, 700_000.0] {
+        for (second, owner) in [(1, 0), (1, 5), (2, 0), (2, 5), (3, 0)] {
+            for noticed_after_ms in [500, 2_000, 3_000] {
+                let cut = Cut {
+                    second,
+                    from_ms: 4_000,
+                    noticed_after_ms,
+                    is_second: false,
+                    now: 0,
+                };
+                let name = format!("{rate} a second, owner {owner}, {cut:?}");
+                overload_beside_a_cut(rate, owner, cut, true).check(&name, 11_000);
+                let unheeded = overload_beside_a_cut(rate, owner, cut, false);
+                exceeded += usize::from(unheeded.max_in_window() > bound(&quota(rate)));
+            }
+        }
+    }
+    assert!(exceeded > 0, "the cut had no effect");
+}
+
+/// Guards against an owner that counts fewer nodes as its own although nothing was lost: nodes that
+/// have no more requests of the account, and an account that uses little of its quota.
+#[test]
+fn an_owner_counts_all_nodes_without_a_loss() {
+    let account = Arc::from("account");
+    let calm = |now| Cut {
+        second: 2,
+        from_ms: 0,
+        noticed_after_ms: 2_000,
+        is_second: false,
+        now,
+    };
+    let mut partition = Partition::default();
+    for at in (0..1_000).step_by(20) {
+        for node in 1..NODES {
+            partition.record_question(&account, &format!("n{node}").into(), Millis(at));
+        }
+    }
+    let healed = calm(Cut::UNTIL_MS + 2_000);
+    let known = reachability(NODES, 0);
+    let now = Millis(healed.now);
+    let (low, high) = (usage(0.1, false), usage(0.9, false));
+    let reached = partition.reachability(&account, high, known, &healed, now);
+    assert_eq!(reached.unreachable, 0, "nodes that do not ask any more");
+    let cut = calm(1_900);
+    let now = Millis(cut.now);
+    let reached = partition.reachability(&account, high, known, &cut, now);
+    assert_eq!(reached.unreachable, 2, "nodes without contact");
+    let reached = partition.reachability(&account, low, known, &cut, now);
+    assert_eq!(reached.unreachable, 0, "an account with little use");
+    partition.prune(Millis(1_500), Millis(60_000));
+    let reached = partition.reachability(&account, high, known, &cut, now);
+    assert_eq!(reached.unreachable, 0, "forgotten after a while");
+}
+
 /// Guards against nodes that each act as the only node after all were killed at once, while an
 /// account sends requests to all of them; a simulated day of heavy load has both. The number of
 /// nodes that know each other doubles every 250 ms.
