gateway: a request that waits on a kept connection is read before it closes

What callers saw: a node that did not run for a while (frozen, or its host busy) closed kept connections on which requests had arrived meanwhile, without an answer.

Cause: after a pause, the timer of the idle timeout and the request are due together, and the select of the connection takes either first. A passing state, idle, was made final without a look at what had arrived.

Change: the connection is served before its timer is heeded.

Evidence: gateway_serving::a_node_that_was_frozen_answers_the_requests_that_wait, 12 connections, frozen for 1.5 s with an idle timeout of 1 s.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -152,6 +152,9 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
+            // A request that has arrived is read before the connection may count as idle: this process
+            // may not have run for longer than the timeout.
+            biased;
             // The caller notices a broken connection itself.
             _ = serving.as_mut() => return,
             () = closing.cancelled(), if !is_closing => {
--- a/tests/integration/gateway_serving.rs
+++ b/tests/integration/gateway_serving.rs
@@ -322,6 +322,38 @@
     assert!(all_answered, "{results:?}");
 }
 
+/// Guards against closing a kept connection on which a request waits, since the idle timeout passed
+/// while the node itself did not run.
+#[tokio::test]
+async fn a_node_that_was_frozen_answers_the_requests_that_wait() {
+    const CONNECTIONS: usize = 12;
+    let deployment = engine_per_service(1, OK).await;
+    let gateway = &deployment.gateways[0];
+    let mut changed = config(2);
+    changed["limits"]["idle_timeout_ms"] = json!(1_000);
+    deployment.store.put("keyed.op", "config", &changed);
+    deployment.wait_for_propagation().await;
+    let request = Request::new("/safe/x");
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let connection = Caller(gateway.front).connect().await;
+        let mut connection = connection.expect("a connection");
+        assert!(connection.send(&request).await.is_some());
+        connections.push(connection);
+    }
+    gateway.signal(libc::SIGSTOP);
+    let resuming = async {
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        gateway.signal(libc::SIGCONT);
+    };
+    let sending = connections
+        .iter_mut()
+        .map(|connection| connection.send(&request));
+    let (responses, ()) = tokio::join!(futures::future::join_all(sending), resuming);
+    let answered = responses.iter().flatten().count();
+    assert_eq!(answered, CONNECTIONS);
+}
+
 /// Guards against a connection that stays open although its caller doesn't use it.
 #[tokio::test]
 async fn an_idle_connection_is_closed_after_the_timeout_in_force() {
