gateway: a stream stays at its silent endpoint until another one accepts it

Cause: three decisions took a state that passes for the last one. A stream left its endpoint before another one had accepted it; endpoints that had ended counted as attempts; a broken stream was cut when no endpoint, or no retry, was free at that moment.

Change: the silent endpoint keeps the stream until another one accepts it, at most 300 ms; ended endpoints do not count; a broken stream waits while the obstacle may pass. Obstacles are a type (forward/obstacle.rs). forward/relay.rs is split: source.rs has what one endpoint sends, progress.rs what the caller has.

--- a/src/gateway/forward/attempts.rs
+++ b/src/gateway/forward/attempts.rs
@@ -4,7 +4,8 @@
 use hyper::Response;
 
 use crate::clock::Millis;
-use crate::gateway::RetryPolicy;
+use crate::gateway::endpoint::Key;
+use crate::gateway::{Fleet, RetryPolicy};
 use crate::verdict::Verdict;
 
 use super::choose::Choice;
@@ -15,8 +16,8 @@
 pub(super) struct Attempts {
     /// Endpoints that were tried, in order.
     pub(super) endpoints: Vec<Arc<str>>,
-    /// Attempts that reached the endpoint or may have.
-    pub(super) delivered: u32,
+    /// Endpoints that received the request or may have.
+    delivered: Vec<Key>,
     /// The greatest verdict of the failed attempts; `None` before the first failure.
     pub(super) verdict: Option<Verdict>,
     /// Why the last attempt failed, or why no further one was made.
@@ -38,9 +39,32 @@
         self.choice = Some(choice);
     }
 
+    /// Records that an endpoint receives the request from now on.
+    pub(super) fn record_delivered(&mut self, endpoint: Key) {
+        self.delivered.push(endpoint);
+    }
+
+    /// Records that an endpoint did not receive the request after all.
+    pub(super) fn record_not_delivered(&mut self, endpoint: Key) {
+        self.delivered.retain(|key| *key != endpoint);
+    }
+
+    /// Returns whether any endpoint received the request or may have.
+    pub(super) fn is_delivered(&self) -> bool {
+        !self.delivered.is_empty()
+    }
+
+    /// Returns the number of attempts that count towards the limit of the route: endpoints that have
+    /// ended or were cut off can't be at work on the request any more.
+    pub(super) fn count(&self, fleet: &Fleet) -> usize {
+        let delivered = self.delivered.iter();
+        delivered
+            .filter(|key| !fleet.is_deregistered(**key))
+            .count()
+    }
+
     /// Records a failed attempt.
     pub(super) fn record_failure(&mut self, failure: Failure) {
-        self.delivered += u32::from(failure.delivered);
         self.verdict = Some(match self.verdict {
             Some(verdict) => verdict.max(failure.verdict),
             None => failure.verdict,
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -19,18 +19,13 @@
 use super::call::Call;
 use super::choose::{Choice, Query, choose};
 use super::failure::Failure;
+use super::obstacle::Obstacle;
 use super::replacement::replacement;
 use super::reservation::Reservation;
 
 /// Shortest time in which an endpoint can respond; with less time left, nothing is sent.
 pub(super) const MIN_TIME_LEFT: Millis = Millis(15);
 
-/// `Retry-After` when no endpoint accepts requests.
-pub(super) const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(400);
-
-/// `Retry-After` of a request that may crash endpoints: by then it is known whether it does.
-const SUSPECT_RETRY_AFTER: Millis = Millis(2_000);
-
 /// Share of the time left that an idempotent request waits for the response head of one endpoint while
 /// another one may take it.
 const HEAD_TIMEOUT_SHARE: f64 = 0.5;
@@ -55,55 +50,18 @@
     pub(super) connection: Connection,
 }
 
-/// Whether the current attempt of a request is among those counted as delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Delivered {
-    /// It is counted, or there is none.
-    Counted,
-    /// It isn't counted yet.
-    Pending,
-}
-
-/// Why no endpoint was reserved.
-#[derive(Debug, Default)]
-pub(super) struct Unavailable {
-    /// The reason, unless it is obvious from the attempts or the time left.
-    reason: Option<String>,
-    /// Time after which the caller may retry.
-    retry_after: Option<Millis>,
-}
-
-impl Unavailable {
-    fn new<M>(reason: M, retry_after: Option<Millis>) -> Self
-    where
-        M: Into<String>,
-    {
-        Self {
-            reason: Some(reason.into()),
-            retry_after,
-        }
-    }
-
-    /// Returns the reason for log lines.
-    pub(super) fn reason(&self) -> &str {
-        self.reason
-            .as_deref()
-            .unwrap_or("the attempts are used up, or too little time is left")
-    }
-}
-
 /// Reserves an endpoint for the next attempt, if the request may be sent and an endpoint is
 /// expected to respond in time; else records why not.
 pub(super) fn reserve(call: &Call) -> Option<Reservation> {
-    let unavailable = match try_reserve(call, Delivered::Counted) {
+    let obstacle = match try_reserve(call) {
         Ok(reservation) => return Some(reservation),
-        Err(unavailable) => unavailable,
+        Err(obstacle) => obstacle,
     };
     let attempts = &mut *call.attempts();
-    if let Some(reason) = unavailable.reason {
-        attempts.reason = reason;
+    if !obstacle.follows_from_attempts() {
+        attempts.reason = obstacle.to_string();
     }
-    attempts.retry_after = unavailable.retry_after.or(attempts.retry_after);
+    attempts.retry_after = obstacle.retry_after().or(attempts.retry_after);
     None
 }
 
@@ -115,35 +73,33 @@
 /// # Errors
 ///
 /// Returns what rules an attempt out.
-pub(super) fn try_reserve(call: &Call, current: Delivered) -> Result<Reservation, Unavailable> {
+pub(super) fn try_reserve(call: &Call) -> Result<Reservation, Obstacle> {
     let now = call.node.clock.now();
     let left = call.time_left(now);
     let attempts = &mut *call.attempts();
-    let delivered = attempts.delivered + u32::from(current == Delivered::Pending);
-    if left < MIN_TIME_LEFT || delivered >= call.route.max_attempts {
-        return Err(Unavailable::default());
+    if left < MIN_TIME_LEFT {
+        return Err(Obstacle::Deadline);
+    }
+    let count = attempts.count(&call.node.state().fleet);
+    if count >= call.route.max_attempts as usize {
+        return Err(Obstacle::Attempts);
     }
     if !may_take(call, attempts, now) {
-        return Err(Unavailable::new(
-            "the node shuts down",
-            Some(LEAVING_RETRY_AFTER),
-        ));
+        return Err(Obstacle::Leaving(LEAVING_RETRY_AFTER));
     }
     if let Some(delay) = call.node.quarantined_for(call.metadata.prompt.as_ref()) {
-        let reason = "a prompt segment is quarantined";
-        return Err(Unavailable::new(reason, Some(delay)));
+        return Err(Obstacle::Quarantine(delay));
     }
     if call.is_suspected() {
-        let reason = "the request broke off, as did another one with the same prompt segment";
-        return Err(Unavailable::new(reason, Some(SUSPECT_RETRY_AFTER)));
+        return Err(Obstacle::Suspect);
     }
     let choice = choose_in_time(call, attempts, now)?;
     // The budget comes last: what it grants counts as spent.
-    if delivered > 0 && !take_retry(call, now) {
-        return Err(Unavailable::new("retry budget exhausted", None));
+    if attempts.is_delivered() && !take_retry(call, now) {
+        return Err(Obstacle::Budget);
     }
     let reservation = Reservation::acquire(&call.node, &choice, &call.route.name)
-        .ok_or_else(Unavailable::default)?;
+        .ok_or(Obstacle::NoEndpoint(None))?;
     attempts.record_sent(&reservation.endpoint, choice);
     Ok(reservation)
 }
@@ -158,18 +114,16 @@
 }
 
 /// Chooses an endpoint that is expected to respond in time.
-fn choose_in_time(call: &Call, attempts: &Attempts, now: Millis) -> Result<Choice, Unavailable> {
+fn choose_in_time(call: &Call, attempts: &Attempts, now: Millis) -> Result<Choice, Obstacle> {
     let Some(choice) = choose_endpoint(call, attempts, now) else {
         let declined_for = call.node.state().fleet.declined_for(&call.service, now);
-        let retry_after = declined_for.unwrap_or(NO_ENDPOINT_RETRY_AFTER);
-        let reason = "no endpoint accepts requests";
-        return Err(Unavailable::new(reason, Some(retry_after)));
+        return Err(Obstacle::NoEndpoint(declined_for));
     };
     let max_wait_ms = call.time_left(now).as_f64() * MAX_WAIT_SHARE;
     if choice.first_event_ms > max_wait_ms {
-        let reason = format!("first event expected after {:.0} ms", choice.first_event_ms);
-        let retry_after = Millis((choice.first_event_ms - max_wait_ms) as u64 + 100);
-        return Err(Unavailable::new(reason, Some(retry_after)));
+        let expected = Millis(choice.first_event_ms as u64);
+        let excess = Millis((choice.first_event_ms - max_wait_ms) as u64);
+        return Err(Obstacle::Late(expected, excess));
     }
     Ok(choice)
 }
@@ -232,8 +186,12 @@
     let node = &call.node;
     let left = call.time_left(node.clock.now());
     let Some((address, max_idle)) = connection_target(call, reservation.key) else {
-        return Err(Failure::not_sent("the endpoint was removed before sending"));
+        return Err(Failure::new(
+            Verdict::NotRun,
+            "the endpoint was removed before sending",
+        ));
     };
+    call.attempts().record_delivered(reservation.key);
     let metadata = ForwardMetadata {
         timeout: left,
         endpoint: Arc::clone(&reservation.endpoint),
@@ -251,7 +209,7 @@
     let sent = tokio::select! {
         sent = sending => Some(sent),
         () = sleep(left.into()) => None,
-        replacement = replacement(call, &mut reservation, due, Delivered::Pending),
+        replacement = replacement(call, &mut reservation, due),
             if call.is_retryable() =>
         {
             reservation.record_no_response();
@@ -327,19 +285,20 @@
 
 /// Converts the error of a request that got no response head.
 fn connection_failure(call: &Call, reservation: &mut Reservation, error: &Error) -> Failure {
+    if error.verdict() == Verdict::NotRun {
+        call.attempts().record_not_delivered(reservation.key);
+    }
     let is_leaving = !call.node.state().fleet.accepts_requests(reservation.key);
     if is_leaving && error.verdict() == Verdict::NotRun {
         // That an endpoint which leaves got no request is not a failure of its version.
         reservation.record_declined();
-        return Failure::not_sent(error.message());
+        return Failure::new(Verdict::NotRun, error.message());
     }
     if error.verdict() != Verdict::NotRun {
         call.record_crash(reservation);
     }
     reservation.record_no_response();
-    let mut failure = Failure::new(error.verdict(), error.message());
-    failure.delivered = error.verdict() != Verdict::NotRun;
-    failure
+    Failure::new(error.verdict(), error.message())
 }
 
 /// Returns whether callers take a status as a guarantee that the request has not run.
--- a/src/gateway/forward/failure.rs
+++ b/src/gateway/forward/failure.rs
@@ -12,8 +12,6 @@
     pub(super) reason: String,
     /// The endpoint's response, if it failed with one.
     pub(super) response: Option<Response<Bytes>>,
-    /// Whether the endpoint received the request, or may have.
-    pub(super) delivered: bool,
     /// The endpoint that takes the request next, if one is reserved.
     pub(super) next: Option<Box<Reservation>>,
 }
@@ -27,22 +25,10 @@
             verdict,
             reason: reason.into(),
             response: None,
-            delivered: true,
             next: None,
         }
     }
 
-    /// Creates the failure of an attempt that sent nothing.
-    pub(super) fn not_sent<M>(reason: M) -> Self
-    where
-        M: Into<String>,
-    {
-        Self {
-            delivered: false,
-            ..Self::new(Verdict::NotRun, reason)
-        }
-    }
-
     /// Creates the failure of an attempt that is abandoned for another endpoint.
     pub(super) fn replaced(replacement: Replacement) -> Self {
         Self {
--- a/src/gateway/forward/mod.rs
+++ b/src/gateway/forward/mod.rs
@@ -7,10 +7,13 @@
 mod choose;
 mod dispatch;
 mod failure;
+mod obstacle;
+mod progress;
 mod relay;
 mod replacement;
 mod reservation;
 mod serve;
+mod source;
 mod upload;
 
 pub use self::choose::{Choice, Query, choose};
--- a/src/gateway/forward/relay.rs
+++ b/src/gateway/forward/relay.rs
@@ -1,34 +1,29 @@
-use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Response, header};
+use hyper::{Response, header};
 use tokio::time::sleep;
 
 use crate::clock::Millis;
-use crate::gateway::upstream::Connection;
-use crate::gateway::{Body, EventSplitter, RetryPolicy};
+use crate::gateway::{Body, RetryPolicy};
 use crate::verdict::Verdict;
 
 use super::call::Call;
-use super::dispatch::{Delivered, Received, dispatch, reserve};
+use super::dispatch::Received;
 use super::failure::Failure;
-use super::replacement::{Replacement, replacement};
+use super::obstacle::Obstacle;
+use super::progress::Progress;
+use super::replacement::{LOOK_INTERVAL, Replacement, until_reserved};
 use super::reservation::Reservation;
+use super::source::{Next, Source, Stage, Step};
 
-/// Maximum bytes of comments between two events. Endpoints send comments to keep a connection open; one
-/// that sends nothing else does not answer.
-const MAX_COMMENT_BYTES: usize = 64 * 1024;
-
-/// Stall timeout as a multiple of the route's target for the gap between two events.
-const STALL_FACTOR: u64 = 3;
-
-/// Stall timeout of routes without a gap target.
-const DEFAULT_STALL_TIMEOUT: Millis = Millis(2_000);
+/// Longest time for which a silent endpoint keeps a stream after the next one was asked to take it.
+/// Most endpoints accept or decline within a few ms; for longer, two of them might work on the stream.
+const MAX_OVERLAP: Millis = Millis(300);
 
 /// The result of opening a stream.
 pub(super) enum Opened {
@@ -38,14 +33,14 @@
     Failed(Failure),
 }
 
-/// What was read next from an endpoint's response body.
-enum Chunk {
-    Data(Bytes),
-    End,
-    Failed(String),
-    /// The endpoint is silent, and another one is reserved.
-    Replaced(Replacement),
-    DeadlineExceeded,
+/// What happened first while a silent endpoint keeps a stream that another one is asked to take.
+enum Overlap {
+    /// The silent endpoint went on, or broke off.
+    Step(Step),
+    /// The other endpoint accepted the stream, or did not.
+    Asked(Box<Result<(Source, Parts), Failure>>),
+    /// Neither.
+    Expired,
 }
 
 /// Relays an event stream from an endpoint to the caller, in complete events.
@@ -55,23 +50,11 @@
 /// its work.
 pub(super) struct Relay {
     call: Arc<Call>,
-    /// Head of the first endpoint's response, which is sent to the caller.
+    /// Head of the response for the caller, of the first endpoint that sent an event.
     head: Parts,
-    reservation: Reservation,
-    connection: Option<Connection>,
-    body: Option<Incoming>,
-    /// Whether the body ends with its connection, so that its end says little.
-    ends_with_connection: bool,
-    events: EventSplitter,
-    pending: VecDeque<Bytes>,
-    /// Id of the last event received.
-    last_event: Option<u64>,
-    /// Whether the current endpoint sent an event.
-    started: bool,
-    /// Bytes of comments since the last event.
-    comment_bytes: usize,
-    /// When the last event arrived.
-    last_event_at: Millis,
+    /// The endpoint that sends the stream; `None` at its end.
+    source: Option<Source>,
+    progress: Progress,
     /// Status sent to the caller; `None` until the response is returned.
     status: Option<u16>,
     outcome: &'static str,
@@ -80,20 +63,12 @@
 impl Relay {
     /// Creates a relay for a response whose head was received.
     pub(super) fn new(call: &Arc<Call>, received: Received, resume_after: Option<u64>) -> Self {
-        let (head, body) = received.response.into_parts();
+        let (source, head) = Source::new(call, received, Stage::Unanswered);
         Self {
             call: Arc::clone(call),
-            ends_with_connection: ends_with_connection(&head.headers),
             head,
-            reservation: received.reservation,
-            connection: Some(received.connection),
-            body: Some(body),
-            events: EventSplitter::default(),
-            pending: VecDeque::new(),
-            last_event: resume_after,
-            started: false,
-            comment_bytes: 0,
-            last_event_at: call.node.clock.now(),
+            source: Some(source),
+            progress: Progress::start(resume_after, call.node.clock.now()),
             status: None,
             outcome: "caller_gone",
         }
@@ -102,12 +77,13 @@
     /// Waits for the first event and returns the response for the caller.
     pub(super) async fn open(mut self) -> Opened {
         if let Err(failure) = self.wait_for_first_event().await {
-            self.reservation.record_no_response();
+            if let Some(source) = &mut self.source {
+                source.reservation.record_no_response();
+            }
             return Opened::Failed(failure);
         }
         let status = self.head.status;
         self.status = Some(status.as_u16());
-        self.call.attempts().delivered += 1;
         let mut headers = self.call.node.dialect.response_headers(&self.head.headers);
         headers.remove(header::CONTENT_LENGTH);
         let stream = futures::stream::unfold(Some(self), |relay| async move {
@@ -139,260 +115,212 @@
     /// Waits for the first event, or the end, of the endpoint's response.
     async fn wait_for_first_event(&mut self) -> Result<(), Failure> {
         let failed = |reason: String| Failure::new(Verdict::MayHaveRun, reason);
-        loop {
-            match self.read_chunk().await {
-                Chunk::Data(bytes) => {
-                    self.ingest(&bytes).map_err(failed)?;
-                    if self.started {
-                        return Ok(());
-                    }
-                }
-                Chunk::End => {
+        while !self.has_started() {
+            match self.next().await {
+                Next::Step(Step::Received(_)) => {}
+                Next::Step(Step::End) => {
                     self.complete();
                     return Ok(());
                 }
-                Chunk::Failed(reason) => return Err(failed(reason)),
-                Chunk::Replaced(replacement) => return Err(Failure::replaced(replacement)),
-                Chunk::DeadlineExceeded => {
+                Next::Step(Step::Failed(reason)) => return Err(failed(reason)),
+                Next::Replaced(replacement) => self.hand_over(replacement).await?,
+                Next::DeadlineExceeded => {
                     return Err(failed("no event before the deadline".to_owned()));
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Returns whether the current endpoint sent an event.
+    fn has_started(&self) -> bool {
+        self.source.as_ref().is_some_and(Source::has_started)
     }
 
     /// Returns the next bytes for the caller, resuming elsewhere if the endpoint fails; `None` at
     /// the end of the stream.
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
-            if let Some(bytes) = self.take_pending() {
+            if let Some(bytes) = self.progress.take_pending() {
                 return Some(Ok(bytes));
             }
-            self.body.as_ref()?;
-            let (reason, next) = match self.read_chunk().await {
-                Chunk::Data(bytes) => match self.ingest(&bytes) {
-                    Ok(()) => continue,
-                    Err(reason) => (reason, None),
-                },
-                Chunk::End => {
+            self.source.as_ref()?;
+            let failure = match self.next().await {
+                Next::Step(Step::Received(_)) => continue,
+                Next::Step(Step::End) => {
                     self.complete();
                     continue;
                 }
-                Chunk::Failed(reason) => (reason, None),
-                Chunk::Replaced(replacement) => (replacement.reason, Some(replacement.reservation)),
-                Chunk::DeadlineExceeded => {
+                Next::Step(Step::Failed(reason)) => Failure::new(Verdict::MayHaveRun, reason),
+                Next::Replaced(replacement) => match self.hand_over(replacement).await {
+                    Ok(()) => continue,
+                    Err(failure) => failure,
+                },
+                Next::DeadlineExceeded => {
                     return Some(Err(self.abort("late", "the deadline has passed")));
                 }
             };
-            self.reservation.record_no_response();
-            if let Err(error) = self.resume(reason, next).await {
+            if let Err(error) = self.resume(failure).await {
                 return Some(Err(error));
             }
         }
     }
 
-    /// Takes all complete events that wait to be sent to the caller.
-    fn take_pending(&mut self) -> Option<Bytes> {
-        let first = self.pending.pop_front()?;
-        if self.pending.is_empty() {
-            return Some(first);
+    /// Waits for what happens next to the stream.
+    async fn next(&mut self) -> Next {
+        match &mut self.source {
+            Some(source) => source.next(&mut self.progress).await,
+            None => Next::Step(Step::End),
         }
-        let mut bytes = BytesMut::from(&first[..]);
-        for event in self.pending.drain(..) {
-            bytes.extend_from_slice(&event);
-        }
-        Some(bytes.freeze())
     }
 
-    /// Splits bytes of the endpoint into events and checks that they are events with consecutive ids.
-    fn ingest(&mut self, bytes: &[u8]) -> Result<(), String> {
-        if !self.events.push(bytes) {
-            return Err("an event exceeds the size limit".to_owned());
-        }
-        let mut events = 0;
-        for event in self.events.by_ref() {
-            if event.is_comment {
-                self.comment_bytes += event.bytes.len();
-                if self.comment_bytes > MAX_COMMENT_BYTES {
-                    return Err("comments without an event exceed the size limit".to_owned());
-                }
-                self.pending.push_back(event.bytes);
-                continue;
-            }
-            events += 1;
-            self.comment_bytes = 0;
-            let Some(id) = event.id.filter(|_| event.is_well_formed) else {
-                return Err("the body contains text that is no event with an id".to_owned());
-            };
-            if let Some(last) = self.last_event {
-                if id <= last {
-                    return Err(format!("event {id} repeated or out of order after {last}"));
-                }
-                if id > last + 1 {
-                    return Err(format!("events missing between {last} and {id}"));
-                }
-            }
-            self.last_event = Some(id);
-            self.pending.push_back(event.bytes);
-        }
-        if events > 0 {
-            self.reservation.record_events(events);
-            self.last_event_at = self.call.node.clock.now();
-            if !self.started {
-                self.started = true;
-                self.reservation.record_first_event();
-                self.call.record_first_event();
-                self.call.node.record_start(self.call.account.as_ref());
-            }
-        }
-        Ok(())
-    }
-
-    /// Ends the relay after the whole stream and returns the connection to the pool.
+    /// Ends the relay after the whole stream.
     fn complete(&mut self) {
-        self.body = None;
         self.outcome = "streamed";
-        if let Some(connection) = self.connection.take() {
-            self.call.node.upstream.release(connection);
+        if let Some(source) = self.source.take() {
+            source.release();
         }
     }
 
     /// Ends the relay before the end of the stream; returns the error that truncates the response.
     fn abort(&mut self, outcome: &'static str, reason: &str) -> io::Error {
-        self.body = None;
-        self.connection = None;
+        self.source = None;
         self.outcome = outcome;
         reason.clone_into(&mut self.call.attempts().reason);
         io::Error::other(reason.to_owned())
     }
 
-    /// Resumes at another endpoint after the last event, at `next` if it is reserved; if none may or
-    /// can do so, ends the response as incomplete.
-    async fn resume(
-        &mut self,
-        reason: String,
-        mut next: Option<Box<Reservation>>,
-    ) -> io::Result<()> {
-        // Closing the connection stops the previous endpoint before another one resumes.
-        self.body = None;
-        self.connection = None;
-        self.call.attempts().reason = reason;
+    /// Moves the stream from its silent endpoint to another one.
+    ///
+    /// It stays where it is if that endpoint does not accept it, or if its own sends an event before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the silent endpoint was left and the other one does not accept the stream.
+    async fn hand_over(&mut self, replacement: Replacement) -> Result<(), Failure> {
+        let call = Arc::clone(&self.call);
+        let reason = replacement.reason;
+        self.log_move(&replacement.reservation, &reason);
+        let after = self.progress.last_event;
+        let asking = Source::attach(&call, *replacement.reservation, after, self.stage());
+        tokio::pin!(asking);
+        let overlap = match &mut self.source {
+            Some(source) => tokio::select! {
+                biased;
+                step = source.until_event(&mut self.progress) => Overlap::Step(step),
+                asked = &mut asking => Overlap::Asked(Box::new(asked)),
+                () = sleep(MAX_OVERLAP.into()) => Overlap::Expired,
+            },
+            None => Overlap::Expired,
+        };
+        let (left_for, asked) = match overlap {
+            Overlap::Step(Step::Received(_) | Step::End) => {
+                self.log_stay("the endpoint goes on");
+                return Ok(());
+            }
+            Overlap::Step(Step::Failed(reason)) => (reason, None),
+            Overlap::Expired => (reason, None),
+            Overlap::Asked(asked) => match *asked {
+                Ok(accepted) => (reason, Some(accepted)),
+                Err(failure) => {
+                    self.stay(failure);
+                    return Ok(());
+                }
+            },
+        };
+        self.leave(Failure::new(Verdict::MayHaveRun, left_for));
+        let accepted = match asked {
+            Some(accepted) => accepted,
+            None => asking.await?,
+        };
+        self.go_on_at(accepted);
+        Ok(())
+    }
+
+    /// Resumes after a failure at another endpoint as soon as one may take the stream; if none may or
+    /// can do so in time, ends the response as incomplete.
+    async fn resume(&mut self, mut failure: Failure) -> io::Result<()> {
         loop {
-            let allowed = self.call.route.retry_policy == RetryPolicy::Resume;
-            let reserved = || {
-                next.take()
-                    .map(|next| *next)
-                    .or_else(|| reserve(&self.call))
-            };
-            let Some(reservation) = allowed.then(reserved).flatten() else {
-                let reason = std::mem::take(&mut self.call.attempts().reason);
+            let next = failure.next.take();
+            let reason = failure.reason.clone();
+            // Closing the connection stops the previous endpoint before another one resumes.
+            self.leave(failure);
+            if self.call.route.retry_policy != RetryPolicy::Resume {
                 return Err(self.abort("cut", &reason));
+            }
+            let reserved = match next {
+                Some(next) => Ok(*next),
+                None => until_reserved(&self.call).await,
+            };
+            let reservation = match reserved {
+                Ok(reservation) => reservation,
+                Err(obstacle) => return Err(self.cut(&reason, obstacle)),
             };
-            slog::info!(self.call.node.log, "stream resumes"; "id" => self.call.id(),
-                "endpoint" => &*reservation.endpoint, "after" => self.last_event,
-                "why" => &self.call.attempts().reason);
-            match self.attach(reservation).await {
-                Ok(()) => return Ok(()),
-                Err(mut failure) => {
-                    next = failure.next.take();
-                    self.call.attempts().record_failure(failure);
+            self.log_move(&reservation, &reason);
+            let after = self.progress.last_event;
+            match Source::attach(&self.call, reservation, after, Stage::Answered).await {
+                Ok(accepted) => {
+                    self.go_on_at(accepted);
+                    return Ok(());
                 }
+                Err(next_failure) => failure = next_failure,
             }
         }
     }
 
-    /// Sends the request to another endpoint and continues with its response.
-    async fn attach(&mut self, reservation: Reservation) -> Result<(), Failure> {
-        let received = dispatch(&self.call, reservation, self.last_event).await?;
-        let status = received.response.status();
-        if !status.is_success() {
-            let reason = format!("the endpoint responded with {status}");
-            return Err(Failure::new(Verdict::Ran, reason));
-        }
-        self.reservation = received.reservation;
-        self.connection = Some(received.connection);
-        self.ends_with_connection = ends_with_connection(received.response.headers());
-        self.body = Some(received.response.into_body());
-        self.events = EventSplitter::default();
-        self.started = false;
-        self.comment_bytes = 0;
-        self.call.attempts().delivered += 1;
-        Ok(())
+    /// Ends the response as incomplete, since an obstacle rules out a further attempt after a failure.
+    fn cut(&mut self, failure: &str, obstacle: Obstacle) -> io::Error {
+        let outcome = if obstacle == Obstacle::Deadline {
+            "late"
+        } else {
+            "cut"
+        };
+        self.abort(outcome, &format!("{failure}; {obstacle}"))
     }
 
-    /// Returns what the end of the body means: the stream is broken off within an event, and mostly
-    /// before the first one.
-    fn end_of_body(&self) -> Chunk {
-        let has_partial = self.events.has_partial();
-        if !has_partial && (self.started || self.may_be_empty()) {
-            return Chunk::End;
-        }
-        if has_partial || self.ends_with_connection {
-            self.call.record_crash(&self.reservation);
+    /// Closes the connection to the endpoint.
+    fn leave(&mut self, failure: Failure) {
+        if let Some(mut source) = self.source.take() {
+            source.reservation.record_no_response();
         }
-        Chunk::Failed("the stream ended within an event or before the first one".to_owned())
+        self.call.attempts().record_failure(failure);
     }
 
-    /// Returns whether a whole body without events is the rest of the stream, which it may be if the
-    /// caller resumes: it may have had the last event. If an endpoint broke off the stream here, nothing
-    /// shows that the event before was the last one.
-    fn may_be_empty(&self) -> bool {
-        let caller_resumes = self.call.metadata.resume_after.is_some();
-        caller_resumes && self.status.is_none() && !self.ends_with_connection
+    /// Leaves the stream at its endpoint after another one has not accepted it.
+    fn stay(&mut self, failure: Failure) {
+        self.log_stay(&failure.reason);
+        self.call.attempts().record_failure(failure);
+        let next_look = self.call.node.clock.now() + LOOK_INTERVAL;
+        if let Some(source) = &mut self.source {
+            source.reservation.next_look = next_look;
+        }
     }
 
-    /// Waits for the next chunk of the endpoint's response.
-    async fn read_chunk(&mut self) -> Chunk {
-        let now = self.call.node.clock.now();
-        let left = self.call.time_left(now);
-        let Some(body) = self.body.as_mut() else {
-            return Chunk::End;
-        };
-        // While an endpoint sends without a pause, a timer may fire late.
-        if left == Millis::ZERO {
-            return Chunk::DeadlineExceeded;
+    /// Goes on with the response of an endpoint that has accepted the stream.
+    fn go_on_at(&mut self, (source, head): (Source, Parts)) {
+        self.source = Some(source);
+        if self.status.is_none() {
+            self.head = head;
         }
-        let resumes =
-            self.call.route.retry_policy == RetryPolicy::Resume && self.call.is_retryable();
-        let due = if self.started {
-            self.last_event_at + stall_timeout(&self.call)
-        } else {
-            self.call.deadline
-        };
-        // An attempt counts as delivered from the first event that its caller gets.
-        let delivered = match self.status {
-            Some(_) => Delivered::Counted,
-            None => Delivered::Pending,
-        };
-        tokio::select! {
-            frame = body.frame() => match frame {
-                None => self.end_of_body(),
-                Some(Ok(frame)) => Chunk::Data(frame.into_data().unwrap_or_default()),
-                Some(Err(error)) => {
-                    self.call.record_crash(&self.reservation);
-                    Chunk::Failed(format!("reading the stream failed: {error}"))
-                }
-            },
-            () = sleep(left.into()) => Chunk::DeadlineExceeded,
-            replacement = replacement(&self.call, &mut self.reservation, due, delivered),
-                if resumes =>
-            {
-                Chunk::Replaced(replacement)
-            }
+    }
+
+    fn stage(&self) -> Stage {
+        match self.status {
+            Some(_) => Stage::Answered,
+            None => Stage::Unanswered,
         }
     }
-}
 
-/// Returns whether a body has neither a length nor chunks.
-fn ends_with_connection(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
+    fn log_move(&self, next: &Reservation, reason: &str) {
+        slog::info!(self.call.node.log, "stream resumes"; "id" => self.call.id(),
+            "endpoint" => &*next.endpoint, "after" => self.progress.last_event, "why" => reason);
+    }
 
-/// Returns the time without an event after which a stream resumes at another endpoint.
-fn stall_timeout(call: &Call) -> Millis {
-    call.route
-        .gap_target
-        .map_or(DEFAULT_STALL_TIMEOUT, |gap| Millis(gap.0 * STALL_FACTOR))
+    fn log_stay(&self, reason: &str) {
+        let endpoint = self.source.as_ref().map(|s| &*s.reservation.endpoint);
+        slog::info!(self.call.node.log, "stream stays"; "id" => self.call.id(),
+            "endpoint" => endpoint, "after" => self.progress.last_event, "why" => reason);
+    }
 }
 
 impl Drop for Relay {
--- a/src/gateway/forward/serve.rs
+++ b/src/gateway/forward/serve.rs
@@ -11,8 +11,9 @@
 use super::admit::admit;
 use super::buffered::relay_buffered;
 use super::call::Call;
-use super::dispatch::{MIN_TIME_LEFT, NO_ENDPOINT_RETRY_AFTER, dispatch, reserve};
+use super::dispatch::{MIN_TIME_LEFT, dispatch, reserve};
 use super::failure::Failure;
+use super::obstacle::NO_ENDPOINT_RETRY_AFTER;
 use super::relay::{Opened, Relay};
 use super::reservation::{InflightGuard, Reservation};
 
@@ -112,7 +113,7 @@
         let attempts = call.attempts();
         (
             attempts.has_not_run(),
-            attempts.delivered > 0,
+            attempts.is_delivered(),
             attempts.retry_after,
         )
     };
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod gateway_entries;
 mod gateway_events;
 mod gateway_fleet;
+mod gateway_handover;
 mod gateway_lease;
 mod gateway_limits;
 mod gateway_odd_entries;
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -45,6 +45,8 @@
     DuplicateResponse,
     /// Reads the request and does not respond.
     Hang,
+    /// As [`Behaviour::Hang`], and closes the connection after this time in ms.
+    HangThenClose(u64),
     /// Closes the connection without a response.
     Close,
 }
@@ -345,6 +347,10 @@
                 write(stream, &(plain(200, id) + &plain(200, id))).await
             }
             Behaviour::Hang => self.pause(stream, 60_000, index).await,
+            Behaviour::HangThenClose(ms) => {
+                self.pause(stream, ms, index).await;
+                false
+            }
             Behaviour::Close => false,
         }
     }
