gateway: what endpoints write without end stays within the memory of the process

Cause: the limits of single responses were not bounded in sum.

Change: what a response holds over 64 KB counts towards a quarter of the memory in the settings: partial events, whole bodies while they are read, and until their callers have taken them. The HTTP client reads at most 64 KB ahead, instead of about 400 KB.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -47,6 +47,12 @@
         self.buffer.len() <= MAX_EVENT_BYTES
     }
 
+    /// Returns the bytes of memory that the buffer takes.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether the buffer holds an incomplete event.
     #[must_use]
     pub fn has_partial(&self) -> bool {
--- a/src/gateway/forward/buffered.rs
+++ b/src/gateway/forward/buffered.rs
@@ -9,6 +9,7 @@
 use crate::gateway::RetryPolicy;
 use crate::verdict::Verdict;
 
+use super::buffer_share::BufferShare;
 use super::call::Call;
 use super::dispatch::Received;
 use super::failure::Failure;
@@ -17,10 +18,6 @@
 /// Largest response that is buffered before it is sent to the caller.
 const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 
-/// Part of each response that does not count towards the limit of all responses together, so that
-/// small responses are read while large ones have used up the limit.
-const UNCOUNTED_BYTES: usize = 64 * 1024;
-
 /// Reads a whole response into memory and returns it for the caller.
 pub(super) async fn relay_buffered(call: &Arc<Call>, received: Received) -> Outcome {
     let Received {
@@ -64,9 +61,11 @@
 }
 
 /// Reads a body to its end. A faulty endpoint may send bytes without end, on many responses at once.
+///
+/// The body counts towards the memory for large responses until its caller has read it.
 async fn collect(call: &Call, mut body: Incoming) -> Result<Bytes, String> {
     let mut read = BytesMut::new();
-    let mut permits = Vec::new();
+    let mut share = BufferShare::new(&call.node);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| format!("reading the response failed: {error}"))?;
         let data = frame.into_data().unwrap_or_default();
@@ -74,11 +73,7 @@
         if read.len() > MAX_BUFFERED_BYTES {
             return Err(format!("the response exceeds {MAX_BUFFERED_BYTES} bytes"));
         }
-        if read.len() > UNCOUNTED_BYTES {
-            let bytes = u32::try_from(data.len()).unwrap_or(u32::MAX);
-            let permit = call.node.response_buffer.try_acquire_many(bytes);
-            permits.push(permit.map_err(|_| "responses exceed the memory for them".to_owned())?);
-        }
+        share.hold(read.capacity())?;
     }
-    Ok(read.freeze())
+    Ok(share.attach(read.freeze()))
 }
--- a/src/gateway/forward/mod.rs
+++ b/src/gateway/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod attempts;
+mod buffer_share;
 mod buffered;
 mod call;
 mod choose;
--- a/src/gateway/forward/source.rs
+++ b/src/gateway/forward/source.rs
@@ -12,6 +12,7 @@
 use crate::gateway::{EventSplitter, RetryPolicy};
 use crate::verdict::Verdict;
 
+use super::buffer_share::BufferShare;
 use super::call::Call;
 use super::dispatch::{Received, dispatch};
 use super::failure::Failure;
@@ -66,6 +67,8 @@
     ends_with_connection: bool,
     stage: Stage,
     events: EventSplitter,
+    /// Memory for an event that is not complete yet.
+    share: BufferShare,
     /// Whether the endpoint sent an event.
     started: bool,
     /// Bytes of comments since the last event.
@@ -84,6 +87,7 @@
             ends_with_connection: ends_with_connection(&head.headers),
             stage,
             events: EventSplitter::default(),
+            share: BufferShare::new(&call.node),
             started: false,
             comment_bytes: 0,
         };
@@ -182,6 +186,7 @@
         if !self.events.push(bytes) {
             return Err("an event exceeds the size limit".to_owned());
         }
+        self.share.hold(self.events.capacity())?;
         let now = self.call.node.clock.now();
         let mut events = 0;
         for event in self.events.by_ref() {
@@ -200,6 +205,7 @@
             };
             progress.add_event(id, event.bytes, now)?;
         }
+        self.share.hold(self.events.capacity())?;
         if events > 0 {
             self.record_events(events);
         }
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -40,10 +40,6 @@
 /// Maximum number of addresses in a response to a caller.
 const MAX_ADDRESSES: usize = 64;
 
-/// Memory for large responses that are read before they are sent to the caller, in bytes; a node has
-/// about 250 MB in all.
-const RESPONSE_BUFFER_BYTES: usize = 64 * 1024 * 1024;
-
 /// The adapters that connect the gateway to a platform.
 pub struct Adapters {
     /// Interprets headers.
@@ -112,6 +108,7 @@
             incarnation,
         };
         let state = State::new(&settings, run, started, clock.since_boot());
+        let response_buffer = settings.response_buffer;
         Arc::new(Self {
             settings,
             dialect: adapters.dialect,
@@ -126,7 +123,7 @@
             started,
             peer_handle: OnceLock::new(),
             requests: AtomicUsize::new(0),
-            response_buffer: Semaphore::new(RESPONSE_BUFFER_BYTES),
+            response_buffer: Semaphore::new(response_buffer),
             grants_unreported: Notify::new(),
             leaving: CancellationToken::new(),
             departure: OnceLock::new(),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -21,6 +21,10 @@
 /// Timeout of connecting to an endpoint; endpoints are a few ms away.
 const CONNECT_TIMEOUT: Millis = Millis(400);
 
+/// Maximum number of bytes that are read ahead from an endpoint on one connection, which bounds the head
+/// of a response.
+const MAX_READ_AHEAD: usize = 64 * 1024;
+
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
@@ -213,7 +217,9 @@
     // costs latency only.
     let _ = stream.set_nodelay(true);
     let (stream, head_limit) = LimitedStream::new(stream);
-    let (requests, connection) = http1::handshake(TokioIo::new(stream))
+    let (requests, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_AHEAD)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| connect_error(error.to_string()))?;
     // A failure of the connection is reported by the request on it.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -17,6 +17,7 @@
 mod gateway_handover;
 mod gateway_lease;
 mod gateway_limits;
+mod gateway_memory;
 mod gateway_odd_entries;
 mod gateway_outcomes;
 mod gateway_quarantine;
--- a/tests/integration/platform/deployment.rs
+++ b/tests/integration/platform/deployment.rs
@@ -14,6 +14,9 @@
 /// `drain_ms` of the settings below.
 const PROPAGATION_TIME: Duration = Duration::from_millis(2_000);
 
+/// Memory that the settings of a process allow it, in MB.
+const DEFAULT_MEMORY_MB: u32 = 260;
+
 /// A gateway process.
 pub(crate) struct Gateway {
     pub(crate) name: String,
@@ -160,6 +163,24 @@
 
     /// As [`Deployment::start`], with another first configuration.
     pub(crate) async fn start_with(gateways: usize, engines: Vec<Engine>, config: &Value) -> Self {
+        Self::start_on_hosts(gateways, DEFAULT_MEMORY_MB, engines, config).await
+    }
+
+    /// As [`Deployment::start_with`], with one gateway on a host with this memory.
+    pub(crate) async fn start_with_memory(
+        memory_mb: u32,
+        engines: Vec<Engine>,
+        config: &Value,
+    ) -> Self {
+        Self::start_on_hosts(1, memory_mb, engines, config).await
+    }
+
+    async fn start_on_hosts(
+        gateways: usize,
+        memory_mb: u32,
+        engines: Vec<Engine>,
+        config: &Value,
+    ) -> Self {
         let mut deployment = Self {
             store: Store::start().await,
             cloud: Cloud::start().await,
@@ -173,7 +194,7 @@
             deployment.store.put("keyed.servers", &engine.id, &entry);
         }
         for number in 0..gateways {
-            deployment.add_gateway(number);
+            deployment.add_gateway(number, memory_mb);
         }
         for gateway in &deployment.gateways {
             eventually("a gateway is ready", async || {
@@ -184,7 +205,7 @@
         deployment
     }
 
-    fn add_gateway(&mut self, number: usize) {
+    fn add_gateway(&mut self, number: usize, memory_mb: u32) {
         let [front, ready, control, directory, metrics] = [(); 5].map(|()| free_address());
         let name = format!("edge-{number}");
         let seeds: Vec<String> = self
@@ -197,7 +218,7 @@
              heartbeat_ms = 1200\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
              directory = \"{directory}\"\n\
-             [limits]\nmemory_mb = 260\nmax_fds = 4100\n\
+             [limits]\nmemory_mb = {memory_mb}\nmax_fds = 4100\n\
              [bounds]\ngrace_s = 8\nconfig_apply_ms = 2000\ndrain_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
              budget_slack = 52\nusage_window_s = 1\nusage_late_s = 10\nttl_max_s = 5\n\
              [platform]\naddress = \"{}\"\nform = \"log\"\n\
