tests: the log line of a cut stream is waited for

Cause: a_stream_that_no_endpoint_may_take_is_cut_at_once read the log right after the response; the log is written by a thread of its own. Change: the test waits for the line; what it demands is the same.

--- a/tests/integration/gateway_handover.rs
+++ b/tests/integration/gateway_handover.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::harness::eventually;
 use crate::platform::{Behaviour, Deployment, End, Engine, Request, Response, config};
 
 /// Sends three events, and the rest of eight after a pause that is longer than the stall timeout of
@@ -194,7 +195,9 @@
     assert!(!response.complete);
     assert_eq!(response.body, events(0..5));
     assert!(response.took < Duration::from_millis(1_000), "{response:?}");
-    let lines = deployment.gateways[0].log_lines("request", Some(&response.id));
+    let lines = || deployment.gateways[0].log_lines("request", Some(&response.id));
+    eventually("the request is logged", async || !lines().is_empty()).await;
+    let lines = lines();
     assert_eq!(lines[0]["outcome"], "cut", "{lines:?}");
     let why = lines[0]["why"].as_str().expect("text");
     assert!(why.ends_with("the attempts are used up"), "{why}");
