--- a/tests/integration/gateway_handover.rs
+++ b/tests/integration/gateway_handover.rs
@@ -40,7 +40,7 @@
     (!whole).then(|| format!("{name}: {response:?}"))
 }
 
-/// Returns the number of requests that engines with this index and higher ones got.
+/// Returns the number of requests that all engines got.
 fn received(deployment: &Deployment) -> usize {
     let engines = deployment.engines.iter();
     engines.map(|engine| engine.received().len()).sum()
