Evacuate failure domains that an operator orders

Orders are read with the configuration, applied before it, and passed on as the last field of each gossip request and response, which earlier releases pass over. Of what a node learns, in any order, the latest revision of a domain decides; an order or a removal that a restore of the store lost holds until the operator's next record. Fleet::ready and Fleet::accepts_requests leave the endpoints out, so that choice, retries, replacements, resumptions and connections that are being opened obey. Without another domain requests are refused with 503 and Retry-After. The scaler leaves the domain out of its plan and resumes its target afterwards.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -198,6 +198,7 @@
             header: header(node, false),
             have: target.wants_delta.then(|| known.unwrap_or_default()),
             claims,
+            evacuations: node.known_evacuations(),
         };
         let payload = encode(&Message::Exchange(Box::new(request)))?;
         let response = self.handle.call_bytes(target.peer, Method::Gossip, payload);
@@ -213,6 +214,7 @@
                 .insert(target.peer, (incarnation, version));
         }
         apply_header(node, response.header);
+        node.merge_evacuations(response.evacuations);
         if let Some(document) = response.document {
             node.install(&Bytes::from(document), "node");
         }
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
@@ -11,7 +11,7 @@
 use crate::gateway::rollout;
 use crate::gateway::scaler::Demand;
 use crate::gateway::usage::Counts;
-use crate::gateway::{Committed, Era};
+use crate::gateway::{Committed, Era, Evacuation};
 
 use super::announcement::Announcement;
 use super::member::MemberUpdate;
@@ -50,6 +50,9 @@
     pub(super) have: Option<Versions>,
     /// The sender's own claims on whether other nodes are alive.
     pub(super) claims: Vec<MemberUpdate>,
+    /// What the sender knows of evacuations.
+    #[serde(deserialize_with = "optional_tail")]
+    pub(super) evacuations: Vec<Evacuation>,
 }
 
 /// The response of a gossip exchange.
@@ -59,6 +62,18 @@
     pub(super) delta: Option<Delta>,
     /// The configuration document, if the requester has an older version.
     pub(super) document: Option<Vec<u8>>,
+    /// What the sender knows of evacuations.
+    #[serde(deserialize_with = "optional_tail")]
+    pub(super) evacuations: Vec<Evacuation>,
+}
+
+/// Deserializes the last field of a message, which earlier releases do not send.
+fn optional_tail<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// Versions of a node's state up to which another node has received it.
--- a/src/gateway/cluster/responder.rs
+++ b/src/gateway/cluster/responder.rs
@@ -38,16 +38,20 @@
         let node = &self.node;
         let config = request.header.config;
         apply_header(node, request.header);
+        node.merge_evacuations(request.evacuations);
         if !request.claims.is_empty() {
             let now = node.clock.now();
             node.state().roster.apply(request.claims, now);
         }
+        // What follows is at least as new as the positions in the delta.
+        let delta = request.have.map(|have| self.delta(have));
         let header = header(node, true);
         let outdated = config < header.config;
         encode(&Response {
-            delta: request.have.map(|have| self.delta(have)),
+            delta,
             document: outdated.then(|| config_document(node)).flatten(),
             header,
+            evacuations: node.known_evacuations(),
         })
     }
 
--- a/src/gateway/documents.rs
+++ b/src/gateway/documents.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::error::Error;
 
 use super::rollout::{Order, Progress};
@@ -22,6 +24,10 @@
     /// `Malformed` if the document does not describe a usable endpoint.
     fn registration(&self, id: &str, document: &[u8]) -> Result<Registration, Error>;
 
+    /// Returns the failure domain whose evacuation a record of the operator's topic orders; none if
+    /// the key is not that of such an order.
+    fn evacuated_domain(&self, key: &str) -> Option<Arc<str>>;
+
     /// Parses a rollout order of the operator's topic; none if the key is not that of an order.
     ///
     /// # Errors
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -353,6 +353,7 @@
     let now = node.clock.now();
     let wall = node.wall_time();
     let state = &mut *node.state();
+    let scale = &scale.without(|domain| state.fleet.evacuations.is_evacuated(domain));
     let demand = state.demand_of(service, now);
     let slots = state
         .fleet
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -6,7 +6,7 @@
 use crate::clock::Millis;
 
 use super::endpoint::{Endpoint, Key, Lifecycle};
-use super::{Identity, Registration};
+use super::{Evacuations, Identity, Registration};
 
 /// Time for which an endpoint without requests is remembered after its entry was removed.
 const RETENTION: Millis = Millis::from_secs(60);
@@ -49,6 +49,8 @@
     by_id: HashMap<Arc<str>, Key>,
     /// Departures that became known before the endpoint registered.
     early_departures: HashMap<Identity, Millis>,
+    /// Failure domains whose endpoints get no requests.
+    pub evacuations: Evacuations,
 }
 
 /// Lookup.
@@ -80,7 +82,7 @@
         self.endpoints.iter_mut()
     }
 
-    /// Returns the endpoints of a service that accept new requests.
+    /// Returns the endpoints of a service that accept new requests, outside evacuated domains.
     ///
     /// An endpoint whose entry is missing gets none, although the entry may merely have expired. If
     /// at least half of the entries are missing, the store was unavailable, and the endpoints keep
@@ -97,7 +99,9 @@
         let most_missing = missing >= present;
         let endpoints = self.endpoints.iter();
         endpoints.filter(move |(_, endpoint)| {
-            is_ready(endpoint) && (most_missing || endpoint.missing_since.is_none())
+            is_ready(endpoint)
+                && (most_missing || endpoint.missing_since.is_none())
+                && !self.is_evacuated(endpoint)
         })
     }
 
@@ -108,7 +112,7 @@
             return false;
         };
         if endpoint.missing_since.is_none() {
-            return endpoint.lifecycle == Lifecycle::Ready;
+            return endpoint.lifecycle == Lifecycle::Ready && !self.is_evacuated(endpoint);
         }
         let mut ready = self.ready(&endpoint.registration.service);
         ready.any(|(other, _)| other == key)
@@ -139,6 +143,22 @@
         ends.min().filter(|end| *end > now).map(|end| end - now)
     }
 
+    /// Returns whether endpoints of a service serve, but all of them in evacuated domains.
+    #[must_use]
+    pub fn is_all_evacuated(&self, service: &str) -> bool {
+        let mut serving = self.endpoints.values().filter(|endpoint| {
+            endpoint.lifecycle == Lifecycle::Ready && &*endpoint.registration.service == service
+        });
+        let first = serving.next();
+        first.is_some_and(|first| self.is_evacuated(first))
+            && serving.all(|endpoint| self.is_evacuated(endpoint))
+    }
+
+    fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
+        let domain = &endpoint.registration.domain;
+        self.evacuations.is_evacuated(domain)
+    }
+
     /// Returns whether any endpoint accepts new requests.
     #[must_use]
     pub fn has_ready(&self) -> bool {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -134,7 +134,7 @@
     fn fraction_of_limit(&self, fraction: f64) -> Millis {
         let settings = &self.node.settings;
         let limit = match self.topic {
-            Topic::Operator => settings.config_time_limit,
+            Topic::Operator => settings.operator_time_limit(),
             _ => settings.drain_time_limit,
         };
         Millis((limit.as_f64() * fraction) as u64)
@@ -262,6 +262,7 @@
         let (batch, at) = follower.next().await;
         let is_fresh = matches!(batch, Batch::Records(_));
         let (Batch::Snapshot(records) | Batch::Records(records)) = batch;
+        apply_evacuations(&node, &records, &at, is_fresh);
         for record in &records {
             apply_operator_record(&node, record, is_fresh);
         }
@@ -272,6 +273,18 @@
     }
 }
 
+/// Applies the evacuations among records of the operator's topic, which hold from the first request
+/// on that a configuration admits.
+fn apply_evacuations(node: &Node, records: &[Record], at: &Position, is_fresh: bool) {
+    if is_fresh {
+        for record in records {
+            node.apply_evacuation_record(record, at.era);
+        }
+    } else if let Some(revision) = at.revision() {
+        node.apply_evacuation_snapshot(records, revision);
+    }
+}
+
 /// Applies a record of the operator's topic. `is_fresh` is whether it was written just now.
 fn apply_operator_record(node: &Node, record: &Record, is_fresh: bool) {
     let (Some(key), Some(value)) = (&record.key, &record.value) else {
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -116,8 +116,7 @@
 /// Chooses an endpoint that is expected to respond in time.
 fn choose_in_time(call: &Call, attempts: &Attempts, now: Millis) -> Result<Choice, Obstacle> {
     let Some(choice) = choose_endpoint(call, attempts, now) else {
-        let declined_for = call.node.state().fleet.declined_for(&call.service, now);
-        return Err(Obstacle::NoEndpoint(declined_for));
+        return Err(no_endpoint(call, now));
     };
     let max_wait_ms = call.time_left(now).as_f64() * MAX_WAIT_SHARE;
     if choice.first_event_ms > max_wait_ms {
@@ -128,6 +127,15 @@
     Ok(choice)
 }
 
+/// Returns why no endpoint may get the request at present.
+fn no_endpoint(call: &Call, now: Millis) -> Obstacle {
+    let state = call.node.state();
+    if state.fleet.is_all_evacuated(&call.service) {
+        return Obstacle::Evacuated;
+    }
+    Obstacle::NoEndpoint(state.fleet.declined_for(&call.service, now))
+}
+
 /// Takes one retry from the service's budget; returns whether there was one left.
 fn take_retry(call: &Call, now: Millis) -> bool {
     let state = &mut *call.node.state();
--- a/src/gateway/forward/obstacle.rs
+++ b/src/gateway/forward/obstacle.rs
@@ -5,6 +5,9 @@
 /// `Retry-After` when no endpoint accepts requests.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Millis = Millis(400);
 
+/// `Retry-After` when an operator has evacuated all endpoints, which is taken back by hand.
+pub(super) const EVACUATED_RETRY_AFTER: Millis = Millis(2_000);
+
 /// `Retry-After` of a request that may crash endpoints: by then it is known whether it does.
 const SUSPECT_RETRY_AFTER: Millis = Millis(2_000);
 
@@ -26,6 +29,8 @@
     Suspect,
     /// No endpoint accepts requests; one may after this time, if it is known.
     NoEndpoint(Option<Millis>),
+    /// All endpoints are in evacuated failure domains.
+    Evacuated,
     /// The first event is expected after the first time, of which the second one is too much.
     Late(Millis, Millis),
     /// The service's retries are spent.
@@ -36,7 +41,7 @@
     /// Returns whether the request may wait for the obstacle to pass.
     pub(super) fn is_passing(self) -> bool {
         match self {
-            Self::NoEndpoint(_) | Self::Late(..) | Self::Budget => true,
+            Self::NoEndpoint(_) | Self::Evacuated | Self::Late(..) | Self::Budget => true,
             Self::Deadline
             | Self::Attempts
             | Self::Leaving(_)
@@ -57,6 +62,7 @@
             Self::Leaving(delay) | Self::Quarantine(delay) => Some(delay),
             Self::Suspect => Some(SUSPECT_RETRY_AFTER),
             Self::NoEndpoint(delay) => Some(delay.unwrap_or(NO_ENDPOINT_RETRY_AFTER)),
+            Self::Evacuated => Some(EVACUATED_RETRY_AFTER),
             Self::Late(_, excess) => Some(excess + LATE_MARGIN),
         }
     }
@@ -73,6 +79,7 @@
                 "the request broke off, as did another one with the same prompt segment",
             ),
             Self::NoEndpoint(_) => f.write_str("no endpoint accepts requests"),
+            Self::Evacuated => f.write_str("all endpoints are in evacuated failure domains"),
             Self::Late(expected, _) => write!(f, "first event expected after {expected}"),
             Self::Budget => f.write_str("retry budget exhausted"),
         }
--- a/src/gateway/scaler/plan.rs
+++ b/src/gateway/scaler/plan.rs
@@ -35,12 +35,15 @@
     pub spot_refused: bool,
 }
 
-/// Returns the number of steady and spot endpoints wanted in each failure domain.
+/// Returns the number of steady and spot endpoints wanted in each failure domain that has a price.
 ///
 /// `baseline` is the capacity before the first order, which determines the result while the demand
 /// is not known. Steady endpoints stay in the domains of `current` as far as possible.
 #[must_use]
 pub fn plan(scale: &Scale, current: &Capacity, baseline: &Capacity, need: Need) -> Capacity {
+    if scale.prices.is_empty() {
+        return Capacity::new();
+    }
     let domains = u32::try_from(scale.prices.len()).unwrap_or(u32::MAX);
     let (total, floor) = match need.busy {
         Some(busy) => required(busy, need),
@@ -60,6 +63,7 @@
         None => total,
     };
     let mut wanted = current.clone();
+    wanted.retain(|domain, _| scale.prices.contains_key(domain));
     for domain in scale.prices.keys() {
         wanted.entry(Arc::clone(domain)).or_default();
     }
--- a/src/gateway/scaler/scaler.rs
+++ b/src/gateway/scaler/scaler.rs
@@ -94,6 +94,7 @@
     ) -> Vec<(Order, u32)> {
         let refused = self.is_spot_refused(service, now);
         let target = self.targets.entry(Arc::clone(service)).or_default();
+        target.set_aside(|domain| scale.prices.contains_key(domain));
         let mut need = target.need(demand, slots, now);
         let Some(baseline) = target.settled_baseline(present, now) else {
             return Vec::new();
@@ -146,9 +147,10 @@
             .orders
             .iter()
             .filter(|(order, placed)| order.spot && &*order.service == service && !placed.refused);
-        let missing = pending_orders.map(|(order, placed)| {
-            let here = present.get(&order.domain).map_or(0, |counts| counts.spot);
-            placed.count.saturating_sub(here)
+        let missing = pending_orders.filter_map(|(order, placed)| {
+            // Without an entry, the domain is evacuated.
+            let here = present.get(&order.domain)?.spot;
+            Some(placed.count.saturating_sub(here))
         });
         missing.sum()
     }
--- a/src/gateway/scaler/target.rs
+++ b/src/gateway/scaler/target.rs
@@ -32,6 +32,8 @@
     baseline: Option<(Capacity, Millis)>,
     /// Target capacity; `None` before the first decision.
     pub(super) capacity: Option<Capacity>,
+    /// Targets of the domains that are evacuated.
+    set_aside: Capacity,
     /// Since when fewer endpoints than the target would have been enough.
     excess_since: Option<Millis>,
 }
@@ -56,6 +58,22 @@
         }
     }
 
+    /// Sets the targets of domains aside for which `is_open` returns false, and resumes those of the
+    /// others: endpoints of an evacuated domain are neither counted nor ordered, but are kept.
+    pub(super) fn set_aside<F>(&mut self, is_open: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let Some(capacity) = &mut self.capacity else {
+            return;
+        };
+        let domains = std::mem::take(capacity).into_iter();
+        let kept = std::mem::take(&mut self.set_aside);
+        let (open, closed) = domains.chain(kept).partition(|(domain, _)| is_open(domain));
+        *capacity = open;
+        self.set_aside = closed;
+    }
+
     /// Returns the highest capacity seen before the first order, once it no longer grows.
     pub(super) fn settled_baseline(&mut self, present: &Capacity, now: Millis) -> Option<Capacity> {
         let (baseline, at) = self.baseline.get_or_insert_with(|| (Capacity::new(), now));
@@ -91,6 +109,7 @@
     pub(super) fn reset(&mut self) {
         self.baseline = None;
         self.capacity = None;
+        self.set_aside = Capacity::new();
         self.excess_since = None;
     }
 }
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -28,6 +28,19 @@
     pub prices: HashMap<Arc<str>, f64>,
 }
 
+impl Scale {
+    /// Returns the same limits without the failure domains for which `is_closed` returns true.
+    #[must_use]
+    pub fn without<F>(&self, is_closed: F) -> Self
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut open = self.clone();
+        open.prices.retain(|domain, _| !is_closed(domain));
+        open
+    }
+}
+
 /// A group of interchangeable endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -31,6 +31,8 @@
     pub grace: Millis,
     /// Time within which a new configuration must be in force on all nodes.
     pub config_time_limit: Millis,
+    /// Time within which an evacuation must be in force on all nodes, where operators order them.
+    pub evacuation_time_limit: Option<Millis>,
     /// Time after which a leaving endpoint must not receive new requests.
     pub drain_time_limit: Millis,
     /// Limit on retries.
@@ -67,6 +69,15 @@
 const EXPIRY_NEWS_TIME: Millis = Millis(1_000);
 
 impl Settings {
+    /// Returns the time within which a record of the operator must be in force on all nodes.
+    #[must_use]
+    pub fn operator_time_limit(&self) -> Millis {
+        let evacuation = self.evacuation_time_limit;
+        evacuation.map_or(self.config_time_limit, |limit| {
+            limit.min(self.config_time_limit)
+        })
+    }
+
     /// Returns the time after which the entry of an endpoint that was lost is known to be gone.
     #[must_use]
     pub fn endpoint_expiry(&self) -> Millis {
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -18,6 +18,9 @@
 /// Prefix of the keys of rollout orders, and of their status; the name of the service follows.
 const ROLLOUT_PREFIX: &str = "rollout/";
 
+/// Prefix of the keys of evacuation orders; the name of the failure domain follows.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
 /// Decoder for the JSON documents of operators and endpoints.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Decoder;
@@ -225,6 +228,11 @@
         })
     }
 
+    fn evacuated_domain(&self, key: &str) -> Option<Arc<str>> {
+        let domain = key.strip_prefix(EVACUATION_PREFIX)?;
+        (!domain.is_empty()).then(|| domain.into())
+    }
+
     fn rollout_order(&self, key: &str, document: &[u8]) -> Option<Result<Order, Error>> {
         let service = key.strip_prefix(ROLLOUT_PREFIX)?;
         Some(parse(document).and_then(|order| rollout_order(service, order)))
--- a/src/platform/node_file.rs
+++ b/src/platform/node_file.rs
@@ -70,6 +70,8 @@
     grace_s: f64,
     /// Time within which a configuration must be in force on all nodes.
     config_apply_ms: f64,
+    /// Time within which an evacuation must be in force on all nodes.
+    evacuation_ms: Option<f64>,
     /// Time after which a leaving endpoint must not receive new requests; not the time that it
     /// takes to drain.
     drain_ms: f64,
@@ -169,6 +171,10 @@
         for (name, duration) in durations {
             check(duration > 0.0, &format!("bounds.{name} must be positive"));
         }
+        check(
+            bounds.evacuation_ms.is_none_or(|limit| limit > 0.0),
+            "bounds.evacuation_ms must be positive",
+        );
         check(
             bounds.retry_budget_ratio >= 0.0,
             "bounds.retry_budget_ratio is negative",
@@ -228,6 +234,7 @@
             seeds: self.seeds.clone(),
             grace: seconds(bounds.grace_s),
             config_time_limit: Millis(bounds.config_apply_ms as u64),
+            evacuation_time_limit: bounds.evacuation_ms.map(|limit| Millis(limit as u64)),
             drain_time_limit: Millis(bounds.drain_ms as u64),
             retry_limit: RetryLimit {
                 ratio: bounds.retry_budget_ratio,
--- a/tests/integration/gateway_scaler.rs
+++ b/tests/integration/gateway_scaler.rs
@@ -82,6 +82,7 @@
     service: Arc<str>,
     orders: usize,
     min_total: u32,
+    evacuated: Option<Arc<str>>,
 }
 
 impl Simulation {
@@ -93,6 +94,7 @@
             service: "s".into(),
             orders: 0,
             min_total: u32::MAX,
+            evacuated: None,
         }
     }
 
@@ -114,9 +116,11 @@
                 self.set(&order, count);
             }
             let now = Millis(at);
-            let present = self.present.clone();
             let demand = Demand { busy, running: 0 };
-            let (service, scale) = (Arc::clone(&self.service), scale(true));
+            let is_evacuated = |domain: &str| self.evacuated.as_deref() == Some(domain);
+            let mut present = self.present.clone();
+            present.retain(|domain, _| !is_evacuated(domain));
+            let (service, scale) = (Arc::clone(&self.service), scale(true).without(is_evacuated));
             for (order, count) in self
                 .scaler
                 .decide(&service, &scale, SLOTS, &present, demand, now)
@@ -317,6 +321,25 @@
     }
 }
 
+/// Guards against orders for an evacuated domain, and against a domain that loses its endpoints because
+/// they were not counted meanwhile.
+#[test]
+fn an_evacuated_domain_is_neither_counted_nor_ordered_for() {
+    let mut simulation = Simulation::new();
+    simulation.run(0, 30_000, 3.0, false);
+    let before = simulation.present.clone();
+    simulation.evacuated = Some("a".into());
+    simulation.run(30_000, 50_000, 3.0, false);
+    assert_eq!(simulation.present["a"], before["a"]);
+    let others = |capacity: &Capacity| total(capacity) - capacity["a"].steady - capacity["a"].spot;
+    assert!(others(&simulation.present) >= total(&before));
+    simulation.evacuated = None;
+    simulation.run(50_000, 52_000, 3.0, false);
+    assert_eq!(simulation.present["a"], before["a"]);
+    simulation.run(52_000, 120_000, 3.0, false);
+    assert_eq!(total(&simulation.present), total(&before));
+}
+
 /// An order during a rollout, and the number that the cloud is told, if it is placed.
 struct TrialCase {
     domain: &'static str,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod gateway_departures;
 mod gateway_documents;
 mod gateway_entries;
+mod gateway_evacuation;
 mod gateway_events;
 mod gateway_fleet;
 mod gateway_handover;
