Let nodes take turns at endpoints that are cold

Where a service states how much its cold endpoints tolerate and the settings say how far that may be exceeded, each endpoint gets as many turns per second, which go round among the nodes by their common wall time, without a message. An entry that states a cold time anew is passed on like a change.

Not part of this: the pace of endpoints that are not cold (docs/design/pace.md).

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -64,6 +64,10 @@
     pub remote_pending_tokens: u64,
     /// Requests of the other nodes that are in flight, as last announced.
     pub remote_inflight: u32,
+    /// Until when it is slow after its start, or has become so again.
+    pub cold_until: Millis,
+    /// Number of the last turn that this node took while the endpoint was cold.
+    last_turn: Option<u64>,
     /// Until when it wants no requests from this node.
     pub declines_until: Millis,
     /// Its health, judged by the outcomes of requests.
@@ -92,6 +96,8 @@
             pending_tokens: 0,
             remote_pending_tokens: 0,
             remote_inflight: 0,
+            cold_until: now + registration.cold,
+            last_turn: None,
             declines_until: Millis::ZERO,
             health: Health::default(),
             prefixes: PrefixCache::new(memory_tokens),
@@ -113,6 +119,14 @@
         self.sent_since_load += 1;
     }
 
+    /// Takes a turn for a request, if it needs one; returns whether there was one left.
+    pub fn take_turn(&mut self, turn: Option<u64>) -> bool {
+        let Some(turn) = turn else { return true };
+        let is_left = self.has_turn(turn);
+        self.last_turn = self.last_turn.max(Some(turn));
+        is_left
+    }
+
     /// Records the load that the endpoint reported.
     pub fn record_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
@@ -159,7 +173,13 @@
     /// Returns the remaining time for which the endpoint is slow after its start.
     #[must_use]
     pub fn cold_left(&self, now: Millis) -> Millis {
-        self.registration.cold - (now - self.lifecycle_since)
+        self.cold_until - now
+    }
+
+    /// Returns whether this node has a turn left, by the number of the turn.
+    #[must_use]
+    pub fn has_turn(&self, turn: u64) -> bool {
+        self.last_turn.is_none_or(|last| last < turn)
     }
 
     /// Returns whether the endpoint wants no requests from this node for now.
--- a/src/gateway/entries/apply.rs
+++ b/src/gateway/entries/apply.rs
@@ -88,6 +88,7 @@
             .and_then(|active| active.config.service(&registration.service)?.engine)
             .map_or(0, |engine| engine.memory_tokens);
         let now = self.clock.now();
+        let cold = registration.cold;
         let transition = {
             let state = &mut *self.state();
             if state.changelog.is_removed_before(id, entry.revision.era) {
@@ -108,6 +109,7 @@
                 }
                 RegisterOutcome::Changed(transition) => {
                     state.changelog.record(id, entry, now);
+                    self.log_cold(id, cold, source);
                     transition
                 }
             }
@@ -115,6 +117,14 @@
         self.log_transition(transition, source);
     }
 
+    /// Logs for how long an endpoint is slow, if it is.
+    fn log_cold(&self, id: &str, cold: Millis, source: &str) {
+        if cold > Millis::ZERO {
+            info!(self.log, "endpoint cold"; "endpoint" => id, "ms" => cold.0, "source" => source);
+            metrics::counter!("almondpath_cold_endpoints_total").increment(1);
+        }
+    }
+
     pub(in crate::gateway) fn log_transition(&self, transition: Option<Transition>, source: &str) {
         if let Some(transition) = transition {
             info!(self.log, "endpoint"; "endpoint" => &*transition.identity.id,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -203,14 +203,17 @@
             return RegisterOutcome::Superseded;
         }
         let leaving = registration.leaving;
-        let is_new =
-            known.registration.differs_from(&registration) || known.missing_since.is_some();
+        let turns_cold = registration.cold > Millis::ZERO && known.cold_left(now) == Millis::ZERO;
+        let is_new = known.registration.differs_from(&registration)
+            || known.missing_since.is_some()
+            || turns_cold;
         known.missing_since = None;
         known.unlisted_at = None;
         if known.deregistered.is_cancelled() {
             // Its entry had expired.
             known.deregistered = tokio_util::sync::CancellationToken::new();
         }
+        known.cold_until = now + registration.cold;
         known.registration = registration;
         let lifecycle = if leaving {
             Lifecycle::Leaving
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 use crate::gateway::endpoint::Key;
 use crate::gateway::rollout::Versions;
-use crate::gateway::{Endpoint, Fleet, Prompt};
+use crate::gateway::{Endpoint, Fleet, Pacing, Prompt};
 use crate::rollout::endpoints_in_use;
 
 /// Share of the uncached shared tokens that is counted at the home endpoint of a prefix: the other
@@ -40,6 +40,8 @@
     pub tried: &'a [Arc<str>],
     /// Maximum number of requests that this node may have in flight at one endpoint.
     pub max_connections: u32,
+    /// This node's turns at cold endpoints.
+    pub pacing: Pacing,
 }
 
 /// The endpoint chosen for a request, with the estimates behind the choice.
@@ -53,6 +55,8 @@
     pub uncached_tokens: u64,
     /// Prompt tokens in the segment that no other request shares.
     pub unique_tokens: u64,
+    /// The turn that the request takes at a cold endpoint.
+    pub turn: Option<u64>,
 }
 
 /// Returns the endpoint with the lowest expected cost, or `None` if no endpoint accepts the
@@ -72,7 +76,7 @@
     for (key, endpoint) in candidates {
         let tried = query.tried.contains(&endpoint.registration.identity.id);
         let full = endpoint.inflight >= query.max_connections;
-        let declining = endpoint.is_declining(now);
+        let declining = endpoint.is_declining(now) || !query.pacing.admits(endpoint, now);
         if tried || full || declining || endpoint.health.is_blocked(now, endpoint.inflight) {
             continue;
         }
@@ -104,6 +108,7 @@
             first_event_ms: endpoint.expected_response_ms(now),
             uncached_tokens: 0,
             unique_tokens: 0,
+            turn: query.pacing.turn(endpoint, now),
         };
     };
     let unique = prompt.unique_tokens();
@@ -119,6 +124,7 @@
             + f64::from(endpoint.outstanding_requests(now)) * RUNNING_REQUEST_DELAY_MS,
         uncached_tokens: uncached,
         unique_tokens: unique,
+        turn: query.pacing.turn(endpoint, now),
     }
 }
 
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -10,8 +10,11 @@
 use crate::clock::Millis;
 use crate::error::Error;
 use crate::gateway::endpoint::Key;
+use crate::gateway::state::State;
 use crate::gateway::upstream::Connection;
-use crate::gateway::{ForwardMetadata, Node, ResponseMetadata, RetryPolicy};
+use crate::gateway::{
+    ColdLimit, ForwardMetadata, Node, Pacing, Place, ResponseMetadata, RetryPolicy,
+};
 use crate::verdict::Verdict;
 
 use super::admit::LEAVING_RETRY_AFTER;
@@ -155,6 +158,7 @@
     let preference = state
         .rollouts
         .preference(&call.service, is_first, draw, wall);
+    let pacing = pacing(call, &state, wall);
     let query = |versions| Query {
         service: &call.service,
         domain: &call.node.settings.domain,
@@ -163,6 +167,7 @@
         sample_share: call.node.settings.exposure_limit.max_draw(),
         tried: &attempts.endpoints,
         max_connections: connection_limit(call, state.roster.count_serving(now).0),
+        pacing,
     };
     let choose_among = |versions| choose(&state.fleet, &query(versions), now);
     let choice = choose_among(&preference.first);
@@ -175,6 +180,22 @@
     })
 }
 
+/// Returns this node's turns at cold endpoints of the service.
+fn pacing(call: &Call, state: &State, wall: Millis) -> Pacing {
+    let settings = &call.node.settings;
+    let active = call.node.active.load();
+    let service = active
+        .as_ref()
+        .and_then(|active| active.config.service(&call.service));
+    let limit = service.zip(settings.cold_tolerance);
+    let limit = limit.and_then(|(service, tolerance)| ColdLimit::new(service.cold_rate, tolerance));
+    Pacing {
+        limit,
+        place: limit.map_or(Place::ALONE, |_| state.place(settings)),
+        wall,
+    }
+}
+
 /// Returns this node's share of the connections that an endpoint of the service accepts.
 fn connection_limit(call: &Call, nodes: usize) -> u32 {
     let active = call.node.active.load();
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -49,13 +49,17 @@
 }
 
 impl Reservation {
-    /// Counts a request at the chosen endpoint; returns `None` if the endpoint is gone.
+    /// Counts a request at the chosen endpoint; returns `None` if the endpoint is gone, or if another
+    /// request has taken its turn there.
     pub(super) fn acquire(node: &Arc<Node>, choice: &Choice, route: &Arc<str>) -> Option<Self> {
         let (key, uncached) = (choice.key, choice.uncached_tokens);
         let now = node.clock.now();
         let state = &mut *node.state();
         let endpoint = state.fleet.get_mut(key)?;
         let queued_tokens = endpoint.total_pending_tokens();
+        if !endpoint.take_turn(choice.turn) {
+            return None;
+        }
         endpoint.record_sent();
         endpoint.pending_tokens += uncached;
         let cold = endpoint.cold_left(now) > Millis::ZERO;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod limited_stream;
 mod load;
 mod node;
+mod pace;
 mod prefix_cache;
 mod quarantine;
 mod quota;
@@ -67,6 +68,7 @@
 pub use self::lease::{Committed, DutyEntry, DutyRecord, Lease, Terms, Totals};
 pub use self::load::Load;
 pub use self::node::{Adapters, Node};
+pub use self::pace::{ColdLimit, ColdTolerance, Pacing, Place, Turns};
 pub use self::prefix_cache::PrefixCache;
 pub use self::quarantine::{Crash, Evidence, Finding, Quarantine, Quarantined, Success};
 pub use self::quota::{
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -48,6 +48,8 @@
     pub name: Arc<str>,
     /// Maximum number of connections that an endpoint accepts from all gateway nodes together.
     pub max_connections: u32,
+    /// Requests per second that an endpoint tolerates while it is cold; any number if 0.
+    pub cold_rate: f64,
     /// Engine capacity, if the endpoints are model engines.
     pub engine: Option<Engine>,
     /// Autoscaling limits, if the gateway may order endpoints.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use super::budget::RetryLimit;
 use super::lease::Terms;
+use super::pace::ColdTolerance;
 use super::quota::Tolerance;
 use super::rollout::ExposureLimit;
 
@@ -39,6 +40,8 @@
     pub retry_limit: RetryLimit,
     /// How far quotas may be exceeded.
     pub quota_tolerance: Tolerance,
+    /// How far the rate that cold endpoints tolerate may be exceeded; none where it is not bounded.
+    pub cold_tolerance: Option<ColdTolerance>,
     /// Limit on the requests that a version gets before it has proved itself.
     pub exposure_limit: ExposureLimit,
     /// Length of the windows of usage reports.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use super::rollout::Rollouts;
 use super::scaler::{Demand, DemandReports, Meter, Scaler};
 use super::usage::Usage;
-use super::{Lease, Partition, Quarantine, Quota, RetryBudget, Run, Settings, Topic};
+use super::{Lease, Partition, Place, Quarantine, Quota, RetryBudget, Run, Settings, Topic};
 
 /// Time after a failed read for which the store counts as unavailable.
 const STORE_FAILURE_PERIOD: Millis = Millis(2_000);
@@ -119,6 +119,13 @@
             .readers(&settings.domain, self.store_available(now), now)
     }
 
+    /// Returns the place of this node among those that may be serving, also if it can't reach them.
+    pub(super) fn place(&self, settings: &Settings) -> Place {
+        let others = self.roster.members().map(|member| &member.announcement);
+        let others = others.filter(|announcement| !announcement.leaving);
+        Place::among(&settings.node, others.map(|other| &*other.node))
+    }
+
     /// Returns how many nodes may be serving and how many of them are unreachable.
     pub(super) fn reachability(&self, now: Millis) -> Reachability {
         self.known_nodes
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -78,6 +78,9 @@
     name: Arc<str>,
     #[serde(default)]
     max_connections: Option<u32>,
+    /// Requests per second that an endpoint tolerates from all nodes while it is cold; no bound if 0.
+    #[serde(default)]
+    cold_per_s: f64,
     engine: Option<EngineDocument>,
     scale_limits: Option<ScaleDocument>,
 }
@@ -365,6 +368,7 @@
     Service {
         name: document.name,
         max_connections: document.max_connections.unwrap_or(u32::MAX),
+        cold_rate: document.cold_per_s,
         engine: document.engine.map(|engine| Engine {
             slots: engine.slots,
             memory_tokens: engine.kv_capacity,
--- a/src/platform/node_file.rs
+++ b/src/platform/node_file.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Millis;
 use crate::gateway::rollout::ExposureLimit;
-use crate::gateway::{RetryLimit, Settings, Terms, Tolerance};
+use crate::gateway::{ColdTolerance, RetryLimit, Settings, Terms, Tolerance};
 
 /// Time after the start of a renewal for which a lease is valid. The holder keeps it if two
 /// renewals in a row are lost.
@@ -87,6 +87,11 @@
     quota_slack: f64,
     #[serde(default = "default_quota_window_s")]
     quota_window_s: f64,
+    /// Factor by which the rate of requests to a cold endpoint may exceed what it tolerates.
+    cold_overage: Option<f64>,
+    /// Requests per second to a cold endpoint in addition to `cold_overage`.
+    #[serde(default)]
+    cold_slack: f64,
     usage_window_s: f64,
     usage_late_s: f64,
     ttl_max_s: f64,
@@ -187,6 +192,10 @@
             bounds.quota_overage >= 0.0 && bounds.quota_slack >= 0.0,
             "bounds.quota_overage or bounds.quota_slack is negative",
         );
+        check(
+            bounds.cold_overage.is_none_or(|overage| overage >= 0.0) && bounds.cold_slack >= 0.0,
+            "bounds.cold_overage or bounds.cold_slack is negative",
+        );
         check(
             (0.0..=1.0).contains(&bounds.exposure_share) && bounds.exposure_slack >= 0.0,
             "bounds.exposure_share is not within 0 to 1, or bounds.exposure_slack is negative",
@@ -246,6 +255,10 @@
                 slack: bounds.quota_slack,
                 window: seconds(bounds.quota_window_s),
             },
+            cold_tolerance: bounds.cold_overage.map(|overage| ColdTolerance {
+                overage,
+                slack: bounds.cold_slack,
+            }),
             exposure_limit: ExposureLimit {
                 share: bounds.exposure_share,
                 slack: bounds.exposure_slack,
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -5,12 +5,19 @@
 use almondpath::clock::Millis;
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
-    Fleet, Identity, Lifecycle, Load, Prompt, Query, RegisterOutcome, Registration, Segment, choose,
+    Fleet, Identity, Lifecycle, Load, Pacing, Place, Prompt, Query, RegisterOutcome, Registration,
+    Segment, choose,
 };
 
 const SERVICE: &str = "engines";
 const MEMORY_TOKENS: u64 = 400_000;
 
+const UNPACED: Pacing = Pacing {
+    limit: None,
+    place: Place::ALONE,
+    wall: Millis::ZERO,
+};
+
 fn registration(id: &str, born: u64, sequence: u64) -> Registration {
     Registration {
         identity: Identity {
@@ -303,6 +310,7 @@
         sample_share: 1.0,
         tried,
         max_connections: 100,
+        pacing: UNPACED,
     }
 }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod gateway_memory;
 mod gateway_odd_entries;
 mod gateway_outcomes;
+mod gateway_pace;
 mod gateway_quarantine;
 mod gateway_responses;
 mod gateway_restore;
