tests: crowds of callers that do not stay inside the limits

Sixteen crowds (bodies that stop short of their end, in one piece, in pieces and in chunks; bodies over the limit; heads of many fields or without an end; connections that are left open; requests sent ahead; responses that are not read) come to five doors of a gateway process: a route, a route without a key, a path without a route, the readiness check and the directory. An ordinary request has to be served while the crowd is still there. The tests run one at a time, in a program of their own.

--- /dev/null
+++ b/tests/hostile_clients/cases.rs
@@ -0,0 +1,58 @@
+use tokio::sync::Mutex;
+
+use crate::client::Client;
+use crate::crowd::Crowd;
+
+/// Held by the test that runs, so that no other one adds load.
+static RUNNING: Mutex<()> = Mutex::const_new(());
+
+/// Requests that the process may have in flight, by its descriptors.
+const REQUESTS: usize = 90;
+
+/// Connections of a crowd that opens more of them than the process may have descriptors.
+const CONNECTIONS: usize = 500;
+
+/// Sizes of responses, in bytes.
+const SMALL: usize = 100;
+const LARGE: usize = 5_000_000;
+
+async fn visit(client: Client, size: usize, response_bytes: usize) {
+    let _running = RUNNING.lock().await;
+    let crowd = Crowd {
+        client,
+        size,
+        response_bytes,
+    };
+    crowd.visit().await;
+}
+
+/// Defines a test of a crowd at all doors.
+macro_rules! crowds {
+    ($($name:ident: $client:ident, $size:expr, $response:expr;)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                visit(Client::$client, $size, $response).await;
+            }
+        )*
+    };
+}
+
+crowds! {
+    bodies_short_of_their_end: Body, REQUESTS, SMALL;
+    bodies_without_a_go_ahead: BodyAfterExpect, REQUESTS, SMALL;
+    bodies_in_small_pieces: Pieces, REQUESTS, SMALL;
+    bodies_in_one_chunk: Chunk, REQUESTS, SMALL;
+    bodies_in_small_chunks: Chunks, REQUESTS, SMALL;
+    bodies_over_the_limit: TooLarge, REQUESTS, SMALL;
+    chunks_over_the_limit: LargeChunk, REQUESTS, SMALL;
+    endless_chunk_extensions: Extension, REQUESTS, SMALL;
+    endless_trailers: Trailers, REQUESTS, SMALL;
+    heads_of_many_fields: Fields, 350, SMALL;
+    endless_heads: EndlessHead, 350, SMALL;
+    heads_short_of_their_end: PartOfHead, CONNECTIONS, SMALL;
+    silent_connections: Silence, CONNECTIONS, SMALL;
+    requests_sent_ahead: RequestsAhead, 12, SMALL;
+    callers_that_never_read: NeverReads, 60, LARGE;
+    callers_that_read_slowly: ReadsSlowly, 60, LARGE;
+}
--- a/tests/integration/platform/deployment.rs
+++ b/tests/integration/platform/deployment.rs
@@ -14,8 +14,21 @@
 /// `drain_ms` of the settings below.
 const PROPAGATION_TIME: Duration = Duration::from_millis(2_000);
 
-/// Memory that the settings of a process allow it, in MB.
-const DEFAULT_MEMORY_MB: u32 = 260;
+/// What the settings of a process allow it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Host {
+    pub(crate) memory_mb: u32,
+    pub(crate) max_fds: u32,
+}
+
+impl Default for Host {
+    fn default() -> Self {
+        Self {
+            memory_mb: 260,
+            max_fds: 4_100,
+        }
+    }
+}
 
 /// A gateway process.
 pub(crate) struct Gateway {
@@ -47,6 +60,12 @@
         kib.expect("a peak").parse().expect("a number")
     }
 
+    /// Returns the number of file descriptors that the process has open.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let folder = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        folder.expect("the process runs").count()
+    }
+
     /// Returns whether the process exited successfully; `None` while it runs.
     pub(crate) fn exited_successfully(&mut self) -> Option<bool> {
         let status = self.child.try_wait().expect("a child");
@@ -163,7 +182,7 @@
 
     /// As [`Deployment::start`], with another first configuration.
     pub(crate) async fn start_with(gateways: usize, engines: Vec<Engine>, config: &Value) -> Self {
-        Self::start_on_hosts(gateways, DEFAULT_MEMORY_MB, engines, config).await
+        Self::start_on_hosts(gateways, Host::default(), engines, config).await
     }
 
     /// As [`Deployment::start_with`], with one gateway on a host with this memory.
@@ -172,12 +191,17 @@
         engines: Vec<Engine>,
         config: &Value,
     ) -> Self {
-        Self::start_on_hosts(1, memory_mb, engines, config).await
+        let host = Host {
+            memory_mb,
+            ..Host::default()
+        };
+        Self::start_on_hosts(1, host, engines, config).await
     }
 
-    async fn start_on_hosts(
+    /// As [`Deployment::start_with`], on hosts like this.
+    pub(crate) async fn start_on_hosts(
         gateways: usize,
-        memory_mb: u32,
+        host: Host,
         engines: Vec<Engine>,
         config: &Value,
     ) -> Self {
@@ -194,7 +218,7 @@
             deployment.store.put("keyed.servers", &engine.id, &entry);
         }
         for number in 0..gateways {
-            deployment.add_gateway(number, memory_mb);
+            deployment.add_gateway(number, host);
         }
         for gateway in &deployment.gateways {
             eventually("a gateway is ready", async || {
@@ -205,7 +229,8 @@
         deployment
     }
 
-    fn add_gateway(&mut self, number: usize, memory_mb: u32) {
+    fn add_gateway(&mut self, number: usize, host: Host) {
+        let Host { memory_mb, max_fds } = host;
         let [front, ready, control, directory, metrics] = [(); 5].map(|()| free_address());
         let name = format!("edge-{number}");
         let seeds: Vec<String> = self
@@ -218,7 +243,7 @@
              heartbeat_ms = 1200\n\
              [listen]\nfront = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n\
              directory = \"{directory}\"\n\
-             [limits]\nmemory_mb = {memory_mb}\nmax_fds = 4100\n\
+             [limits]\nmemory_mb = {memory_mb}\nmax_fds = {max_fds}\n\
              [bounds]\ngrace_s = 8\nconfig_apply_ms = 2000\ndrain_ms = 2000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
              budget_slack = 52\nusage_window_s = 1\nusage_late_s = 10\nttl_max_s = 5\n\
              [platform]\naddress = \"{}\"\nform = \"log\"\n\
--- a/tests/integration/platform/mod.rs
+++ b/tests/integration/platform/mod.rs
@@ -9,6 +9,6 @@
 
 pub(crate) use self::caller::{Caller, Request, Response};
 pub(crate) use self::cloud::Cloud;
-pub(crate) use self::deployment::{Deployment, config};
+pub(crate) use self::deployment::{Deployment, Gateway, Host, config};
 pub(crate) use self::engine::{Behaviour, End, Engine, Framing};
 pub(crate) use self::store::{Content, Faults, Store};
