gateway: one budget for what callers take of a process

Cause: nothing bounded the sum of bodies, whose pieces each kept the buffer that they were read into; connections had a fixed limit at one address and none at the others; a connection that stopped within a head stayed open; a caller that does not read held its response, and with it memory that others needed.

Change: src/gateway/intake. A budget of the process's memory with parts for heads, bodies and responses (forward/buffer_share.rs draws on it), of which one address gets three quarters; limits of connections by the descriptors, also at the addresses for pages; a decision without I/O on who yields (the unknown, then the slowest, then the one idle for longest). A late head and a caller that takes nothing for 30 s close their connection. No requests are read ahead while the caller takes nothing. Connections are counted by a guard, so that a panic of a connection's task does not leave it counted.

--- a/src/gateway/activity.rs
+++ b/src/gateway/activity.rs
@@ -7,10 +7,11 @@
 
 use crate::clock::Millis;
 
+use super::intake::Connection;
 use super::{Body, Limits, Node};
 
 /// Longest time between two checks of a connection, so that a lower idle timeout takes effect soon.
-const MAX_CHECK_INTERVAL: Millis = Millis(1_000);
+pub(super) const MAX_CHECK_INTERVAL: Millis = Millis(1_000);
 
 #[derive(Debug)]
 struct State {
@@ -25,12 +26,15 @@
 /// The use of a caller's connection, by which it is closed when it is idle for too long.
 pub(super) struct Activity {
     node: Arc<Node>,
+    connection: Arc<Connection>,
+    /// Least idle timeout, whatever the limits.
+    min_idle_timeout: Millis,
     state: Mutex<State>,
 }
 
 impl Activity {
     /// Creates the activity of a connection that was just opened.
-    pub(super) fn new(node: &Arc<Node>) -> Self {
+    pub(super) fn new(node: &Arc<Node>, connection: &Arc<Connection>) -> Self {
         let state = State {
             requests: 0,
             idle_since: node.clock.now(),
@@ -38,18 +42,45 @@
         };
         Self {
             node: Arc::clone(node),
+            connection: Arc::clone(connection),
+            min_idle_timeout: Millis::ZERO,
             state: Mutex::new(state),
         }
     }
 
+    /// Sets the least time for which the connection may stay idle, whatever the limits.
+    pub(super) fn with_min_idle_timeout(mut self, timeout: Millis) -> Self {
+        self.min_idle_timeout = timeout;
+        self
+    }
+
+    /// Returns the connection whose use this is.
+    pub(super) fn connection(&self) -> &Arc<Connection> {
+        &self.connection
+    }
+
     /// Returns the time until the connection has to be checked again.
     pub(super) fn next_check(&self) -> Millis {
         let state = self.state();
         if state.requests > 0 {
             return MAX_CHECK_INTERVAL;
         }
-        let left = self.idle_until(&state) - self.node.clock.now();
-        left.min(MAX_CHECK_INTERVAL)
+        let until = self.idle_until(&state).min(self.head_until());
+        (until - self.node.clock.now()).min(MAX_CHECK_INTERVAL)
+    }
+
+    /// Returns whether a head has not arrived in time, or the caller takes nothing of a response. Such
+    /// a connection closes at once.
+    pub(super) fn is_stalled(&self) -> bool {
+        self.node.clock.now() >= self.head_until() || self.connection.is_stalled()
+    }
+
+    /// Returns when the head that is arriving is late.
+    fn head_until(&self) -> Millis {
+        let since = self.connection.head_since();
+        since.map_or(Millis::MAX, |since| {
+            since + limits(&self.node).header_timeout
+        })
     }
 
     /// Returns whether the connection has been idle for too long.
@@ -63,7 +94,8 @@
     /// Its caller may rely on the timeout that was in force when the connection became idle as well
     /// as on the present one.
     fn idle_until(&self, state: &State) -> Millis {
-        state.idle_since + state.idle_timeout.max(limits(&self.node).idle_timeout)
+        let in_force = limits(&self.node).idle_timeout;
+        state.idle_since + state.idle_timeout.max(in_force).max(self.min_idle_timeout)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -84,7 +116,11 @@
 
 impl InUse {
     pub(super) fn new(activity: &Arc<Activity>) -> Self {
-        activity.state().requests += 1;
+        let state = &mut *activity.state();
+        if state.requests == 0 {
+            activity.connection.start_request();
+        }
+        state.requests += 1;
         Self(Arc::clone(activity))
     }
 }
@@ -93,6 +129,9 @@
     fn drop(&mut self) {
         let state = &mut *self.0.state();
         state.requests = state.requests.saturating_sub(1);
+        if state.requests == 0 {
+            self.0.connection.end_request();
+        }
         state.idle_since = self.0.node.clock.now();
         state.idle_timeout = limits(&self.0.node).idle_timeout;
     }
--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -25,7 +25,7 @@
 const RESPONSE_MARGIN: Millis = Millis(10);
 
 /// `Retry-After` of a node that has no configuration or too many requests in flight.
-const OVERLOAD_RETRY_AFTER: Millis = Millis(400);
+pub(super) const OVERLOAD_RETRY_AFTER: Millis = Millis(400);
 
 /// `Retry-After` of a node that shuts down: other nodes can serve the request at once.
 pub(super) const LEAVING_RETRY_AFTER: Millis = Millis(10);
@@ -73,7 +73,7 @@
     inflight: InflightGuard,
 ) -> Result<Call, Refusal> {
     let (head, body) = request.into_parts();
-    let mut upload = Upload::new(&head, body);
+    let mut upload = Upload::new(node, &head, body);
     let metadata = node.dialect.parse_request(&head.headers);
     let read = tokio::select! {
         read = read_request(node, &metadata, &head, &mut upload, arrived) => read,
@@ -121,6 +121,7 @@
         let refusal = Refusal::new(Reason::Overload);
         return Err(refusal.with_retry_after(OVERLOAD_RETRY_AFTER).into());
     }
+    upload.admit();
     let limit = preliminary.active.config.limits.body_bytes;
     let timeout = metadata.timeout.unwrap_or(preliminary.route.timeout);
     if let Some(delay) = node.quarantined_for(metadata.prompt.as_ref()) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod follower;
 mod forward;
 mod health;
+pub mod intake;
 mod lease;
 mod limited_stream;
 mod load;
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{Logger, info};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, Millis};
@@ -18,6 +18,7 @@
 use crate::{peer, peer::Tokens};
 
 use super::cluster::{Announcement, Phase};
+use super::intake::Intake;
 use super::state::State;
 use super::upstream::Upstream;
 use super::{
@@ -79,8 +80,8 @@
     pub(super) peer_handle: OnceLock<peer::Handle>,
     /// Number of callers' requests in flight.
     pub(super) requests: AtomicUsize,
-    /// Free bytes of the memory for large responses.
-    pub(super) response_buffer: Semaphore,
+    /// What callers may take of this process.
+    pub(super) intake: Arc<Intake>,
     /// Notified when grants have to be reported to the next owners of a bucket at once.
     pub(super) grants_unreported: Notify,
     /// Cancelled when the node begins to shut down.
@@ -108,7 +109,7 @@
             incarnation,
         };
         let state = State::new(&settings, run, started, clock.since_boot());
-        let response_buffer = settings.response_buffer;
+        let intake = Intake::new(settings.memory, settings.descriptors, &clock, &log);
         Arc::new(Self {
             settings,
             dialect: adapters.dialect,
@@ -123,7 +124,7 @@
             started,
             peer_handle: OnceLock::new(),
             requests: AtomicUsize::new(0),
-            response_buffer: Semaphore::new(response_buffer),
+            intake,
             grants_unreported: Notify::new(),
             leaving: CancellationToken::new(),
             departure: OnceLock::new(),
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     NoEndpoint,
     /// No endpoint is expected to respond in time, or the node has too many requests in flight.
     Overload,
+    /// The bodies of requests exceed the memory for them.
+    Memory,
     /// Requests with a part of this prompt crashed endpoints.
     Quarantined,
     /// Endpoints declined to run the request, and it can't be retried.
@@ -56,6 +58,7 @@
             Self::NoConfig => "no_config",
             Self::NoEndpoint => "no_endpoint",
             Self::Overload => "overload",
+            Self::Memory => "memory",
             Self::Quarantined => "quarantined",
             Self::Declined => "declined",
             Self::Expired => "expired",
@@ -82,6 +85,7 @@
             Self::NoConfig
             | Self::NoEndpoint
             | Self::Overload
+            | Self::Memory
             | Self::Quarantined
             | Self::Declined
             | Self::Expired
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,16 +1,14 @@
 use std::convert::Infallible;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use eyre::WrapErr;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{Service, service_fn};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -19,18 +17,19 @@
 
 use crate::clock::Millis;
 
-use super::activity::{Activity, InUse, TrackedBody, limits};
+use super::activity::{Activity, InUse, MAX_CHECK_INTERVAL, TrackedBody, limits};
+use super::intake::{CallerStream, Entry};
 use super::{Body, Node, forward};
 
 /// Length of the queue of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
 
-/// Maximum number of open connections of callers; below the process's limit of file descriptors.
-const MAX_CONNECTIONS: usize = 2_048;
-
 /// Pause after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
+/// Least time for which a connection to an address that serves a page may stay idle.
+const PAGE_IDLE_TIMEOUT: Millis = Millis(60_000);
+
 /// Interval at which a leaving node checks whether its requests have ended.
 const DRAIN_POLL_INTERVAL: Millis = Millis(50);
 
@@ -45,26 +44,25 @@
     serve_page(&node, settings.ready, readiness)?;
     serve_page(&node, settings.directory, directory)?;
     serve_page(&node, settings.metrics, Node::metrics_page)?;
-    let open = Arc::new(AtomicUsize::new(0));
     let closing = CancellationToken::new();
-    let accepting = accept(Arc::clone(&node), front, Arc::clone(&open), closing.clone());
+    let accepting = accept(Arc::clone(&node), front, closing.clone());
     let accepting = tokio::spawn(accepting);
     node.leaving.cancelled().await;
-    drain(&node, &open, &closing).await;
+    drain(&node, &closing).await;
     accepting.abort();
     Ok(())
 }
 
 /// Waits until all requests and connections of callers have ended, at most until shortly before
 /// SIGKILL.
-async fn drain(node: &Node, open: &AtomicUsize, closing: &CancellationToken) {
+async fn drain(node: &Node, closing: &CancellationToken) {
     let Some(departure) = node.departure() else {
         return;
     };
     loop {
         sleep(DRAIN_POLL_INTERVAL.into()).await;
         let now = node.clock.now();
-        if now >= departure.exits_at() || (closing.is_cancelled() && is_idle(node, open)) {
+        if now >= departure.exits_at() || (closing.is_cancelled() && is_idle(node)) {
             return;
         }
         if now >= departure.closes_at() {
@@ -78,8 +76,8 @@
     }
 }
 
-fn is_idle(node: &Node, open: &AtomicUsize) -> bool {
-    node.requests.load(Ordering::Relaxed) == 0 && open.load(Ordering::Relaxed) == 0
+fn is_idle(node: &Node) -> bool {
+    node.requests.load(Ordering::Relaxed) == 0 && node.intake.callers().is_empty()
 }
 
 fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
@@ -92,44 +90,31 @@
     bind().wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
-async fn accept(
-    node: Arc<Node>,
-    listener: TcpListener,
-    open: Arc<AtomicUsize>,
-    closing: CancellationToken,
-) {
+async fn accept(node: Arc<Node>, listener: TcpListener, closing: CancellationToken) {
     loop {
         let accepted = tokio::select! {
             () = closing.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
             Err(error) => {
                 slog::warn!(node.log, "accepting a connection failed"; "reason" => %error);
                 sleep(ACCEPT_PAUSE.into()).await;
                 continue;
             }
         };
-        if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
-            metrics::counter!("almondpath_connections_refused_total").increment(1);
+        let Some(entry) = node.intake.open(node.intake.callers(), address.ip()) else {
             continue;
-        }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (node, open, closing) = (Arc::clone(&node), Arc::clone(&open), closing.clone());
-        tokio::spawn(async move {
-            connection(node, stream, closing).await;
-            open.fetch_sub(1, Ordering::Relaxed);
-        });
+        };
+        let (node, closing) = (Arc::clone(&node), closing.clone());
+        tokio::spawn(async move { connection(node, stream, &entry, closing).await });
     }
 }
 
-/// Serves the requests on one connection of a caller; closes it when it is idle for too long.
-async fn connection(node: Arc<Node>, stream: TcpStream, closing: CancellationToken) {
-    // Events are small, and Nagle's algorithm would delay them. Failing to disable it costs latency
-    // only.
-    let _ = stream.set_nodelay(true);
-    let activity = Arc::new(Activity::new(&node));
+/// Serves the requests on one connection of a caller.
+async fn connection(node: Arc<Node>, stream: TcpStream, entry: &Entry, closing: CancellationToken) {
+    let activity = Arc::new(Activity::new(&node, entry.connection()));
     let service = {
         let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
         service_fn(move |mut request: Request<Incoming>| {
@@ -142,29 +127,64 @@
             }
         })
     };
-    let header_bytes = limits(&node).header_bytes;
+    serve_connection(&node, stream, &activity, service, closing).await;
+}
+
+/// Serves the requests on a connection; closes it when it is idle for too long, when it does not go
+/// on, and when it has to yield to others.
+async fn serve_connection<S>(
+    node: &Arc<Node>,
+    stream: TcpStream,
+    activity: &Activity,
+    service: S,
+    closing: CancellationToken,
+) where
+    S: Service<Request<Incoming>, Response = Response<TrackedBody>, Error = Infallible>,
+{
+    // Events are small, and Nagle's algorithm would delay them. Failing to disable it costs latency
+    // only.
+    let _ = stream.set_nodelay(true);
+    let stream = CallerStream::new(stream, &node.intake, activity.connection());
+    let header_bytes = limits(node).header_bytes;
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(header_bytes.max(8 * 1024) * 2)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
+    let yielded = activity.connection().yielded();
     let mut is_closing = false;
     loop {
+        let pause = if is_closing {
+            MAX_CHECK_INTERVAL
+        } else {
+            activity.next_check()
+        };
         tokio::select! {
             // A request that has arrived is read before the connection may count as idle: this process
             // may not have run for longer than the timeout.
             biased;
             // The caller notices a broken connection itself.
             _ = serving.as_mut() => return,
+            () = yielded.cancelled() => return,
             () = closing.cancelled(), if !is_closing => {
                 is_closing = true;
                 serving.as_mut().graceful_shutdown();
             }
-            () = sleep(activity.next_check().into()), if !is_closing => {
-                if activity.is_expired() {
+            () = sleep(pause.into()) => {
+                if activity.is_stalled() {
+                    metrics::counter!("almondpath_callers_stalled_total").increment(1);
+                    return;
+                }
+                if !activity.is_expired() {
+                    continue;
+                }
+                if !is_closing {
                     is_closing = true;
                     serving.as_mut().graceful_shutdown();
+                } else if !activity.connection().is_blocked() {
+                    // A part of a next head keeps it open.
+                    return;
                 }
             }
         }
@@ -184,37 +204,37 @@
                 () = node.stopped.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
-            let Ok((stream, _)) = accepted else {
+            let Ok((stream, address)) = accepted else {
                 sleep(ACCEPT_PAUSE.into()).await;
                 continue;
             };
             let node = Arc::clone(&node);
-            tokio::spawn(page_connection(node, stream, page));
+            let Some(entry) = node.intake.open(node.intake.pages(), address.ip()) else {
+                continue;
+            };
+            tokio::spawn(async move { page_connection(node, stream, &entry, page).await });
         }
     });
     Ok(())
 }
 
-fn page_connection<F>(
-    node: Arc<Node>,
-    stream: TcpStream,
-    page: F,
-) -> impl Future<Output = ()> + Send
+async fn page_connection<F>(node: Arc<Node>, stream: TcpStream, entry: &Entry, page: F)
 where
     F: Fn(&Node, &Request<Incoming>) -> Response<Body> + Copy + Send + Sync + 'static,
 {
-    let service = service_fn(move |request| {
-        let response = page(&node, &request);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from(Millis::from_secs(60)))
-        .serve_connection(TokioIo::new(stream), service);
-    async move {
-        // The client notices a broken connection itself.
-        let _ = serving.await;
-    }
+    let activity = Activity::new(&node, entry.connection());
+    let activity = Arc::new(activity.with_min_idle_timeout(PAGE_IDLE_TIMEOUT));
+    let service = {
+        let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
+        service_fn(move |request| {
+            let in_use = InUse::new(&activity);
+            activity.connection().admit();
+            let response = page(&node, &request);
+            async move { Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, in_use))) }
+        })
+    };
+    let closing = node.stopped.clone();
+    serve_connection(&node, stream, &activity, service, closing).await;
 }
 
 /// Reports whether this node accepts requests.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -51,9 +51,10 @@
     pub heartbeat: Millis,
     /// Maximum number of requests in flight at the node.
     pub max_requests: usize,
-    /// Memory for the parts of responses that are held until they are complete, and for those whose
-    /// callers have not read them, in bytes.
-    pub response_buffer: usize,
+    /// Memory of the process, in bytes.
+    pub memory: usize,
+    /// Maximum number of file descriptors of the process.
+    pub descriptors: usize,
     /// Whether the platform accepts usage reports.
     pub reports_usage: bool,
     /// Whether the platform accepts orders for endpoints.
--- a/src/platform/node_file.rs
+++ b/src/platform/node_file.rs
@@ -28,9 +28,6 @@
 /// for a slow caller.
 const REQUESTS_PER_MB: usize = 4;
 
-/// Part of the memory that is for large responses, as a divisor.
-const RESPONSE_BUFFER_DIVISOR: usize = 4;
-
 /// The settings file that the platform gives to each process; unknown fields are ignored.
 #[derive(Clone, Debug, Deserialize)]
 pub struct NodeFile {
@@ -252,7 +249,8 @@
             address_ttl: ADDRESS_TTL.min(seconds(bounds.ttl_max_s)),
             heartbeat: Millis(self.heartbeat_ms),
             max_requests: by_descriptors.min(by_memory),
-            response_buffer: self.limits.memory_mb * 1_000_000 / RESPONSE_BUFFER_DIVISOR,
+            memory: self.limits.memory_mb * 1_000_000,
+            descriptors: self.limits.max_fds,
             reports_usage: has_duty("usage_report"),
             orders_endpoints: has_duty("autoscale"),
         }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -15,6 +15,7 @@
 mod gateway_events;
 mod gateway_fleet;
 mod gateway_handover;
+mod gateway_intake;
 mod gateway_lease;
 mod gateway_limits;
 mod gateway_memory;
