--- a/tests/hostile_clients/cases.rs
+++ b/tests/hostile_clients/cases.rs
@@ -1,4 +1,4 @@
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, MutexGuard};
 
 use crate::client::Client;
 use crate::crowd::Crowd;
@@ -16,8 +16,13 @@
 const SMALL: usize = 100;
 const LARGE: usize = 5_000_000;
 
+/// Waits until no other test of this program runs.
+pub(crate) async fn running() -> MutexGuard<'static, ()> {
+    RUNNING.lock().await
+}
+
 async fn visit(client: Client, size: usize, response_bytes: usize) {
-    let _running = RUNNING.lock().await;
+    let _running = running().await;
     let crowd = Crowd {
         client,
         size,
--- a/tests/hostile_clients/crowd.rs
+++ b/tests/hostile_clients/crowd.rs
@@ -48,7 +48,8 @@
         assert!(faults.is_empty(), "{self:?}: {}", faults.join("; "));
     }
 
-    async fn deployment(self) -> Deployment {
+    /// Starts a process on the host, with endpoints that respond as the crowd wants it.
+    pub(crate) async fn deployment(self) -> Deployment {
         let body: &'static str = "x".repeat(self.response_bytes).leak();
         let whole = Behaviour::Whole(Framing::Length, body);
         let engines = vec![
@@ -63,7 +64,8 @@
         Deployment::start_on_hosts(1, HOST, engines, &config).await
     }
 
-    async fn visit_door(self, gateway: &mut Gateway, door: Door) -> Result<(), String> {
+    /// Sends the crowd to a door and checks the bounds.
+    pub(crate) async fn visit_door(self, gateway: &mut Gateway, door: Door) -> Result<(), String> {
         let address = door.address(gateway);
         let sending = (0..self.size).map(|_| self.member(address, door));
         let connections = futures::future::join_all(sending).await;
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod crowd;
 mod door;
+mod fuzz;
 #[allow(dead_code, reason = "shared with the other tests")]
 #[path = "../integration/harness.rs"]
 mod harness;
--- a/tests/integration/gateway_intake.rs
+++ b/tests/integration/gateway_intake.rs
@@ -82,7 +82,11 @@
         case(
             "the slowest body",
             Need::Bodies,
-            vec![body(1, 4_000, 5_000), body(2, 100, 5_000), idle(3, false, 0)],
+            vec![
+                body(1, 4_000, 5_000),
+                body(2, 100, 5_000),
+                idle(3, false, 0),
+            ],
             Some(2),
         ),
         case(
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -46,7 +46,11 @@
 mod peer;
 mod placement;
 mod planned_stop;
-#[allow(dead_code, reason = "not every feature uses every helper")]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "not every feature uses every helper"
+)]
 mod platform;
 mod ports;
 mod prefix_index;
