--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,6 +16,7 @@
 mod gateway_events;
 mod gateway_fleet;
 mod gateway_handover;
+mod gateway_intake;
 mod gateway_lease;
 mod gateway_limits;
 mod gateway_memory;
@@ -47,7 +48,11 @@
 mod peer;
 mod placement;
 mod planned_stop;
-#[allow(dead_code, reason = "not every feature uses every helper")]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "not every feature uses every helper"
+)]
 mod platform;
 mod ports;
 mod prefix_index;
