gateway: capacity of endpoints learned, and choices by it (first cut, not measured)

Endpoints were assumed to be alike: a fixed delay for each running request, a prefill rate clamped to 4 to 80 tokens/ms, and nothing about the time between events. Work went to the homes of prefixes in equal shares whatever their speed.

Homes are weighted by speed.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -19,6 +19,7 @@
     Delta, Message, Progress, Report, Request, Response, Versions, decode, encode,
 };
 use super::selector::{Target, View};
+use super::speeds;
 
 /// Time between two rounds in a small cluster, and of a node that has just started.
 const SMALL_CLUSTER_INTERVAL: Millis = Millis(250);
@@ -32,6 +33,9 @@
 /// Rounds between two reports to the holder of the duties.
 const ROUNDS_PER_REPORT: u64 = 2;
 
+/// Rounds between two exchanges of measured speeds.
+const ROUNDS_PER_SPEEDS: u64 = 2;
+
 /// Maximum number of reports of other runs that a node passes on at a time.
 const MAX_RELAYED_REPORTS: usize = 16;
 
@@ -86,6 +90,9 @@
             gossip.send_report(current);
         }
         holder = current;
+        if round.is_multiple_of(ROUNDS_PER_SPEEDS) {
+            tokio::spawn(speeds::exchange(Arc::clone(node), gossip.handle.clone()));
+        }
         gossip.send_grants(|_, _| true);
         let leaving = node.leaving.is_cancelled();
         tokio::select! {
--- a/src/gateway/cluster/merge.rs
+++ b/src/gateway/cluster/merge.rs
@@ -120,7 +120,8 @@
 
     /// Sums up the requests that the other nodes have in flight at each endpoint.
     pub(super) fn update_remote_inflight(&mut self, now: Millis) {
-        if !self.roster.is_small() {
+        self.fleet.inflight_announced = self.roster.is_small();
+        if !self.fleet.inflight_announced {
             return;
         }
         let mut sums: HashMap<&str, (u32, u64)> = HashMap::new();
--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -15,6 +15,7 @@
 
 use super::announcement::Announcement;
 use super::member::MemberUpdate;
+use super::speeds::SpeedRequest;
 
 /// A message from one node to another.
 #[derive(Debug, Serialize, Deserialize)]
@@ -29,6 +30,8 @@
     Grants(Vec<GrantReport>),
     /// As [`Message::Quota`], of a node to which the preferred owners of the bucket did not respond.
     QuotaAfterLoss(GrantRequest),
+    /// Measured speeds of endpoints; answered by those that changed.
+    Speeds(SpeedRequest),
 }
 
 /// The state of the sender, which is part of each request and response.
--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -20,6 +20,7 @@
 mod responder;
 mod roster;
 mod selector;
+mod speeds;
 
 pub use self::announcement::{Announcement, Inflight};
 pub use self::clocks::Clocks;
--- a/src/gateway/cluster/responder.rs
+++ b/src/gateway/cluster/responder.rs
@@ -16,6 +16,7 @@
 use super::message::{
     Delta, EntryUpdate, Message, Progress, Report, Request, Response, Versions, decode, encode,
 };
+use super::speeds;
 
 /// Maximum size of a configuration that nodes pass on to each other, in bytes. A larger one is read
 /// from the store, to which the link has more bandwidth.
@@ -122,6 +123,7 @@
             Message::QuotaAfterLoss(request) => {
                 quota::respond(&self.node, &request, Succession::AfterLoss)
             }
+            Message::Speeds(request) => speeds::respond(&self.node, &request),
             Message::Report(report) => {
                 self.record_report(report);
                 encode(&())
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Millis;
 
+use super::capacity::{Conditions, Contention, Profile, Slowness};
 use super::{Health, Load, PrefixCache, Prompt, Registration};
 
 new_key_type! {
@@ -10,18 +11,8 @@
     pub struct Key;
 }
 
-/// Initial estimate of an endpoint's prefill rate in prompt tokens per millisecond; engines of the
-/// present generation reach 40 to 50.
-const INITIAL_PREFILL_RATE: f64 = 40.0;
-
-/// Initial estimate of the time that an endpoint takes for a plain request.
-const INITIAL_SERVICE_TIME: Millis = Millis(30);
-
-/// Weight of a new observation in the moving averages.
-const SMOOTHING_FACTOR: f64 = 0.1;
-
-/// Age from which a reported load is outdated.
-const MAX_LOAD_AGE: Millis = Millis(1_000);
+/// Age at which a reported load has lost half of its weight.
+const LOAD_HALF_LIFE: Millis = Millis(400);
 
 /// Resolution of the clock: a time may be up to this much later than the clock said.
 const CLOCK_STEP: Millis = Millis(1);
@@ -72,10 +63,11 @@
     pub prefixes: PrefixCache,
     /// Cancelled when its entry was removed or stayed missing, or when a later run replaced it.
     pub deregistered: CancellationToken,
+    /// How slow it is compared to the others of its service.
+    pub slowness: Slowness,
+    contention: Option<Contention>,
     load: Option<(Load, Millis)>,
     sent_since_load: u32,
-    prefill_rate: f64,
-    service_time_ms: f64,
 }
 
 impl Endpoint {
@@ -98,8 +90,8 @@
             deregistered: CancellationToken::new(),
             load: None,
             sent_since_load: 0,
-            prefill_rate: INITIAL_PREFILL_RATE,
-            service_time_ms: INITIAL_SERVICE_TIME.as_f64(),
+            slowness: Slowness::default(),
+            contention: None,
             registration,
         }
     }
@@ -117,6 +109,9 @@
     pub fn record_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
         self.sent_since_load = 0;
+        self.contention = load
+            .contention()
+            .map(|factor| Contention { factor, at: now });
     }
 
     /// Records that the endpoint wants no requests from this node for some time. A shorter time than
@@ -124,38 +119,42 @@
     pub fn record_retry_after(&mut self, delay: Millis, now: Millis) {
         self.declines_until = self.declines_until.max(now + delay + CLOCK_STEP);
     }
-
-    /// Records the time from a request to the first event of its response, before which the
-    /// endpoint had to prefill `tokens` tokens.
-    pub fn record_first_event(&mut self, tokens: u64, elapsed: Millis) {
-        if tokens < 500 {
-            return;
-        }
-        let rate = (tokens as f64 / elapsed.as_f64().max(1.0)).clamp(4.0, 80.0);
-        self.prefill_rate += SMOOTHING_FACTOR * (rate - self.prefill_rate);
-    }
-
-    /// Records the time from sending a plain request to its whole response.
-    pub fn record_service_time(&mut self, elapsed: Millis) {
-        self.service_time_ms += SMOOTHING_FACTOR * (elapsed.as_f64() - self.service_time_ms);
-    }
 }
 
 /// Estimates.
 impl Endpoint {
-    /// Returns the requests that the endpoint has, estimated from its latest report and the
-    /// requests sent since then.
+    /// Returns the requests that the endpoint has, estimated from its latest report and the requests
+    /// sent since then. As the report ages, the `usual` number is expected.
+    #[must_use]
+    pub fn outstanding_requests(&self, usual: f64, now: Millis) -> f64 {
+        let known = f64::from(self.inflight + self.remote_inflight);
+        let Some((load, at)) = self.load else {
+            return known.max(usual);
+        };
+        let weight = (-(now - at).as_f64() / LOAD_HALF_LIFE.as_f64()).exp2();
+        let reported = f64::from(load.running + load.waiting);
+        let sent = f64::from(self.sent_since_load.min(self.inflight));
+        known.max(usual + (reported - usual) * weight + sent)
+    }
+
+    /// Returns what a request meets that is sent now, with `uncached` prompt tokens to prefill.
     #[must_use]
-    pub fn outstanding_requests(&self, now: Millis) -> u32 {
-        let known = self.inflight + self.remote_inflight;
-        match self.load {
-            Some((load, at)) if now - at < MAX_LOAD_AGE => {
-                known.max(load.running + load.waiting + self.sent_since_load)
-            }
-            _ => known,
+    pub fn conditions(&self, profile: &Profile, uncached: u64, now: Millis) -> Conditions {
+        let usual = profile.usual_contention();
+        let contention = self.contention.map_or(usual, |c| c.expected(usual, now));
+        Conditions {
+            tokens: self.total_pending_tokens() + uncached,
+            outstanding: self.outstanding_requests(profile.usual_outstanding(), now),
+            scale: self.slowness.expected() * contention,
         }
     }
 
+    /// Returns the contention of its host that the endpoint reported last.
+    #[must_use]
+    pub fn reported_contention(&self) -> Option<f64> {
+        self.contention.map(|contention| contention.factor)
+    }
+
     /// Returns the remaining time for which the endpoint is slow after its start.
     #[must_use]
     pub fn cold_left(&self, now: Millis) -> Millis {
@@ -181,18 +180,4 @@
     pub fn total_pending_tokens(&self) -> u64 {
         self.pending_tokens + self.remote_pending_tokens
     }
-
-    /// Returns the expected time to prefill `tokens` tokens, in milliseconds.
-    #[must_use]
-    pub fn prefill_ms(&self, tokens: u64) -> f64 {
-        tokens as f64 / self.prefill_rate
-    }
-
-    /// Returns the expected response time of a plain request that is sent now, in milliseconds.
-    #[must_use]
-    pub fn expected_response_ms(&self, now: Millis) -> f64 {
-        let slots = f64::from(self.registration.slots.max(1));
-        let rounds = (f64::from(self.outstanding_requests(now)) - slots + 1.0).max(0.0) / slots;
-        self.service_time_ms * (1.0 + rounds)
-    }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Millis;
 
+use super::capacity::Profiles;
 use super::endpoint::{Endpoint, Key, Lifecycle};
 use super::{Identity, Registration};
 
@@ -49,6 +50,10 @@
     by_id: HashMap<Arc<str>, Key>,
     /// Departures that became known before the endpoint registered.
     early_departures: HashMap<Identity, Millis>,
+    /// What the endpoints of each service have in common.
+    pub profiles: Profiles,
+    /// Whether the nodes announce their requests at each endpoint to each other.
+    pub inflight_announced: bool,
 }
 
 /// Lookup.
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -1,20 +1,21 @@
 use std::sync::Arc;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::clock::Millis;
+use crate::gateway::capacity::{Conditions, Estimate, Targets};
 use crate::gateway::endpoint::Key;
 use crate::gateway::rollout::Versions;
 use crate::gateway::{Endpoint, Fleet, Prompt};
 use crate::rollout::endpoints_in_use;
 
+use super::shortlist::Shortlist;
+
 /// Share of the uncached shared tokens that is counted at the home endpoint of a prefix: the other
 /// nodes send the prefix there as well, so that it is likely cached although this node has not sent
 /// it.
 const HOME_UNCACHED_SHARE: f64 = 0.3;
 
-/// Delay that each running request adds to the others, in milliseconds.
-const RUNNING_REQUEST_DELAY_MS: f64 = 1.5;
+/// Number of endpoints up to which all are compared.
+const MAX_COMPARED: usize = 8;
 
 /// Time that a request loses when its endpoint fails, in milliseconds; weighted by the endpoint's
 /// failure ratio.
@@ -40,6 +41,10 @@
     pub tried: &'a [Arc<str>],
     /// Maximum number of requests that this node may have in flight at one endpoint.
     pub max_connections: u32,
+    /// What the callers of the route need.
+    pub targets: Targets,
+    /// A random number, by which the nodes compare different endpoints.
+    pub draw: u64,
 }
 
 /// The endpoint chosen for a request, with the estimates behind the choice.
@@ -49,10 +54,16 @@
     pub key: Key,
     /// Expected time to the first event, in milliseconds.
     pub first_event_ms: f64,
+    /// Expected longest pause between two events, in milliseconds; 0 for plain requests.
+    pub expected_gap_ms: f64,
+    /// Whether the expected times keep the targets of the route.
+    pub keeps_targets: bool,
     /// Prompt tokens that the endpoint has to prefill.
     pub uncached_tokens: u64,
     /// Prompt tokens in the segment that no other request shares.
     pub unique_tokens: u64,
+    /// What the request meets at the endpoint.
+    pub met: Conditions,
 }
 
 /// Returns the endpoint with the lowest expected cost, or `None` if no endpoint accepts the
@@ -60,24 +71,24 @@
 ///
 /// Requests with the same shared prefix have a home endpoint, the same on all nodes, whose cache
 /// holds the prefix. They go elsewhere when queueing at the home endpoint costs more than
-/// prefilling the prefix again.
+/// prefilling the prefix again, or lets the caller miss the targets.
+///
+/// All endpoints are compared if there are few or if the nodes know of each other's requests;
+/// otherwise those of a [`Shortlist`].
 #[must_use]
 pub fn choose(fleet: &Fleet, query: &Query<'_>, now: Millis) -> Option<Choice> {
     let candidates = candidates(fleet, query);
-    let home = query
-        .prompt
-        .and_then(Prompt::affinity_key)
-        .and_then(|affinity_key| home_endpoint(&candidates, affinity_key));
+    let shortlist = shortlist(&candidates, query, now);
+    let home = shortlist.home();
+    let compares_all = fleet.inflight_announced || candidates.len() <= MAX_COMPARED;
     let mut best: Option<(f64, Choice)> = None;
     for (key, endpoint) in candidates {
-        let tried = query.tried.contains(&endpoint.registration.identity.id);
-        let full = endpoint.inflight >= query.max_connections;
-        let declining = endpoint.is_declining(now);
-        if tried || full || declining || endpoint.health.is_blocked(now, endpoint.inflight) {
+        let skipped = !compares_all && !shortlist.contains(key);
+        if skipped || !accepts(endpoint, query, now) {
             continue;
         }
-        let choice = estimate(key, endpoint, query, home == Some(key), now);
-        let cost = choice.first_event_ms + penalty_ms(endpoint, query, now);
+        let choice = estimate(fleet, key, endpoint, query, home == Some(key), now);
+        let cost = cost_ms(fleet, &choice, query) + penalty_ms(endpoint, query, now);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, choice));
         }
@@ -85,6 +96,26 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Returns the endpoints to compare, among those that accept the request.
+fn shortlist(candidates: &[(Key, &Endpoint)], query: &Query<'_>, now: Millis) -> Shortlist {
+    let affinity_key = query.prompt.and_then(Prompt::affinity_key);
+    let mut shortlist = Shortlist::new(affinity_key, query.draw);
+    for (key, endpoint) in candidates {
+        if accepts(endpoint, query, now) {
+            shortlist.add(*key, endpoint);
+        }
+    }
+    shortlist
+}
+
+/// Returns whether an endpoint may get the request at present.
+fn accepts(endpoint: &Endpoint, query: &Query<'_>, now: Millis) -> bool {
+    let tried = query.tried.contains(&endpoint.registration.identity.id);
+    let full = endpoint.inflight >= query.max_connections;
+    let declining = endpoint.is_declining(now);
+    !(tried || full || declining || endpoint.health.is_blocked(now, endpoint.inflight))
+}
+
 /// Returns the endpoints of the versions that may get the request.
 fn candidates<'a>(fleet: &'a Fleet, query: &Query<'a>) -> Vec<(Key, &'a Endpoint)> {
     let ready = fleet.ready(query.service);
@@ -97,29 +128,67 @@
     candidates
 }
 
-fn estimate(key: Key, endpoint: &Endpoint, query: &Query<'_>, home: bool, now: Millis) -> Choice {
-    let Some(prompt) = query.prompt else {
-        return Choice {
-            key,
-            first_event_ms: endpoint.expected_response_ms(now),
-            uncached_tokens: 0,
-            unique_tokens: 0,
-        };
+fn estimate(
+    fleet: &Fleet,
+    key: Key,
+    endpoint: &Endpoint,
+    query: &Query<'_>,
+    home: bool,
+    now: Millis,
+) -> Choice {
+    let profile = fleet.profiles.get(query.service);
+    let (uncached, unique) = query
+        .prompt
+        .map_or((0, 0), |prompt| tokens(endpoint, prompt, home));
+    let met = endpoint.conditions(profile, uncached, now);
+    let expected = match query.prompt {
+        Some(_) => Estimate::of_stream(profile, met),
+        None => Estimate::of_response(profile, met, endpoint.registration.slots),
     };
+    let targets = query.targets;
+    Choice {
+        key,
+        first_event_ms: expected.first_event_ms,
+        expected_gap_ms: expected.gap_ms,
+        keeps_targets: targets.are_kept(expected.first_event_ms, expected.gap_ms),
+        uncached_tokens: uncached,
+        unique_tokens: unique,
+        met,
+    }
+}
+
+/// Returns the prompt tokens that the endpoint has to prefill, and how many of them no other request
+/// shares.
+fn tokens(endpoint: &Endpoint, prompt: &Prompt, home: bool) -> (u64, u64) {
     let unique = prompt.unique_tokens();
     let mut uncached = endpoint.uncached_tokens(prompt);
     if home {
         let shared = uncached.saturating_sub(unique);
         uncached -= shared - (shared as f64 * HOME_UNCACHED_SHARE) as u64;
     }
-    let pending = endpoint.total_pending_tokens();
-    Choice {
-        key,
-        first_event_ms: endpoint.prefill_ms(pending + uncached)
-            + f64::from(endpoint.outstanding_requests(now)) * RUNNING_REQUEST_DELAY_MS,
-        uncached_tokens: uncached,
-        unique_tokens: unique,
+    (uncached, unique)
+}
+
+/// Returns what a choice costs its caller and the others, in milliseconds: its wait for others, the work
+/// that it causes, and what is lost by missed targets.
+///
+/// The work counts as at an endpoint of usual speed, so that requests do not leave the homes that slow
+/// endpoints have in proportion to their speed.
+fn cost_ms(fleet: &Fleet, choice: &Choice, query: &Query<'_>) -> f64 {
+    let expected = Estimate {
+        first_event_ms: choice.first_event_ms,
+        gap_ms: choice.expected_gap_ms,
+    };
+    let loss_ms = expected.loss_ms(query.targets);
+    if query.prompt.is_none() {
+        return choice.first_event_ms + loss_ms;
     }
+    let profile = fleet.profiles.get(query.service);
+    let ahead = Conditions {
+        tokens: choice.met.tokens.saturating_sub(choice.uncached_tokens),
+        ..choice.met
+    };
+    profile.first_event_ms(ahead) + profile.prefill_ms(choice.uncached_tokens) + loss_ms
 }
 
 /// Returns the cost of an endpoint beyond its expected time to the first event, in milliseconds:
@@ -130,14 +199,3 @@
     let failing = endpoint.health.failure_ratio(now) * FAILURE_PENALTY_MS;
     far + failing + endpoint.cold_left(now).as_f64() * 0.1
 }
-
-/// Returns the home endpoint of a prefix by rendezvous hashing: when the fleet changes, only the
-/// prefixes of the endpoints that joined or left move.
-fn home_endpoint(candidates: &[(Key, &Endpoint)], affinity_key: u64) -> Option<Key> {
-    candidates
-        .iter()
-        .max_by_key(|(_, endpoint)| {
-            xxh3_64_with_seed(endpoint.registration.identity.id.as_bytes(), affinity_key)
-        })
-        .map(|(key, _)| *key)
-}
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -143,7 +143,7 @@
     let wall = call.node.wall_time();
     let state = call.node.state();
     let is_first = attempts.endpoints.is_empty();
-    let draw = rand::rng().random();
+    let (draw, seed) = rand::rng().random();
     let preference = state
         .rollouts
         .preference(&call.service, is_first, draw, wall);
@@ -155,6 +155,8 @@
         sample_share: call.node.settings.exposure_limit.max_draw(),
         tried: &attempts.endpoints,
         max_connections: connection_limit(call, state.roster.count_serving(now).0),
+        targets: call.route.targets(),
+        draw: seed,
     };
     let choose_among = |versions| choose(&state.fleet, &query(versions), now);
     let choice = choose_among(&preference.first);
--- a/src/gateway/forward/mod.rs
+++ b/src/gateway/forward/mod.rs
@@ -14,6 +14,7 @@
 mod replacement;
 mod reservation;
 mod serve;
+mod shortlist;
 mod source;
 mod upload;
 
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
+use crate::gateway::capacity::{Conditions, Pauses};
 use crate::gateway::endpoint::Key;
 use crate::gateway::{Load, Node};
 use crate::rollout::{Outcome, Timing};
@@ -31,8 +32,9 @@
     sent_at: Millis,
     /// Expected time from sending to the first event.
     expected_first_event: Millis,
-    /// Tokens that waited to be prefilled ahead of the request, to measure the prefill speed.
-    queued_tokens: u64,
+    /// What the request met at the endpoint, to measure its speed.
+    met: Conditions,
+    pauses: Pauses,
     /// Whether the endpoint is still counted as prefilling the prompt.
     prefilling: bool,
     route: Arc<str>,
@@ -55,7 +57,6 @@
         let now = node.clock.now();
         let state = &mut *node.state();
         let endpoint = state.fleet.get_mut(key)?;
-        let queued_tokens = endpoint.total_pending_tokens();
         endpoint.record_sent();
         endpoint.pending_tokens += uncached;
         let cold = endpoint.cold_left(now) > Millis::ZERO;
@@ -72,7 +73,8 @@
             unique_tokens: choice.unique_tokens,
             sent_at: now,
             expected_first_event: Millis(choice.first_event_ms as u64),
-            queued_tokens,
+            met: choice.met,
+            pauses: Pauses::default(),
             prefilling: true,
             route: Arc::clone(route),
             timing: Timing::start(now),
@@ -90,14 +92,17 @@
         let state = &mut *self.node.state();
         if let Some(endpoint) = state.fleet.get_mut(self.key) {
             endpoint.last_received = now;
-            endpoint.record_first_event(self.queued_tokens + self.uncached_tokens, elapsed);
             if self.prefilling {
                 endpoint.pending_tokens =
                     endpoint.pending_tokens.saturating_sub(self.uncached_tokens);
             }
-            let service = &endpoint.registration.service;
+            let service = Arc::clone(&endpoint.registration.service);
+            if self.uncached_tokens > 0 {
+                let profile = state.fleet.profiles.get_mut(&service);
+                profile.record_first_event(self.met, elapsed);
+            }
             state.meter.record_first_event(
-                service,
+                &service,
                 self.unique_tokens,
                 self.uncached_tokens,
                 elapsed,
@@ -124,6 +129,7 @@
     pub(super) fn record_events(&mut self, events: usize) {
         let now = self.node.clock.now();
         self.silent = false;
+        self.pauses.record(events, now);
         for _ in 0..events {
             self.timing.record_token(now);
         }
@@ -194,9 +200,8 @@
     pub(super) fn record_completed(&self) {
         let now = self.node.clock.now();
         let elapsed = now - self.sent_at;
-        if let Some(endpoint) = self.node.state().fleet.get_mut(self.key) {
-            endpoint.record_service_time(elapsed);
-        }
+        let state = &mut *self.node.state();
+        state.record_service_time(self.key, self.met, elapsed);
     }
 
     /// Records the head of a response.
@@ -206,9 +211,9 @@
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key) {
             endpoint.health.record_response(failed, now);
             endpoint.last_received = now;
-            if let Some(load) = load {
-                endpoint.record_load(load, now);
-            }
+        }
+        if let Some(load) = load {
+            self.node.state().record_load(self.key, load, now);
         }
     }
 
@@ -292,6 +297,9 @@
         let now = self.node.clock.now();
         let outcome = self.outcome(now);
         let state = &mut *self.node.state();
+        if self.failure.is_none() {
+            state.record_pauses(self.key, self.met, self.pauses);
+        }
         if let Some(endpoint) = state.fleet.get(self.key) {
             let registration = &endpoint.registration;
             state.rollouts.record(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod account;
 mod activity;
 mod budget;
+pub mod capacity;
 mod cloud;
 pub mod cluster;
 mod config;
@@ -27,6 +28,7 @@
 mod limited_stream;
 mod load;
 mod node;
+mod observations;
 mod prefix_cache;
 mod quarantine;
 mod quota;
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -2,6 +2,8 @@
 
 use crate::clock::Millis;
 
+use super::capacity::Targets;
+
 /// Whether and how the requests of a route may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryPolicy {
@@ -52,6 +54,15 @@
 }
 
 impl Route {
+    /// Returns what the callers need.
+    #[must_use]
+    pub fn targets(&self) -> Targets {
+        Targets {
+            latency: self.target_latency,
+            gap: self.gap_target,
+        }
+    }
+
     /// Picks a service by weight, for a random number from 0 to 1; `None` if no weight is positive.
     #[must_use]
     pub fn pick_service(&self, draw: f64) -> Option<&Arc<str>> {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Millis;
 
+use super::capacity::Speeds;
 use super::cluster::{
     Announcement, Clocks, Inflight, KnownNodes, OWNERSHIP_DELAY, Roster, Selector,
 };
@@ -54,6 +55,8 @@
     /// store.
     pub(super) changelog: Changelog,
     pub(super) meter: Meter,
+    /// Speeds of the endpoints, as the nodes measure them together.
+    pub(super) speeds: Speeds,
     pub(super) scaler: Scaler,
     pub(super) known_nodes: KnownNodes,
     pub(super) owner_backoff: OwnerBackoff,
@@ -90,6 +93,7 @@
             restores: Restores::default(),
             changelog: Changelog::default(),
             meter: Meter::default(),
+            speeds: Speeds::default(),
             scaler: Scaler::default(),
             known_nodes: KnownNodes::default(),
             owner_backoff: OwnerBackoff::default(),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -38,7 +38,8 @@
 const SIGNATURE: &str = "x-almondpath-engine-signature";
 /// `1` if the endpoint is leaving.
 const LEAVING: &str = "server-leaving";
-/// Running requests, waiting requests and slots of the endpoint, separated by commas.
+/// Running requests, waiting requests and slots of the endpoint, separated by commas, and the time that
+/// work takes on its host, in percent of the usual one, if it tells.
 const LOAD: &str = "x-almondpath-engine-load";
 
 /// Headers that callers must not set and that are removed from their requests. Some of them are set
@@ -120,6 +121,7 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        contention: numbers.next().flatten(),
     })
 }
 
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
+use almondpath::gateway::capacity::Targets;
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
     Fleet, Identity, Lifecycle, Load, Prompt, Query, RegisterOutcome, Registration, Segment, choose,
@@ -303,6 +304,11 @@
         sample_share: 1.0,
         tried,
         max_connections: 100,
+        targets: Targets {
+            latency: Millis(600),
+            gap: Some(Millis(400)),
+        },
+        draw: 1,
     }
 }
 
@@ -397,6 +403,7 @@
         running: 64,
         waiting: 30,
         slots: 64,
+        contention: None,
     };
     endpoint.record_load(full, Millis(90));
     assert_eq!(&*chosen(&fleet, &query(None, &[])), "e1");
