gateway: delays of endpoints that fall behind are shared

The log of two nodes over the first 14 s shows requests late at endpoints that were expected to answer in time: the backlog of the other nodes' requests was unknown to them, since a node hears of one endpoint every few seconds.

Each first event now says how much later than expected it came; the readers collect these delays and name the endpoints that are behind in each round. Speeds are exchanged each round, too, and the first samples count for more.

--- a/src/gateway/capacity/mod.rs
+++ b/src/gateway/capacity/mod.rs
@@ -6,6 +6,7 @@
 //! So a few responses say enough of an endpoint, and one that is new begins with what the others have
 //! shown. [`Estimate`] tells from both what a caller gets.
 
+mod backlog;
 mod conditions;
 mod contention;
 mod estimate;
@@ -18,6 +19,7 @@
 mod speeds;
 mod targets;
 
+pub use self::backlog::{Backlog, Delay};
 pub use self::conditions::Conditions;
 pub use self::contention::Contention;
 pub use self::estimate::Estimate;
--- a/src/gateway/capacity/profile.rs
+++ b/src/gateway/capacity/profile.rs
@@ -66,12 +66,16 @@
 
 /// Observations.
 impl Profile {
-    /// Records the time to the first event of a stream.
+    /// Records the time to the first event of a stream. A backlog of unknown requests says nothing of
+    /// what the known ones cost.
     pub fn record_first_event(&mut self, met: Conditions, elapsed: Millis) {
+        self.observations += 1;
+        if met.backlog_ms > 0.0 {
+            return;
+        }
         let inputs = first_event_inputs(met);
         let outcome = cut(elapsed.as_f64(), self.first_event.predict(inputs));
         self.first_event.record(inputs, outcome);
-        self.observations += 1;
     }
 
     /// Records the pauses of a stream: the usual one, and the longest one.
@@ -100,11 +104,8 @@
         self.contention += SMOOTHING * (factor - self.contention);
     }
 
-    /// Takes over what another node knows, unless this one has seen responses itself.
+    /// Takes over what another node knows, as far as this one has not seen it otherwise.
     pub fn adopt(&mut self, known: Coefficients) {
-        if self.observations > 0 {
-            return;
-        }
         self.first_event.set_prior(known.first_event.map(f64::from));
         self.usual_pause.set_prior(known.usual_pause.map(f64::from));
         self.longest_pause
@@ -142,7 +143,7 @@
     /// Returns the expected time to the first event of a stream, in milliseconds.
     #[must_use]
     pub fn first_event_ms(&self, met: Conditions) -> f64 {
-        self.first_event.predict(first_event_inputs(met))
+        met.backlog_ms + self.first_event.predict(first_event_inputs(met))
     }
 
     /// Returns the expected time to prefill prompt tokens at an endpoint of usual speed, in
--- a/src/gateway/capacity/slowness.rs
+++ b/src/gateway/capacity/slowness.rs
@@ -3,8 +3,11 @@
 /// Observations after which older ones fade.
 const MEMORY: f64 = 16.0;
 
-/// Observations for which the expectation from elsewhere counts.
-const PRIOR_WEIGHT: f64 = 3.0;
+/// Observations for which the usual speed counts.
+const USUAL_WEIGHT: f64 = 1.0;
+
+/// Observations for which the measurements of other nodes count.
+const SHARED_WEIGHT: f64 = 4.0;
 
 /// Largest step, as a factor, that one observation counts for.
 const MAX_RATIO: f64 = 8.0;
@@ -36,9 +39,10 @@
     /// Returns the ratio that is expected by what is known here.
     #[must_use]
     pub fn expected(&self) -> f64 {
-        let prior = self.shared.unwrap_or(0.0);
-        let sum = self.log_sum + prior * PRIOR_WEIGHT;
-        (sum / (self.count + PRIOR_WEIGHT)).exp()
+        let (prior, weight) = self
+            .shared
+            .map_or((0.0, USUAL_WEIGHT), |shared| (shared, SHARED_WEIGHT));
+        ((self.log_sum + prior * weight) / (self.count + weight)).exp()
     }
 
     /// Returns the ratio on which the nodes agree, which decides where prefixes belong.
--- a/src/gateway/capacity/speeds.rs
+++ b/src/gateway/capacity/speeds.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
-use super::{Sample, Slowness};
+use crate::clock::Millis;
+
+use super::{Backlog, Delay, Sample, Slowness};
 
 /// Classes by which a measurement must differ from the announced one before the others learn of it.
 const MIN_CHANGE: u8 = 2;
@@ -38,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct Speeds {
     unsent: Vec<Sample>,
+    unsent_delays: Vec<Delay>,
+    backlogs: HashMap<u32, Backlog>,
     version: u64,
     measured: HashMap<u32, Measured>,
     /// What the collecting node announced.
@@ -56,9 +60,36 @@
         self.unsent.push(sample);
     }
 
+    /// Records how much later than expected a first event came, to be passed on.
+    pub fn record_delay(&mut self, delay: Delay) {
+        if self.unsent_delays.len() == MAX_UNSENT {
+            self.unsent_delays.remove(0);
+        }
+        self.unsent_delays.push(delay);
+    }
+
     /// Takes the measurements that wait to be passed on.
-    pub fn take_unsent(&mut self) -> Vec<Sample> {
-        std::mem::take(&mut self.unsent)
+    pub fn take_unsent(&mut self) -> (Vec<Sample>, Vec<Delay>) {
+        let samples = std::mem::take(&mut self.unsent);
+        (samples, std::mem::take(&mut self.unsent_delays))
+    }
+
+    /// Merges the delays that a node measured.
+    pub fn merge_delays(&mut self, delays: &[Delay], now: Millis) {
+        for delay in delays {
+            let backlog = self.backlogs.entry(delay.endpoint).or_default();
+            backlog.record(delay.as_ms(), now);
+        }
+    }
+
+    /// Returns the endpoints that are behind at present, and forgets the others.
+    pub fn backlogs(&mut self, now: Millis) -> Vec<Delay> {
+        self.backlogs
+            .retain(|_, backlog| backlog.expected_ms(now) > 0.0);
+        let behind = self.backlogs.iter();
+        behind
+            .map(|(endpoint, backlog)| Delay::new(*endpoint, backlog.expected_ms(now)))
+            .collect()
     }
 
     /// Merges measurements of a node that passes them on.
--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -33,9 +33,6 @@
 /// Rounds between two reports to the holder of the duties.
 const ROUNDS_PER_REPORT: u64 = 2;
 
-/// Rounds between two exchanges of measured speeds.
-const ROUNDS_PER_SPEEDS: u64 = 2;
-
 /// Maximum number of reports of other runs that a node passes on at a time.
 const MAX_RELAYED_REPORTS: usize = 16;
 
@@ -90,9 +87,7 @@
             gossip.send_report(current);
         }
         holder = current;
-        if round.is_multiple_of(ROUNDS_PER_SPEEDS) {
-            tokio::spawn(speeds::exchange(Arc::clone(node), gossip.handle.clone()));
-        }
+        tokio::spawn(speeds::exchange(Arc::clone(node), gossip.handle.clone()));
         gossip.send_grants(|_, _| true);
         let leaving = node.leaving.is_cancelled();
         tokio::select! {
--- a/src/gateway/cluster/speeds.rs
+++ b/src/gateway/cluster/speeds.rs
@@ -10,7 +10,7 @@
 
 use crate::error::Error;
 use crate::gateway::Node;
-use crate::gateway::capacity::{Coefficients, Sample};
+use crate::gateway::capacity::{Coefficients, Delay, Sample};
 use crate::peer::{Handle, Method};
 
 use super::message::{Message, decode, encode};
@@ -22,6 +22,7 @@
     incarnation: u64,
     version: u64,
     samples: Vec<Sample>,
+    delays: Vec<Delay>,
 }
 
 /// The speeds that changed after the version of the requester.
@@ -30,6 +31,8 @@
     incarnation: u64,
     version: u64,
     samples: Vec<Sample>,
+    /// The endpoints that are behind.
+    delays: Vec<Delay>,
     /// What a node that starts needs to know of each service.
     services: Vec<(Arc<str>, Coefficients)>,
 }
@@ -50,18 +53,21 @@
         };
         let peer = member.announcement.peer;
         let (incarnation, version) = state.speeds.position();
-        let samples = state.speeds.take_unsent();
+        let (samples, delays) = state.speeds.take_unsent();
         let request = SpeedRequest {
             incarnation,
             version,
             samples,
+            delays,
         };
         (peer, request)
     };
     let payload = encode(&Message::Speeds(request))?;
     let response = handle.call_bytes(peer, Method::Gossip, payload).await?;
     let response: SpeedResponse = decode(&response)?;
+    let now = node.clock.now();
     let state = &mut *node.state();
+    state.adopt_delays(&response.delays, now);
     let position = (response.incarnation, response.version);
     state.speeds.adopt(&response.samples, position);
     state.apply_speeds();
@@ -73,7 +79,11 @@
 
 /// Merges the measurements of another node.
 pub(super) fn respond(node: &Node, request: &SpeedRequest) -> Result<Bytes, Error> {
+    let now = node.clock.now();
     let state = &mut *node.state();
+    state.speeds.merge_delays(&request.delays, now);
+    let delays = state.speeds.backlogs(now);
+    state.adopt_delays(&delays, now);
     state.speeds.merge(&request.samples);
     state.apply_speeds();
     let is_known = request.incarnation == node.incarnation;
@@ -88,6 +98,7 @@
         incarnation: node.incarnation,
         version: changes.until,
         samples: changes.samples,
+        delays,
         services,
     })
 }
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Millis;
 
-use super::capacity::{Conditions, Contention, Profile, Slowness};
+use super::capacity::{Backlog, Conditions, Contention, Profile, Slowness};
 use super::{Health, Load, PrefixCache, Prompt, Registration};
 
 new_key_type! {
@@ -63,6 +63,8 @@
     pub prefixes: PrefixCache,
     /// Cancelled when its entry was removed or stayed missing, or when a later run replaced it.
     pub deregistered: CancellationToken,
+    /// How much later than expected its first events are at present.
+    pub backlog: Backlog,
     /// How slow it is compared to the others of its service.
     pub slowness: Slowness,
     contention: Option<Contention>,
@@ -90,6 +92,7 @@
             deregistered: CancellationToken::new(),
             load: None,
             sent_since_load: 0,
+            backlog: Backlog::default(),
             slowness: Slowness::default(),
             contention: None,
             registration,
@@ -144,6 +147,7 @@
         let contention = self.contention.map_or(usual, |c| c.expected(usual, now));
         Conditions {
             tokens: self.total_pending_tokens() + uncached,
+            backlog_ms: self.backlog.expected_ms(now),
             outstanding: self.outstanding_requests(profile.usual_outstanding(), now),
             scale: self.slowness.expected() * contention,
         }
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -98,8 +98,7 @@
             }
             let service = Arc::clone(&endpoint.registration.service);
             if self.uncached_tokens > 0 {
-                let profile = state.fleet.profiles.get_mut(&service);
-                profile.record_first_event(self.met, elapsed);
+                state.record_first_event(self.key, self.met, elapsed, now);
             }
             state.meter.record_first_event(
                 &service,
--- a/src/gateway/observations.rs
+++ b/src/gateway/observations.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 
 use super::Load;
-use super::capacity::{Conditions, Pauses, Sample};
+use super::capacity::{Conditions, Delay, Pauses, Sample};
 use super::endpoint::Key;
 use super::state::State;
 
@@ -29,6 +29,28 @@
         }
     }
 
+    /// Records the time to the first event of a stream.
+    pub(super) fn record_first_event(
+        &mut self,
+        key: Key,
+        met: Conditions,
+        elapsed: Millis,
+        now: Millis,
+    ) {
+        let Some(endpoint) = self.fleet.get(key) else {
+            return;
+        };
+        let hash = Sample::hash(&endpoint.registration.identity);
+        let service = Arc::clone(&endpoint.registration.service);
+        let profile = self.fleet.profiles.get_mut(&service);
+        let delay_ms = elapsed.as_f64() - profile.first_event_ms(met.without_backlog());
+        profile.record_first_event(met, elapsed);
+        if let Some(endpoint) = self.fleet.get_mut(key) {
+            endpoint.backlog.record(delay_ms, now);
+        }
+        self.speeds.record_delay(Delay::new(hash, delay_ms));
+    }
+
     /// Records the pauses of a stream that has ended.
     pub(super) fn record_pauses(&mut self, key: Key, met: Conditions, pauses: Pauses) {
         let Some(endpoint) = self.fleet.get(key) else {
@@ -81,6 +103,19 @@
         self.speeds.record(sample);
     }
 
+    /// Adopts delays that the nodes have measured together.
+    pub(super) fn adopt_delays(&mut self, delays: &[Delay], now: Millis) {
+        if delays.is_empty() {
+            return;
+        }
+        for (_, endpoint) in self.fleet.iter_mut() {
+            let hash = Sample::hash(&endpoint.registration.identity);
+            if let Some(delay) = delays.iter().find(|delay| delay.endpoint == hash) {
+                endpoint.backlog.adopt(delay.as_ms(), now);
+            }
+        }
+    }
+
     /// Applies the speeds on which the nodes agree.
     pub(super) fn apply_speeds(&mut self) {
         for (_, endpoint) in self.fleet.iter_mut() {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,8 @@
 mod call_harness;
 mod config_spread;
 mod end_to_end;
+mod gateway_balancing;
+mod gateway_capacity;
 mod gateway_cluster;
 mod gateway_departures;
 mod gateway_documents;
