--- a/src/gateway/capacity/conditions.rs
+++ b/src/gateway/capacity/conditions.rs
@@ -7,8 +7,6 @@
     pub tokens: u64,
     /// Requests that the endpoint has.
     pub outstanding: f64,
-    /// Priority of the request at the endpoint, 0 to 9; 0 is the most urgent.
-    pub priority: u8,
     /// Time that other nodes' requests ahead of it take beyond the usual, in milliseconds.
     pub backlog_ms: f64,
     /// Time that work takes, relative to an endpoint of usual speed on a host of its own.
--- a/src/gateway/capacity/estimate.rs
+++ b/src/gateway/capacity/estimate.rs
@@ -47,7 +47,7 @@
             ..met
         };
         let first = Self::of_stream(profile, alone);
-        let (first_delay, pause_delay) = profile.request_delays_ms(met);
+        let (first_delay, pause_delay) = profile.request_delays_ms();
         let by_latency = more(
             targets.latency.as_f64() - first.first_event_ms,
             first_delay * met.scale,
--- a/src/gateway/capacity/profile.rs
+++ b/src/gateway/capacity/profile.rs
@@ -9,9 +9,6 @@
 /// Prompt tokens in the unit of the regression.
 const TOKENS_PER_UNIT: f64 = 1_000.0;
 
-/// Number of priorities that endpoints distinguish.
-const PRIORITIES: usize = 10;
-
 /// Expected times before any response: of a first event, by constant, unit of tokens and outstanding
 /// request, in milliseconds.
 const INITIAL_FIRST_EVENT: [f64; 3] = [15.0, 25.0, 1.5];
@@ -35,7 +32,7 @@
 /// What a starting node needs to know of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Coefficients {
-    first_events: [[f32; 3]; PRIORITIES],
+    first_event: [f32; 3],
     usual_pause: [f32; 2],
     longest_pause: [f32; 2],
     service_ms: f32,
@@ -44,8 +41,7 @@
 /// What the endpoints of a service have in common.
 #[derive(Clone, Copy, Debug)]
 pub struct Profile {
-    /// By priority, since less urgent prompts wait for all that are more urgent.
-    first_events: [Regression<3>; PRIORITIES],
+    first_event: Regression<3>,
     usual_pause: Regression<2>,
     longest_pause: Regression<2>,
     service_ms: f64,
@@ -57,7 +53,7 @@
 impl Default for Profile {
     fn default() -> Self {
         Self {
-            first_events: [Regression::new(INITIAL_FIRST_EVENT, [1.0, 4.0, 25.0]); PRIORITIES],
+            first_event: Regression::new(INITIAL_FIRST_EVENT, [1.0, 4.0, 25.0]),
             usual_pause: Regression::new(INITIAL_PAUSE, [1.0, 25.0]),
             longest_pause: Regression::new(INITIAL_PAUSE, [1.0, 25.0]),
             service_ms: INITIAL_SERVICE_MS,
@@ -78,9 +74,8 @@
             return;
         }
         let inputs = first_event_inputs(met);
-        let first_event = &mut self.first_events[class(met)];
-        let outcome = cut(elapsed.as_f64(), first_event.predict(inputs));
-        first_event.record(inputs, outcome);
+        let outcome = cut(elapsed.as_f64(), self.first_event.predict(inputs));
+        self.first_event.record(inputs, outcome);
     }
 
     /// Records the pauses of a stream: the usual one, and the longest one.
@@ -111,9 +106,7 @@
 
     /// Takes over what another node knows, as far as this one has not seen it otherwise.
     pub fn adopt(&mut self, known: Coefficients) {
-        for (own, known) in self.first_events.iter_mut().zip(known.first_events) {
-            own.set_prior(known.map(f64::from));
-        }
+        self.first_event.set_prior(known.first_event.map(f64::from));
         self.usual_pause.set_prior(known.usual_pause.map(f64::from));
         self.longest_pause
             .set_prior(known.longest_pause.map(f64::from));
@@ -128,9 +121,7 @@
     pub fn coefficients(&self) -> Option<Coefficients> {
         let narrow = |value: f64| value as f32;
         (self.observations > 0).then(|| Coefficients {
-            first_events: self
-                .first_events
-                .map(|known| known.coefficients().map(narrow)),
+            first_event: self.first_event.coefficients().map(narrow),
             usual_pause: self.usual_pause.coefficients().map(narrow),
             longest_pause: self.longest_pause.coefficients().map(narrow),
             service_ms: narrow(self.service_ms),
@@ -152,15 +143,14 @@
     /// Returns the expected time to the first event of a stream, in milliseconds.
     #[must_use]
     pub fn first_event_ms(&self, met: Conditions) -> f64 {
-        met.backlog_ms + self.first_events[class(met)].predict(first_event_inputs(met))
+        met.backlog_ms + self.first_event.predict(first_event_inputs(met))
     }
 
-    /// Returns the expected time to prefill these prompt tokens of a request at an endpoint of usual
-    /// speed, in milliseconds.
+    /// Returns the expected time to prefill prompt tokens at an endpoint of usual speed, in
+    /// milliseconds.
     #[must_use]
-    pub fn prefill_ms(&self, met: Conditions, tokens: u64) -> f64 {
-        let [_, unit_ms, _] = self.first_events[class(met)].coefficients();
-        unit_ms * tokens as f64 / TOKENS_PER_UNIT
+    pub fn prefill_ms(&self, tokens: u64) -> f64 {
+        self.first_event.coefficients()[1] * tokens as f64 / TOKENS_PER_UNIT
     }
 
     /// Returns the expected usual pause between two events of a stream, in milliseconds.
@@ -186,8 +176,8 @@
     /// Returns the delay that one more outstanding request adds to a first event, and to the longest
     /// pause, at an endpoint of usual speed, in milliseconds.
     #[must_use]
-    pub fn request_delays_ms(&self, met: Conditions) -> (f64, f64) {
-        let [_, _, first_event] = self.first_events[class(met)].coefficients();
+    pub fn request_delays_ms(&self) -> (f64, f64) {
+        let [_, _, first_event] = self.first_event.coefficients();
         let [_, pause] = self.longest_pause.coefficients();
         (first_event, pause)
     }
@@ -195,11 +185,7 @@
 
 fn first_event_inputs(met: Conditions) -> [f64; 3] {
     let units = met.tokens as f64 / TOKENS_PER_UNIT;
-    [met.scale, units * met.scale, met.outstanding * met.scale]
-}
-
-fn class(met: Conditions) -> usize {
-    usize::from(met.priority).min(PRIORITIES - 1)
+    [1.0, units * met.scale, met.outstanding * met.scale]
 }
 
 fn pause_inputs(met: Conditions) -> [f64; 2] {
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -140,15 +140,13 @@
         known.max(usual + (reported - usual) * weight + sent)
     }
 
-    /// Returns what a request of the highest priority meets that is sent now, with `uncached` prompt
-    /// tokens to prefill.
+    /// Returns what a request meets that is sent now, with `uncached` prompt tokens to prefill.
     #[must_use]
     pub fn conditions(&self, profile: &Profile, uncached: u64, now: Millis) -> Conditions {
         let usual = profile.usual_contention();
         let contention = self.contention.map_or(usual, |c| c.expected(usual, now));
         Conditions {
             tokens: self.total_pending_tokens() + uncached,
-            priority: 0,
             backlog_ms: self.backlog.expected_ms(now),
             outstanding: self.outstanding_requests(profile.usual_outstanding(), now),
             scale: self.slowness.expected() * contention,
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -41,8 +41,6 @@
     pub tried: &'a [Arc<str>],
     /// Maximum number of requests that this node may have in flight at one endpoint.
     pub max_connections: u32,
-    /// Priority at the endpoint, 0 to 9; 0 is the most urgent.
-    pub priority: u8,
     /// What the callers of the route need.
     pub targets: Targets,
     /// A random number, by which the nodes compare different endpoints.
@@ -142,10 +140,7 @@
     let (uncached, unique) = query
         .prompt
         .map_or((0, 0), |prompt| tokens(endpoint, prompt, home));
-    let met = Conditions {
-        priority: query.priority,
-        ..endpoint.conditions(profile, uncached, now)
-    };
+    let met = endpoint.conditions(profile, uncached, now);
     let expected = match query.prompt {
         Some(_) => Estimate::of_stream(profile, met),
         None => Estimate::of_response(profile, met, endpoint.registration.slots),
@@ -193,7 +188,7 @@
         tokens: choice.met.tokens.saturating_sub(choice.uncached_tokens),
         ..choice.met
     };
-    profile.first_event_ms(ahead) + profile.prefill_ms(choice.met, choice.uncached_tokens) + loss_ms
+    profile.first_event_ms(ahead) + profile.prefill_ms(choice.uncached_tokens) + loss_ms
 }
 
 /// Returns the cost of an endpoint beyond its expected time to the first event, in milliseconds:
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -155,7 +155,6 @@
         sample_share: call.node.settings.exposure_limit.max_draw(),
         tried: &attempts.endpoints,
         max_connections: connection_limit(call, state.roster.count_serving(now).0),
-        priority: call.priority(),
         targets: call.route.targets(),
         draw: seed,
     };
--- a/src/gateway/forward/shortlist.rs
+++ b/src/gateway/forward/shortlist.rs
@@ -9,8 +9,9 @@
 /// Endpoints at which a prefix may be cached, in order.
 const HOMES: usize = 2;
 
-/// Endpoints drawn for one request in addition.
-const DRAWN: usize = 3;
+/// Endpoints drawn for one request in addition. With more, the fastest of them would get most such
+/// requests, far beyond its share.
+const DRAWN: usize = 1;
 
 /// The endpoints that are compared for a request.
 ///
--- a/tests/integration/gateway_balancing.rs
+++ b/tests/integration/gateway_balancing.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
-use almondpath::gateway::capacity::{Conditions, Targets};
+use almondpath::gateway::capacity::{Conditions, Delay, Speeds, Targets};
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
     Choice, Fleet, Identity, Load, Prompt, Query, Registration, Segment, choose,
@@ -23,6 +23,8 @@
 const LENGTH: Millis = Millis(12_000);
 /// Time from which what callers get counts: until then, the caches are cold.
 const WARM: Millis = Millis(4_000);
+/// Time between two exchanges of what the nodes have measured.
+const ROUND: Millis = Millis(600);
 const TARGETS: Targets = Targets {
     latency: Millis(600),
     gap: Some(Millis(400)),
@@ -79,6 +81,9 @@
     sent: Vec<Sent>,
     /// What happens next: the time in microseconds, the request, and whether it ends.
     due: BinaryHeap<Reverse<(u64, usize, bool)>>,
+    /// What the nodes have measured together.
+    delays: Speeds,
+    exchanged_at: f64,
     in_time: u32,
     counted: u32,
 }
@@ -129,6 +134,8 @@
             engines: (0..ENDPOINTS).map(engine).collect(),
             sent: Vec::new(),
             due: BinaryHeap::new(),
+            delays: Speeds::default(),
+            exchanged_at: 0.0,
             in_time: 0,
             counted: 0,
         }
@@ -144,6 +151,10 @@
             let sent = &self.sent[request];
             let load = self.engines[sent.engine].load(at as f64 / 1_000.0);
             let fleet = &mut self.fleets[sent.node];
+            let expected_ms = fleet
+                .profiles
+                .get(SERVICE)
+                .first_event_ms(sent.choice.met.without_backlog());
             let Some(endpoint) = fleet.get_mut(sent.choice.key) else {
                 continue;
             };
@@ -156,6 +167,11 @@
                 .saturating_sub(sent.choice.uncached_tokens);
             endpoint.record_load(load, Millis(at / 1_000));
             let elapsed = Millis((at as f64 / 1_000.0 - sent.at) as u64);
+            let now = Millis(at / 1_000);
+            let delay_ms = elapsed.as_f64() - expected_ms;
+            endpoint.backlog.record(delay_ms, now);
+            let delay = Delay::new(sent.engine as u32, delay_ms);
+            self.delays.merge_delays(&[delay], now);
             let service: Arc<str> = SERVICE.into();
             let profile = fleet.profiles.get_mut(&service);
             profile.record_first_event(sent.choice.met, elapsed);
@@ -163,6 +179,26 @@
         }
     }
 
+    /// Tells all nodes which endpoints are behind, once in a round.
+    fn exchange(&mut self, at: f64) {
+        if at < self.exchanged_at + ROUND.as_f64() {
+            return;
+        }
+        self.exchanged_at = at;
+        let now = Millis(at as u64);
+        let delays = self.delays.backlogs(now);
+        for fleet in &mut self.fleets {
+            for delay in &delays {
+                let key = fleet.find(&format!("e{}", delay.endpoint));
+                let endpoint = key.and_then(|key| fleet.get_mut(key));
+                endpoint
+                    .expect("the endpoint")
+                    .backlog
+                    .adopt(delay.as_ms(), now);
+            }
+        }
+    }
+
     /// Sends a request from a random node.
     fn send(&mut self, at: f64, slowdown: impl Fn(usize) -> f64, rng: &mut SmallRng) {
         let node = rng.random_range(0..NODES);
@@ -187,7 +223,6 @@
             sample_share: 1.0,
             tried: &[],
             max_connections: 100,
-            priority: 0,
             targets: TARGETS,
             draw: rng.random(),
         };
@@ -286,6 +321,7 @@
         let per_ms = 0.4 * if burst { case.burst } else { 1.0 };
         at -= (1.0 - rng.random::<f64>()).ln() / per_ms;
         play.advance(at);
+        play.exchange(at);
         if case.restart && at >= 6_000.0 && !restarted {
             restarted = true;
             play.restart(Millis(at as u64));
@@ -338,7 +374,6 @@
         let tokens = 500 + number % 9 * 1_000;
         let met = Conditions {
             tokens,
-            priority: 0,
             backlog_ms: 0.0,
             outstanding: 0.0,
             scale: 1.0,
@@ -362,7 +397,6 @@
             sample_share: 1.0,
             tried: &[],
             max_connections: 100,
-            priority: 0,
             targets: TARGETS,
             draw: prefix + 1_000,
         };
--- a/tests/integration/gateway_capacity.rs
+++ b/tests/integration/gateway_capacity.rs
@@ -10,7 +10,6 @@
 fn conditions(tokens: u64, outstanding: f64, scale: f64) -> Conditions {
     Conditions {
         tokens,
-        priority: 0,
         backlog_ms: 0.0,
         outstanding,
         scale,
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -304,7 +304,6 @@
         sample_share: 1.0,
         tried,
         max_connections: 100,
-        priority: 0,
         targets: Targets {
             latency: Millis(600),
             gap: Some(Millis(400)),
