gateway: prompts stay at their homes unless callers gain a tenth of their target

The cost of a wait counted the usual load of an endpoint by its slowness, so that prompts with short prefixes went to the fastest of the endpoints that were compared, beyond its share. The wait now counts beyond the usual load, and a prompt stays at home for small gains.

--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -14,6 +14,10 @@
 /// it.
 const HOME_UNCACHED_SHARE: f64 = 0.3;
 
+/// Gain, as a share of the latency target, up to which a prompt stays at the home of its prefix. The homes
+/// are spread by speed; without it, small gains would draw all requests to the fastest endpoints.
+const HOME_SHARE: f64 = 0.1;
+
 /// Number of endpoints up to which all are compared.
 const MAX_COMPARED: usize = 8;
 
@@ -88,7 +92,10 @@
             continue;
         }
         let choice = estimate(fleet, key, endpoint, query, home == Some(key), now);
-        let cost = cost_ms(fleet, &choice, query) + penalty_ms(endpoint, query, now);
+        let mut cost = cost_ms(fleet, &choice, query) + penalty_ms(endpoint, query, now);
+        if home.is_some_and(|home| home != key) {
+            cost += HOME_SHARE * query.targets.latency.as_f64();
+        }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, choice));
         }
@@ -172,8 +179,8 @@
 /// Returns what a choice costs its caller and the others, in milliseconds: its wait for others, the work
 /// that it causes, and what is lost by missed targets.
 ///
-/// The work counts as at an endpoint of usual speed, so that requests do not leave the homes that slow
-/// endpoints have in proportion to their speed.
+/// The wait counts beyond what an endpoint usually has, and the work as at one of usual speed, so that
+/// requests do not leave the homes that slow endpoints have in proportion to their speed.
 fn cost_ms(fleet: &Fleet, choice: &Choice, query: &Query<'_>) -> f64 {
     let expected = Estimate {
         first_event_ms: choice.first_event_ms,
@@ -186,6 +193,7 @@
     let profile = fleet.profiles.get(query.service);
     let ahead = Conditions {
         tokens: choice.met.tokens.saturating_sub(choice.uncached_tokens),
+        outstanding: choice.met.outstanding - profile.usual_outstanding(),
         ..choice.met
     };
     profile.first_event_ms(ahead) + profile.prefill_ms(choice.uncached_tokens) + loss_ms
