--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -19,6 +19,7 @@
     Delta, Message, Progress, Report, Request, Response, Versions, decode, encode,
 };
 use super::selector::{Target, View};
+use super::speeds;
 
 /// Time between two rounds in a small cluster, and of a node that has just started.
 const SMALL_CLUSTER_INTERVAL: Millis = Millis(250);
@@ -86,6 +87,7 @@
             gossip.send_report(current);
         }
         holder = current;
+        tokio::spawn(speeds::exchange(Arc::clone(node), gossip.handle.clone()));
         gossip.send_grants(|_, _| true);
         let leaving = node.leaving.is_cancelled();
         tokio::select! {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Millis;
 
+use super::capacity::Profiles;
 use super::endpoint::{Endpoint, Key, Lifecycle};
 use super::{Evacuations, Identity, Registration};
 
@@ -51,6 +52,10 @@
     early_departures: HashMap<Identity, Millis>,
     /// Failure domains whose endpoints get no requests.
     pub evacuations: Evacuations,
+    /// What the endpoints of each service have in common.
+    pub profiles: Profiles,
+    /// Whether the nodes announce their requests at each endpoint to each other.
+    pub inflight_announced: bool,
 }
 
 /// Lookup.
--- a/src/gateway/pace/pacing.rs
+++ b/src/gateway/pace/pacing.rs
@@ -19,6 +19,13 @@
 }
 
 impl Pacing {
+    /// No endpoint is limited.
+    pub const NONE: Self = Self {
+        limit: None,
+        place: Place::ALONE,
+        wall: Millis::ZERO,
+    };
+
     /// Returns whether an endpoint may get a request of this node: it is not limited, or a turn is
     /// left for the node.
     #[must_use]
--- a/tests/integration/gateway_fleet.rs
+++ b/tests/integration/gateway_fleet.rs
@@ -3,21 +3,16 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
+use almondpath::gateway::capacity::Targets;
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
-    Fleet, Identity, Lifecycle, Load, Pacing, Place, Prompt, Query, RegisterOutcome, Registration,
+    Fleet, Identity, Lifecycle, Load, Pacing, Prompt, Query, RegisterOutcome, Registration,
     Segment, choose,
 };
 
 const SERVICE: &str = "engines";
 const MEMORY_TOKENS: u64 = 400_000;
 
-const UNPACED: Pacing = Pacing {
-    limit: None,
-    place: Place::ALONE,
-    wall: Millis::ZERO,
-};
-
 fn registration(id: &str, born: u64, sequence: u64) -> Registration {
     Registration {
         identity: Identity {
@@ -310,7 +305,12 @@
         sample_share: 1.0,
         tried,
         max_connections: 100,
-        pacing: UNPACED,
+        pacing: Pacing::NONE,
+        targets: Targets {
+            latency: Millis(600),
+            gap: Some(Millis(400)),
+        },
+        draw: 1,
     }
 }
 
@@ -405,6 +405,7 @@
         running: 64,
         waiting: 30,
         slots: 64,
+        contention: None,
     };
     endpoint.record_load(full, Millis(90));
     assert_eq!(&*chosen(&fleet, &query(None, &[])), "e1");
--- a/tests/integration/gateway_pace.rs
+++ b/tests/integration/gateway_pace.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
+use almondpath::gateway::capacity::Targets;
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
     ColdLimit, ColdTolerance, Fleet, Identity, Pacing, Place, Query, RegisterOutcome, Registration,
@@ -51,6 +52,11 @@
         tried: &[],
         max_connections: 100,
         pacing,
+        targets: Targets {
+            latency: Millis(600),
+            gap: None,
+        },
+        draw: 1,
     }
 }
 
