--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -78,22 +78,44 @@
 /// prefilling the prefix again, or lets the caller miss the targets.
 ///
 /// All endpoints are compared if there are few or if the nodes know of each other's requests;
-/// otherwise those of a [`Shortlist`].
+/// otherwise those of a [`Shortlist`], more of them if the first ones would miss the targets.
 #[must_use]
 pub fn choose(fleet: &Fleet, query: &Query<'_>, now: Millis) -> Option<Choice> {
     let candidates = candidates(fleet, query);
     let shortlist = shortlist(&candidates, query, now);
     let home = shortlist.home();
-    let compares_all = fleet.inflight_announced || candidates.len() <= MAX_COMPARED;
+    if fleet.inflight_announced || candidates.len() <= MAX_COMPARED {
+        return least(fleet, &candidates, query, home, now, |_| true);
+    }
+    let is_first = |key| shortlist.is_first(key);
+    let first = least(fleet, &candidates, query, home, now, is_first);
+    if first.is_some_and(|choice| choice.keeps_targets) {
+        return first;
+    }
+    let is_listed = |key| shortlist.contains(key);
+    least(fleet, &candidates, query, home, now, is_listed)
+}
+
+/// Returns the endpoint with the lowest expected cost among those that are `compared`.
+fn least<F>(
+    fleet: &Fleet,
+    candidates: &[(Key, &Endpoint)],
+    query: &Query<'_>,
+    home: Option<Key>,
+    now: Millis,
+    compared: F,
+) -> Option<Choice>
+where
+    F: Fn(Key) -> bool,
+{
     let mut best: Option<(f64, Choice)> = None;
     for (key, endpoint) in candidates {
-        let skipped = !compares_all && !shortlist.contains(key);
-        if skipped || !accepts(endpoint, query, now) {
+        if !compared(*key) || !accepts(endpoint, query, now) {
             continue;
         }
-        let choice = estimate(fleet, key, endpoint, query, home == Some(key), now);
+        let choice = estimate(fleet, *key, endpoint, query, home == Some(*key), now);
         let mut cost = cost_ms(fleet, &choice, query) + penalty_ms(endpoint, query, now);
-        if home.is_some_and(|home| home != key) {
+        if home.is_some_and(|home| home != *key) {
             cost += HOME_SHARE * query.targets.latency.as_f64();
         }
         if best.is_none_or(|(least, _)| cost < least) {
--- a/src/gateway/forward/shortlist.rs
+++ b/src/gateway/forward/shortlist.rs
@@ -9,9 +9,10 @@
 /// Endpoints at which a prefix may be cached, in order.
 const HOMES: usize = 2;
 
-/// Endpoints drawn for one request in addition. With more, the fastest of them would get most such
-/// requests, far beyond its share.
-const DRAWN: usize = 1;
+/// Endpoints drawn for one request in addition, which are compared if the others let it miss its
+/// targets. The first of them always is: with more, the fastest would get most such requests, far beyond
+/// its share.
+const DRAWN: usize = 8;
 
 /// The endpoints that are compared for a request.
 ///
@@ -54,6 +55,11 @@
         self.homes.entries[0].map(|(_, key)| key)
     }
 
+    /// Returns whether an endpoint is to be compared in any case.
+    pub(super) fn is_first(&self, key: Key) -> bool {
+        self.homes.contains(key) || self.drawn.entries[0].is_some_and(|(_, first)| first == key)
+    }
+
     /// Returns whether an endpoint is on the list.
     pub(super) fn contains(&self, key: Key) -> bool {
         self.homes.contains(key) || self.drawn.contains(key)
