scaler: the demand follows from the learned capacity

The prefill of a request is now what the profile of its service says, at an endpoint of usual speed, without the delay that no work causes. The test of delay and speed was not run on the earlier meter, whose interface differs.

--- a/src/gateway/capacity/profile.rs
+++ b/src/gateway/capacity/profile.rs
@@ -153,6 +153,13 @@
         self.first_event.coefficients()[1] * tokens as f64 / TOKENS_PER_UNIT
     }
 
+    /// Returns the expected time to the first event of an empty prompt at an idle endpoint, which no work
+    /// of the endpoint causes, in milliseconds.
+    #[must_use]
+    pub fn idle_delay_ms(&self) -> f64 {
+        self.first_event.coefficients()[0]
+    }
+
     /// Returns the expected usual pause between two events of a stream, in milliseconds.
     #[must_use]
     pub fn usual_pause_ms(&self, met: Conditions) -> f64 {
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -370,7 +370,7 @@
     let orders = Scaler::beside_trial(orders, scale, &present, &on_trial);
     if !orders.is_empty() {
         info!(node.log, "orders"; "service" => &**service, "busy" => demand.busy,
-            "running" => demand.running, "speed" => state.meter.prefill_speed(service),
+            "running" => demand.running, "prefill_ms" => state.fleet.profiles.get(service).prefill_ms(1_000),
             "present" => ?present);
     }
     orders
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::gateway::capacity::{Conditions, Pauses};
 use crate::gateway::endpoint::Key;
+use crate::gateway::scaler::Prefill;
 use crate::gateway::{Load, Node};
 use crate::rollout::{Outcome, Timing};
 
@@ -104,13 +105,16 @@
             if self.uncached_tokens > 0 {
                 state.record_first_event(self.key, self.met, elapsed, now);
             }
-            state.meter.record_first_event(
-                &service,
-                self.unique_tokens,
-                self.uncached_tokens,
+            let prefill = Prefill {
+                unique_tokens: self.unique_tokens,
+                uncached_tokens: self.uncached_tokens,
+                met: self.met,
                 elapsed,
-                now,
-            );
+            };
+            let profile = state.fleet.profiles.get(&service);
+            state
+                .meter
+                .record_first_event(&service, profile, prefill, now);
         }
         self.prefilling = false;
     }
@@ -319,10 +323,11 @@
             if self.prefilling {
                 endpoint.pending_tokens =
                     endpoint.pending_tokens.saturating_sub(self.uncached_tokens);
-                let service = &endpoint.registration.service;
+                let service = Arc::clone(&endpoint.registration.service);
+                let profile = state.fleet.profiles.get(&service);
                 state
                     .meter
-                    .record_unanswered(service, self.uncached_tokens, now);
+                    .record_unanswered(&service, profile, self.uncached_tokens, now);
             }
         }
     }
--- a/src/gateway/scaler/meter.rs
+++ b/src/gateway/scaler/meter.rs
@@ -4,28 +4,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::gateway::capacity::{Conditions, Profile};
 
 /// Time constant of the exponential average of the demand.
 const DECAY_TIME: Millis = Millis(4_000);
 
-/// Assumed prefill speed before the first observation, in prompt tokens per millisecond.
-const INITIAL_PREFILL_SPEED: f64 = 40.0;
-
-/// Quantile of the observed speeds that counts as the prefill speed of an endpoint. It is high
-/// because most observations are too slow: they include queueing, or the prefill of more than the
-/// unique segment.
-const SPEED_QUANTILE: f64 = 0.9;
-
-/// Step of the quantile estimate, as a share of the speed.
-const SPEED_STEP: f64 = 0.03;
-
-/// Unique prompt tokens below which the time to the first event says little about the prefill
-/// speed.
-const MIN_SAMPLE_TOKENS: u64 = 2_000;
-
-/// Time to a first event besides the prefill: the network round trip and the first decoding steps.
-const FIRST_EVENT_OVERHEAD: Millis = Millis(15);
-
 /// Busy endpoints up to which the demand of a service counts as none.
 const MIN_DEMAND: f64 = 0.05;
 
@@ -58,23 +41,11 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct ServiceLoad {
     /// Sum of the prefill times, decayed exponentially.
     prefill_ms: f64,
     updated: Millis,
-    /// Prefill speed of an idle endpoint, in prompt tokens per millisecond.
-    speed: f64,
-}
-
-impl Default for ServiceLoad {
-    fn default() -> Self {
-        Self {
-            prefill_ms: 0.0,
-            updated: Millis::ZERO,
-            speed: INITIAL_PREFILL_SPEED,
-        }
-    }
 }
 
 impl ServiceLoad {
@@ -82,14 +53,33 @@
         self.prefill_ms = self.prefill_ms * decay(now - self.updated) + prefill_ms;
         self.updated = now;
     }
+}
 
-    fn observe_speed(&mut self, seen: f64) {
-        let pull = if seen > self.speed {
-            SPEED_QUANTILE
-        } else {
-            SPEED_QUANTILE - 1.0
-        };
-        self.speed *= 1.0 + SPEED_STEP * pull;
+/// The prefill of a prompt, as far as it is known when the first event arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Prefill {
+    /// Prompt tokens that no other request shares, which were prefilled in any case.
+    pub unique_tokens: u64,
+    /// Prompt tokens that the endpoint had to prefill at most.
+    pub uncached_tokens: u64,
+    /// What the request met at the endpoint.
+    pub met: Conditions,
+    /// Time to the first event.
+    pub elapsed: Millis,
+}
+
+impl Prefill {
+    /// Returns the time that the prefill takes at an endpoint of usual speed, in milliseconds.
+    ///
+    /// Within the bounds by tokens, the measured time counts, without the delay of a first event that
+    /// no work causes, and without the prompts ahead.
+    fn at_usual_speed_ms(&self, profile: &Profile) -> f64 {
+        let scale = self.met.scale.max(f64::MIN_POSITIVE);
+        let ahead = self.met.tokens.saturating_sub(self.uncached_tokens);
+        let own_ms = (self.elapsed.as_f64() - profile.idle_delay_ms()) / scale;
+        let least = profile.prefill_ms(self.unique_tokens);
+        let most = profile.prefill_ms(self.uncached_tokens.max(self.unique_tokens));
+        (own_ms - profile.prefill_ms(ahead)).clamp(least, most)
     }
 }
 
@@ -100,42 +90,28 @@
 }
 
 impl Meter {
-    /// Records a request whose first event arrived after `elapsed`.
-    ///
-    /// The endpoint prefilled at least the unique segment of the prompt (`unique_tokens`) and at
-    /// most what this node estimates to be uncached (`uncached_tokens`). Within these bounds, the
-    /// measured time counts.
+    /// Records a request whose first event arrived.
     pub fn record_first_event(
         &mut self,
         service: &Arc<str>,
-        unique_tokens: u64,
-        uncached_tokens: u64,
-        elapsed: Millis,
+        profile: &Profile,
+        prefill: Prefill,
         now: Millis,
     ) {
         let load = self.loads.entry(Arc::clone(service)).or_default();
-        let prefill_ms = elapsed.as_f64() - FIRST_EVENT_OVERHEAD.as_f64();
-        if unique_tokens >= MIN_SAMPLE_TOKENS {
-            load.observe_speed(unique_tokens as f64 / prefill_ms.max(1.0));
-        }
-        let least = unique_tokens as f64 / load.speed;
-        let most = uncached_tokens.max(unique_tokens) as f64 / load.speed;
-        load.add(prefill_ms.clamp(least, most), now);
+        load.add(prefill.at_usual_speed_ms(profile), now);
     }
 
     /// Records a request with this many prompt tokens to prefill that got no event.
-    pub fn record_unanswered(&mut self, service: &Arc<str>, prefill_tokens: u64, now: Millis) {
+    pub fn record_unanswered(
+        &mut self,
+        service: &Arc<str>,
+        profile: &Profile,
+        prefill_tokens: u64,
+        now: Millis,
+    ) {
         let load = self.loads.entry(Arc::clone(service)).or_default();
-        load.add(prefill_tokens as f64 / load.speed, now);
-    }
-
-    /// Returns the prefill speed of an idle endpoint of a service, in prompt tokens per
-    /// millisecond.
-    #[must_use]
-    pub fn prefill_speed(&self, service: &str) -> f64 {
-        self.loads
-            .get(service)
-            .map_or(INITIAL_PREFILL_SPEED, |load| load.speed)
+        load.add(profile.prefill_ms(prefill_tokens), now);
     }
 
     /// Returns the prefill work for each service, as a number of fully busy endpoints.
--- a/src/gateway/scaler/mod.rs
+++ b/src/gateway/scaler/mod.rs
@@ -17,7 +17,7 @@
 mod target;
 
 pub use self::capacity::{Capacity, Present, total};
-pub use self::meter::{Demand, Meter};
+pub use self::meter::{Demand, Meter, Prefill};
 pub use self::placement::Placement;
 pub use self::plan::{Need, plan};
 pub use self::reports::DemandReports;
--- a/tests/integration/gateway_scaler.rs
+++ b/tests/integration/gateway_scaler.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use almondpath::clock::Millis;
+use almondpath::gateway::capacity::{Conditions, Profile};
 use almondpath::gateway::scaler::{
-    Capacity, Demand, Meter, Need, Placement, Present, Scaler, plan, total,
+    Capacity, Demand, Meter, Need, Placement, Prefill, Present, Scaler, plan, total,
 };
 use almondpath::gateway::{Order, Scale};
 
@@ -258,6 +259,16 @@
     }
 }
 
+/// What a request with these tokens to prefill meets at an idle endpoint of usual speed.
+fn alone(tokens: u64) -> Conditions {
+    Conditions {
+        tokens,
+        outstanding: 0.0,
+        backlog_ms: 0.0,
+        scale: 1.0,
+    }
+}
+
 /// Guards against counting demand that is over, queueing time, or cached prompt prefixes as prefill
 /// work, which led to fleets of twice the needed size.
 #[test]
@@ -291,6 +302,7 @@
     ];
     for case in cases {
         let mut meter = Meter::default();
+        let mut profile = Profile::default();
         let service: Arc<str> = "s".into();
         let prefill_ms = (UNIQUE + case.shared_prefilled) / TOKENS_PER_MS;
         for at in (0..20_000).step_by(50) {
@@ -308,7 +320,14 @@
                 } else {
                     SHARED * 3 / 10
                 };
-            meter.record_first_event(&service, UNIQUE, uncached_estimate, took, Millis(at));
+            let prefill = Prefill {
+                unique_tokens: UNIQUE,
+                uncached_tokens: uncached_estimate,
+                met: alone(uncached_estimate),
+                elapsed: took,
+            };
+            profile.record_first_event(prefill.met, took);
+            meter.record_first_event(&service, &profile, prefill, Millis(at));
         }
         let busy = meter.busy_endpoints(Millis(20_000))[0].1;
         let expected = (prefill_ms * 4 + UNIQUE / TOKENS_PER_MS) as f64 / 5.0 / 50.0;
@@ -340,6 +359,72 @@
     assert_eq!(total(&simulation.present), total(&before));
 }
 
+/// Guards against counting the delay before a first event, which occupies no endpoint, as prefill
+/// work, and against a speed that is bounded by an assumption.
+#[test]
+fn delay_and_speed_of_a_service_are_learned() {
+    struct Case {
+        name: &'static str,
+        delay_ms: f64,
+        tokens_per_ms: f64,
+        /// Time that every third request waits at its endpoint.
+        queued_ms: f64,
+        /// Factors on the time of the endpoints, which take turns.
+        slowness: &'static [f64],
+    }
+    let case = |name, delay_ms, tokens_per_ms, queued_ms, slowness| Case {
+        name,
+        delay_ms,
+        tokens_per_ms,
+        queued_ms,
+        slowness,
+    };
+    let cases = [
+        case("fast with a long delay", 60.0, 92.0, 0.0, &[1.0]),
+        case("slow without a delay", 2.0, 12.0, 0.0, &[1.0]),
+        case("with queueing", 60.0, 92.0, 50.0, &[1.0]),
+        case("unequal endpoints", 13.0, 57.0, 0.0, &[0.625, 1.0, 1.67]),
+    ];
+    const LENGTHS: [u64; 7] = [200, 600, 900, 1_800, 2_900, 5_000, 12_000];
+    const REQUESTS: usize = 400;
+    const INTERVAL_MS: usize = 50;
+    for case in cases {
+        let mut meter = Meter::default();
+        let mut profile = Profile::default();
+        let service: Arc<str> = "s".into();
+        let mut work_ms = 0.0;
+        for request in 0..REQUESTS {
+            let tokens = LENGTHS[request % LENGTHS.len()];
+            let prefill_ms = tokens as f64 / case.tokens_per_ms;
+            let slowness = case.slowness[request / 2 % case.slowness.len()];
+            let is_queued = request % 3 == 0;
+            let queued_ms = if is_queued { case.queued_ms } else { 0.0 };
+            let took = case.delay_ms + prefill_ms * slowness + queued_ms;
+            let prefill = Prefill {
+                unique_tokens: tokens,
+                uncached_tokens: tokens,
+                met: Conditions {
+                    scale: slowness,
+                    ..alone(tokens)
+                },
+                elapsed: Millis(took as u64),
+            };
+            profile.record_first_event(prefill.met, prefill.elapsed);
+            let now = Millis((request * INTERVAL_MS) as u64);
+            meter.record_first_event(&service, &profile, prefill, now);
+            work_ms += prefill_ms;
+        }
+        let expected = work_ms / (REQUESTS * INTERVAL_MS) as f64;
+        let end = Millis((REQUESTS * INTERVAL_MS) as u64);
+        let busy = meter.busy_endpoints(end)[0].1;
+        assert!(
+            (expected * 0.75..expected * 1.35).contains(&busy),
+            "{}: {busy} for {expected}",
+            case.name
+        );
+    }
+}
+
 /// An order during a rollout, and the number that the cloud is told, if it is placed.
 struct TrialCase {
     domain: &'static str,
