gateway: what is refused for want of memory is counted and logged

Cause: a connection closed for a late head had a counter of its own and no log line, and heads for which there was no memory had neither. Change: one counter by need and action, and one log line at most once a second, for all of them.

--- a/src/gateway/intake/connection.rs
+++ b/src/gateway/intake/connection.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    fn state(&self) -> (State, Millis) {
+    /// Returns what the connection is doing, and since when.
+    pub(super) fn state(&self) -> (State, Millis) {
         if let Some(since) = self.body.since() {
             return (State::Body(self.body.bytes()), since);
         }
--- a/src/gateway/intake/intake.rs
+++ b/src/gateway/intake/intake.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::{Clock, Millis};
 
-use super::{Budget, Connections, Entry, Kind, Need, Share, State};
+use super::{Budget, Connection, Connections, Entry, Kind, Need, Share, State};
 
 /// Part of the descriptors that is for connections of callers, as numerator and divisor.
 const CALLERS: (usize, usize) = (9, 16);
@@ -78,10 +78,10 @@
             return Some(entry);
         }
         let Some((closed, state)) = group.close_one(Need::Connections) else {
-            self.report(Need::Connections, "refused", address, None);
+            self.report(Need::Connections, "refused", Some(address), None);
             return None;
         };
-        self.report(Need::Connections, "closed", closed, Some(state));
+        self.report(Need::Connections, "closed", Some(closed), Some(state));
         group.open(address)
     }
 
@@ -90,37 +90,47 @@
     pub(in crate::gateway) fn hold(&self, share: &mut Share, kind: Kind, bytes: usize) -> bool {
         let grows = bytes > share.bytes();
         let held = share.hold(bytes);
+        let need = match kind {
+            Kind::Heads => Need::Heads,
+            Kind::Bodies => Need::Bodies,
+            Kind::Responses => Need::Responses,
+        };
+        if !held {
+            self.report(need, "refused", share.address(), None);
+        }
         if grows && (!held || self.budget.is_short(kind)) {
-            self.relieve(kind);
+            self.relieve(need);
         }
         held
     }
 
-    fn relieve(&self, kind: Kind) {
+    fn relieve(&self, need: Need) {
         let now = self.clock.now();
         let relieved_at = self.relieved_at.load(Ordering::Relaxed);
         if now - Millis(relieved_at) < MIN_RELIEF_INTERVAL {
             return;
         }
         self.relieved_at.store(now.0, Ordering::Relaxed);
-        let need = match kind {
-            Kind::Heads => Need::Heads,
-            Kind::Bodies => Need::Bodies,
-            Kind::Responses => Need::Responses,
-        };
         let groups = [&self.callers, &self.pages];
         let closed = groups.into_iter().find_map(|group| group.close_one(need));
         if let Some((address, state)) = closed {
-            self.report(need, "closed", address, Some(state));
+            self.report(need, "closed", Some(address), Some(state));
         }
     }
 
+    /// Reports that a connection is closed since its caller took too long.
+    pub(in crate::gateway) fn report_stalled(&self, connection: &Connection) {
+        let (state, _) = connection.state();
+        let address = Some(connection.address());
+        self.report(Need::Time, "closed", address, Some(state));
+    }
+
     /// Counts what was done, and logs it at most once a second.
-    pub(in crate::gateway) fn report(
+    fn report(
         &self,
         need: Need,
         action: &'static str,
-        address: IpAddr,
+        address: Option<IpAddr>,
         state: Option<State>,
     ) {
         let labels = [("need", need.as_str()), ("action", action)];
@@ -132,6 +142,7 @@
         }
         self.logged_at.store(now.0, Ordering::Relaxed);
         slog::warn!(self.log, "caller limited"; "need" => need.as_str(), "action" => action,
-            "address" => %address, "state" => state.map(|state| format!("{state:?}")));
+            "address" => address.map(|address| address.to_string()),
+            "state" => state.map(|state| format!("{state:?}")));
     }
 }
--- a/src/gateway/intake/pressure.rs
+++ b/src/gateway/intake/pressure.rs
@@ -27,6 +27,8 @@
     Bodies,
     /// Memory for responses.
     Responses,
+    /// The time that a caller has for a head, or to take a part of a response; no other one yields.
+    Time,
 }
 
 impl Need {
@@ -38,6 +40,7 @@
             Self::Heads => "heads",
             Self::Bodies => "bodies",
             Self::Responses => "responses",
+            Self::Time => "time",
         }
     }
 }
--- a/src/gateway/intake/share.rs
+++ b/src/gateway/intake/share.rs
@@ -50,6 +50,12 @@
         true
     }
 
+    /// Returns the address of the caller for whom it is held, if it is known.
+    #[must_use]
+    pub fn address(&self) -> Option<IpAddr> {
+        self.address
+    }
+
     /// Returns the number of bytes that it holds.
     #[must_use]
     pub fn bytes(&self) -> usize {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -173,7 +173,7 @@
             }
             () = sleep(pause.into()) => {
                 if activity.is_stalled() {
-                    metrics::counter!("almondpath_callers_stalled_total").increment(1);
+                    node.intake.report_stalled(activity.connection());
                     return;
                 }
                 if !activity.is_expired() {
--- a/tests/hostile_clients/cases.rs
+++ b/tests/hostile_clients/cases.rs
@@ -1,7 +1,8 @@
 use tokio::sync::{Mutex, MutexGuard};
 
-use crate::client::Client;
+use crate::client::{BODY_BYTES, Client};
 use crate::crowd::Crowd;
+use crate::platform::Request;
 
 /// Held by the test that runs, so that no other one adds load.
 static RUNNING: Mutex<()> = Mutex::const_new(());
@@ -31,6 +32,27 @@
     crowd.visit().await;
 }
 
+/// Guards against limits that a single caller inside those of the configuration meets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_at_the_limits_is_served() {
+    let _running = running().await;
+    let crowd = Crowd {
+        client: Client::Silence,
+        size: 0,
+        response_bytes: LARGE,
+    };
+    let deployment = crowd.deployment().await;
+    let mut request = Request::new("/safe/x");
+    request.body = "x".repeat(BODY_BYTES).leak();
+    request.headers = (0..60)
+        .map(|number| (&*format!("x-field-{number}").leak(), "y".repeat(1_000)))
+        .collect();
+    let response = deployment.gateways[0].send(&request).await;
+    let response = response.expect("a response");
+    assert_eq!((response.status, response.complete), (200, true));
+    assert_eq!(response.body.len(), LARGE);
+}
+
 /// Defines a test of a crowd at all doors.
 macro_rules! crowds {
     ($($name:ident: $client:ident, $size:expr, $response:expr;)*) => {
--- a/tests/hostile_clients/crowd.rs
+++ b/tests/hostile_clients/crowd.rs
@@ -64,7 +64,7 @@
         Deployment::start_on_hosts(1, HOST, engines, &config).await
     }
 
-    /// Sends the crowd to a door and checks the bounds.
+    /// Sends the crowd to one door and checks the bounds.
     pub(crate) async fn visit_door(self, gateway: &mut Gateway, door: Door) -> Result<(), String> {
         let address = door.address(gateway);
         let sending = (0..self.size).map(|_| self.member(address, door));
