quota: an owner that took over counts the nodes that would respond

Cause: an owner of a bucket that has taken over, or that nodes have stopped asking, counted only nodes with contact within 1 s. In a large cluster a node has contact with few others in a second, and single nodes to which the preferred owner is slow keep the takeover going.

Change: the owner counts as many of the nodes that it has not called as respond among those that it has (contacts.rs). Only nodes of the same standing are compared: those that asked are known, and of those that stopped asking only such are a sample of the others. A count serves for 20 ms, so that the nodes are not all gone through for each decision. The view that owners have of the nodes has its own file.

Tests: gateway_quota_contacts plays takeovers, ends of bursts and cuts at 80 and 300 nodes with the contacts of the real selector. The simulated network of the membership tests now lets calls hang at a cut, where asked, and records calls.

--- a/src/gateway/cluster/gossip.rs
+++ b/src/gateway/cluster/gossip.rs
@@ -164,7 +164,11 @@
             seeds: &node.settings.seeds,
         };
         let view = view.with_known_nodes(&state.known_nodes);
-        state.selector.next(&view, now)
+        let targets = state.selector.next(&view, now);
+        for name in targets.iter().filter_map(|target| target.node.as_ref()) {
+            state.roster.record_call(name, now);
+        }
+        targets
     }
 
     fn record_failure(&self, target: &Target, error: &Error) {
--- a/src/gateway/cluster/member.rs
+++ b/src/gateway/cluster/member.rs
@@ -16,6 +16,8 @@
     pub(super) started: i64,
     /// When this node last exchanged messages with it.
     pub(super) last_contact: Option<Millis>,
+    /// When this node called it, while it counted as alive; the earliest call without a response.
+    pub(super) called_at: Option<Millis>,
     /// When its announcement was received.
     pub(super) announced_at: Millis,
     /// When the claim was received.
@@ -33,6 +35,12 @@
         Millis(u64::try_from(now.0 as i64 - self.started).unwrap_or(0))
     }
 
+    /// Returns whether there has been no contact since this node called it.
+    pub(super) fn owes_response(&self) -> bool {
+        let contact = self.last_contact.unwrap_or_default();
+        self.called_at.is_some_and(|at| at > contact)
+    }
+
     /// Returns whether this node exchanged messages with it during the last `period`.
     pub(super) fn had_contact(&self, period: Millis, now: Millis) -> bool {
         self.last_contact.is_some_and(|at| at + period > now)
--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -15,6 +15,7 @@
 mod member;
 mod merge;
 mod message;
+mod peer_view;
 mod phase;
 mod readers;
 mod responder;
--- a/src/gateway/cluster/roster.rs
+++ b/src/gateway/cluster/roster.rs
@@ -6,7 +6,6 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Millis;
-use crate::gateway::Peers;
 
 use super::announcement::Announcement;
 use super::isolation::Isolation;
@@ -107,6 +106,17 @@
         !was_alive
     }
 
+    /// Records that this node calls another one, unless an earlier call is still unanswered.
+    pub fn record_call(&mut self, node: &str, now: Millis) {
+        let known = self.members.get(node);
+        if !known.is_some_and(|member| self.is_alive(member, now)) {
+            return;
+        }
+        if let Some(member) = self.members.get_mut(node).filter(|m| !m.owes_response()) {
+            member.called_at = Some(now);
+        }
+    }
+
     /// Records a failed call to a node; returns whether the node counted as alive before.
     pub fn record_failure(&mut self, node: &Arc<str>, now: Millis) -> bool {
         let known = self.members.get(node);
@@ -299,6 +309,7 @@
                 claim,
                 started,
                 last_contact: None,
+                called_at: None,
                 announced_at: now,
                 claimed_at: now,
                 claimed_locally: false,
@@ -439,43 +450,6 @@
     }
 }
 
-/// The other nodes as an owner of buckets sees them.
-struct PeerView<'a> {
-    roster: &'a Roster,
-    now: Millis,
-}
-
-impl Peers for PeerView<'_> {
-    fn is_alive(&self, node: &str) -> bool {
-        let member = self.roster.member(node);
-        member.is_some_and(|member| self.roster.is_alive(member, self.now))
-    }
-
-    fn had_contact_since(&self, node: &str, time: Millis) -> bool {
-        let member = self.roster.member(node);
-        let contact = member.and_then(|member| member.last_contact);
-        contact.is_some_and(|at| at > time) && self.is_alive(node)
-    }
-
-    fn count_contacts_since(&self, time: Millis) -> usize {
-        let alive = self.roster.alive(self.now);
-        let contacts = alive.filter_map(|member| member.last_contact);
-        contacts.filter(|at| *at > time).count()
-    }
-
-    fn failure_timeout(&self) -> Millis {
-        self.roster.failure_timeout()
-    }
-}
-
-impl Roster {
-    /// Returns the nodes as an owner of buckets sees them.
-    #[must_use]
-    pub fn peers(&self, now: Millis) -> impl Peers {
-        PeerView { roster: self, now }
-    }
-}
-
 /// Choices on which all nodes with the same view of the cluster agree.
 impl Roster {
     /// Returns the nodes that read the store on behalf of the others. `domain` is this node's
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -68,7 +68,7 @@
 pub use self::prefix_cache::PrefixCache;
 pub use self::quarantine::{Crash, Evidence, Finding, Quarantine, Quarantined, Success};
 pub use self::quota::{
-    Consumption, Denial, Grant, GrantReport, Level, Partition, Peers, Quotas, Reachability, Run,
+    Consumption, Contacts, Denial, Grant, GrantReport, Level, Partition, Peers, Quotas, Reachability, Run,
     Slot, Tolerance,
 };
 pub use self::refusal::{Reason, Refusal};
--- a/src/gateway/quota/askers.rs
+++ b/src/gateway/quota/askers.rs
@@ -62,11 +62,10 @@
         asker.ask(now);
     }
 
-    /// Returns the nodes that have asked since a time.
-    pub(super) fn since(&self, time: Millis) -> impl Iterator<Item = &Arc<str>> {
-        let nodes = self.nodes.iter();
-        let recent = nodes.filter(move |(_, asker)| asker.asked_at >= time);
-        recent.map(|(node, _)| node)
+    /// Returns whether a node has asked since a time.
+    pub(super) fn has_asked(&self, node: &str, since: Millis) -> bool {
+        let asker = self.nodes.get(node);
+        asker.is_some_and(|asker| asker.asked_at >= since)
     }
 
     /// Returns the nodes that asked steadily and have stopped, and when each of them would have asked
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -7,6 +7,7 @@
 
 mod askers;
 mod bucket;
+mod contacts;
 mod history;
 mod ownership;
 mod partition;
@@ -15,6 +16,7 @@
 mod window_limit;
 
 pub use self::bucket::Denial;
+pub use self::contacts::Contacts;
 pub use self::history::{Grant, Run, Slot};
 pub use self::partition::{Consumption, Partition, Peers};
 pub use self::quotas::{GrantReport, Level, Quotas, Reachability};
--- a/src/gateway/quota/partition.rs
+++ b/src/gateway/quota/partition.rs
@@ -4,6 +4,7 @@
 use crate::clock::Millis;
 
 use super::askers::Askers;
+use super::contacts::Contacts;
 use super::quotas::Reachability;
 
 /// Time after a takeover for which failure detection may not know yet which nodes are reachable, as a
@@ -13,6 +14,10 @@
 /// Time after contact with a node within which it counts as reachable while there is doubt.
 const CONTACT_TIME: Millis = Millis(1_000);
 
+/// Time for which the nodes are not counted again for an account; short against the times of failure
+/// detection.
+const COUNT_LIFETIME: Millis = Millis(20);
+
 /// Minimum time between two reports of one account.
 const REPORT_INTERVAL: Millis = Millis(1_000);
 
@@ -42,6 +47,8 @@
 struct Ownership {
     askers: Askers,
     takeover: Option<Takeover>,
+    /// How many nodes were counted as reachable, and when.
+    counted: Option<(Reachability, Millis)>,
     /// Unreachable nodes beyond those that failure detection knew of, when that was last reported.
     reported: Option<(usize, Millis)>,
 }
@@ -71,9 +78,15 @@
     /// Returns whether a node counts as alive and has had contact with this one since a time.
     fn had_contact_since(&self, node: &str, time: Millis) -> bool;
 
-    /// Returns the number of nodes that count as alive and have had contact with this one since a
-    /// time.
-    fn count_contacts_since(&self, time: Millis) -> usize;
+    /// Returns whether a node that was called since a time has responded, or one that was called earlier
+    /// still has not; none if it was not called.
+    fn has_responded(&self, node: &str, since: Millis) -> Option<bool>;
+
+    /// Returns what contact since a time shows of the nodes; those that are known to reach this one count
+    /// as confirmed, whether they had contact or not.
+    fn contacts_since<F>(&self, time: Millis, is_known: F) -> Contacts
+    where
+        F: Fn(&str) -> bool;
 
     /// Returns the time without contact after which a node counts as dead.
     fn failure_timeout(&self) -> Millis;
@@ -93,9 +106,25 @@
             started: now,
             latest: now,
         };
+        if ownership.takeover.is_none() {
+            ownership.counted = None;
+        }
         ownership.takeover.get_or_insert(first).latest = now;
     }
 
+    /// Records how many nodes were counted as reachable for decisions on an account.
+    pub fn record_count(&mut self, account: &Arc<str>, counted: Reachability, now: Millis) {
+        let ownership = self.accounts.entry(Arc::clone(account)).or_default();
+        ownership.counted = Some((counted, now));
+    }
+
+    /// Returns how many nodes were counted as reachable just now, if they were.
+    #[must_use]
+    pub fn recent_count(&self, account: &str, now: Millis) -> Option<Reachability> {
+        let (counted, at) = self.accounts.get(account)?.counted?;
+        (at + COUNT_LIFETIME > now).then_some(counted)
+    }
+
     /// Returns whether to report how many nodes a decision counted as unreachable beyond those that
     /// failure detection knows of: it has changed, and was not reported just now.
     pub fn has_to_report(&mut self, account: &str, unconfirmed: usize, now: Millis) -> bool {
@@ -167,25 +196,41 @@
     }
 
     /// Returns the number of other nodes that have shown lately, and since a time, that they reach this
-    /// one.
+    /// one, and of those that would.
     fn confirmed<P>(&self, peers: &P, since: Millis, now: Millis) -> usize
     where
         P: Peers,
     {
-        let since = since.max(now - CONTACT_TIME);
-        let askers = self.askers.since(since);
-        let others = askers.filter(|node| !peers.had_contact_since(node, since));
-        peers.count_contacts_since(since) + others.count()
+        let contacts_within = |period| {
+            let since = since.max(now - period);
+            peers.contacts_since(since, |node| self.askers.has_asked(node, since))
+        };
+        let contacts = contacts_within(CONTACT_TIME);
+        let share = contacts
+            .response_share()
+            .or_else(|| contacts_within(peers.failure_timeout()).response_share());
+        contacts.confirmed + contacts.estimated(share)
     }
 
-    /// Returns the number of nodes that count as alive, but stopped asking and had no contact since.
+    /// Returns the number of nodes that count as alive, but stopped asking and had no contact since, less
+    /// those that would respond to a call, judged by the ones of them that were called.
     fn suspects<P>(&self, peers: &P, now: Millis) -> usize
     where
         P: Peers,
     {
-        let silent = self.askers.silent(now);
-        let suspects = silent
-            .filter(|(node, since)| peers.is_alive(node) && !peers.had_contact_since(node, *since));
-        suspects.count()
+        let (mut calls, mut lost) = (Contacts::default(), 0);
+        for (node, since) in self.askers.silent(now) {
+            let is_alive = peers.is_alive(node);
+            match peers.has_responded(node, since) {
+                Some(true) => calls.answered += 1,
+                Some(false) => {
+                    calls.unanswered += 1;
+                    lost += usize::from(is_alive);
+                }
+                None if peers.had_contact_since(node, since) => {}
+                None => calls.uncalled += usize::from(is_alive),
+            }
+        }
+        lost + calls.uncalled - calls.estimated(calls.response_share())
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -132,16 +132,20 @@
     /// contacted in the next round.
     pub(super) fn owner_reachability(
         &mut self,
-        account: &str,
+        account: &Arc<str>,
         quota: &Quota,
         now: Millis,
     ) -> (Reachability, bool) {
+        if let Some(counted) = self.partition.recent_count(account, now) {
+            return (counted, false);
+        }
         let known = self.reachability(now);
         let usage = self.quotas.usage(account, quota, now);
         let peers = self.roster.peers(now);
         let confirmed = self
             .partition
             .reachability(account, usage, known, &peers, now);
+        self.partition.record_count(account, confirmed, now);
         let unconfirmed = confirmed.unreachable - known.unreachable;
         if unconfirmed > 0 {
             self.selector.record_loss();
--- a/tests/integration/gateway_cluster.rs
+++ b/tests/integration/gateway_cluster.rs
@@ -64,13 +64,13 @@
     }
 }
 
-struct Node {
-    name: Arc<str>,
+pub(crate) struct Node {
+    pub(crate) name: Arc<str>,
     domain: Arc<str>,
     peer: SocketAddr,
     announcement: Announcement,
-    roster: Roster,
-    selector: Selector,
+    pub(crate) roster: Roster,
+    pub(crate) selector: Selector,
     started: u64,
     up: bool,
     /// Whether the host has power; calls to a host without power hang.
@@ -98,17 +98,19 @@
 }
 
 /// A simulated network of nodes in virtual time, each with an address of its own.
-struct Network {
-    nodes: Vec<Node>,
+pub(crate) struct Network {
+    pub(crate) nodes: Vec<Node>,
     known_nodes: Vec<(Arc<str>, SocketAddr)>,
     by_peer: HashMap<SocketAddr, usize>,
     /// The partition that each node is in.
-    partitions: Vec<u32>,
-    now: u64,
+    pub(crate) partitions: Vec<u32>,
+    /// Whether calls to another partition hang.
+    pub(crate) silent_partitions: bool,
+    pub(crate) now: u64,
 }
 
 impl Network {
-    fn new(count: usize) -> Self {
+    pub(crate) fn new(count: usize) -> Self {
         let nodes: Vec<Node> = (0..count).map(Self::node).collect();
         let known_nodes = nodes.iter().map(|n| (Arc::clone(&n.name), n.peer));
         let mut known_nodes: Vec<_> = known_nodes.collect();
@@ -116,6 +118,7 @@
         Self {
             by_peer: nodes.iter().enumerate().map(|(i, n)| (n.peer, i)).collect(),
             partitions: vec![0; count],
+            silent_partitions: false,
             known_nodes,
             nodes,
             now: 0,
@@ -173,7 +176,7 @@
         node.claims_sent.clear();
     }
 
-    fn run(&mut self, ms: u64) {
+    pub(crate) fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
             self.now += 10;
@@ -220,11 +223,14 @@
             node.announcement.watcher = watcher;
             node.announcement.sequence += 1;
         }
+        for name in targets.iter().filter_map(|target| target.node.as_ref()) {
+            node.roster.record_call(name, now);
+        }
         for target in targets {
             let to = self.by_peer[&target.peer];
             if self.nodes[to].up && self.partitions[to] == self.partitions[index] {
                 self.exchange(index, to, target.wants_delta);
-            } else if !self.nodes[to].powered {
+            } else if self.silent_partitions || !self.nodes[to].powered {
                 let due = self.now + HANGING_CALL_MS;
                 self.nodes[index].hanging.entry(to).or_insert(due);
             } else if let Some(name) = &target.node {
@@ -301,7 +307,7 @@
     }
 
     /// Runs until there are no errors of failure detection; returns how long that took.
-    fn converge(&mut self, limit_ms: u64, what: &str) -> u64 {
+    pub(crate) fn converge(&mut self, limit_ms: u64, what: &str) -> u64 {
         let started = self.now;
         while self.detection_errors() != (0, 0) {
             assert!(
--- a/tests/integration/gateway_limits.rs
+++ b/tests/integration/gateway_limits.rs
@@ -5,8 +5,8 @@
 
 use almondpath::clock::Millis;
 use almondpath::gateway::{
-    Consumption, Denial, Grant, GrantReport, Partition, Peers, Quota, Quotas, Reachability,
-    RetryBudget, RetryLimit, Run, Slot, Tolerance,
+    Consumption, Contacts, Denial, Grant, GrantReport, Partition, Peers, Quota, Quotas,
+    Reachability, RetryBudget, RetryLimit, Run, Slot, Tolerance,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -430,11 +430,21 @@
         self.is_alive(node) && self.contact(number(node)) > time.0
     }
 
-    fn count_contacts_since(&self, time: Millis) -> usize {
+    fn has_responded(&self, _: &str, _: Millis) -> Option<bool> {
+        None
+    }
+
+    fn contacts_since<F>(&self, time: Millis, is_known: F) -> Contacts
+    where
+        F: Fn(&str) -> bool,
+    {
         let nodes = (0..NODES).map(|node| format!("n{node}"));
-        let contacts = nodes.filter(|node| self.had_contact_since(node, time));
-        // The owner itself is no contact.
-        contacts.count() - 1
+        let contacts = nodes.filter(|node| self.had_contact_since(node, time) || is_known(node));
+        Contacts {
+            // The owner itself is no contact.
+            confirmed: contacts.count() - 1,
+            ..Contacts::default()
+        }
     }
 
     fn failure_timeout(&self) -> Millis {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod gateway_odd_entries;
 mod gateway_outcomes;
 mod gateway_quarantine;
+mod gateway_quota_contacts;
 mod gateway_responses;
 mod gateway_restore;
 mod gateway_rollouts;
