quota: units leave the window of a quota one after the other

Cause: grants are kept in slots of 500 ms, and all units of a slot left the window at once, so that an account at the limit of the window got nothing and then a burst, by turns of half a second. A time told to a refused caller could not be kept then. Change: the units of the oldest slot leave it evenly. Found while playing refused requests that come back; it has no failing test of its own (gateway_limits, with all bounds of the window, passes).

--- a/src/gateway/quota/history.rs
+++ b/src/gateway/quota/history.rs
@@ -72,8 +72,15 @@
         slots.take_while(move |(age, _)| *age < period + SLOT_LENGTH)
     }
 
+    /// Returns the units granted within the last `period`. The units of a slot leave it one after the
+    /// other, and not all at once.
     fn recent_units(&self, period: Millis, now: Millis) -> f64 {
-        self.recent(period, now).map(|(_, units)| units).sum()
+        let within = |age: Millis| {
+            let left = (period + SLOT_LENGTH - age).as_f64() / SLOT_LENGTH.as_f64();
+            left.min(1.0)
+        };
+        let slots = self.recent(period, now);
+        slots.map(|(age, units)| units * within(age)).sum()
     }
 
     fn forget_before(&mut self, period: Millis, now: Millis) {
