quota: questions on unknown accounts are not recorded

Change: it records questions on accounts of the configuration. No test: the entry point needs a node.

--- a/src/gateway/quota/ownership.rs
+++ b/src/gateway/quota/ownership.rs
@@ -228,12 +228,14 @@
     succession: Succession,
 ) -> Result<Bytes, Error> {
     let now = node.clock.now();
-    node.state()
-        .partition
-        .record_question(&request.account, &request.node, now);
     let active = node.active.load();
     let config = active.as_ref().map(|active| &active.config);
     let account = config.and_then(|config| config.account_by_name(&request.account));
+    if account.is_some() {
+        node.state()
+            .partition
+            .record_question(&request.account, &request.node, now);
+    }
     let quota = account.and_then(|account| account.quota);
     let decide = |quota| decide(node, &request.account, &quota, request.units, succession);
     let decision = match quota.map(decide) {
