quota: the urgent and the cheap go first, and room is kept for those who come back

Cause: the owner of an account's bucket granted in order of arrival. While three accounts sent five times their usual, every kind of request was refused and late alike, and those that came back at once and often took the room of new ones although they were late.

Change, in the owner: while an account sends more than its rate, each kind of request (route) needs some units left, the more the later it is by priority and then by mean cost; kinds that take next to nothing need none, nor do kinds that would fall below 0.3 of the share of all. A quarter of the rate may be promised to denied requests that can still be answered on target, one after the other; the others are told when all denied before them could have been granted. One that comes back before it was told goes last. Nodes send the kind, priority, a hash of the content and the patience of the request at the end of the question; nodes of the release before ignore it, and theirs are decided as before. The limits of the bucket and of the window are unchanged. An account that sends less than its rate is served as before.

Tests: gateway_quota_contention plays a load at 2 to 5 times the quota and compares it with the order of arrival, by kind, size and callers; gateway_quota_kinds a rare kind and the messages of the release before.

Tried and given up: promises by patience alone (the most patient and least urgent were served first), a floor for one kind without those before it (cheap kinds fared worse than large ones), counts that include requests that came back (the floor was in force most of the time).

--- a/src/gateway/forward/admit.rs
+++ b/src/gateway/forward/admit.rs
@@ -7,13 +7,14 @@
 use hyper::{Request, header};
 use rand::Rng;
 use slog::info;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::clock::Millis;
 use crate::gateway::activity::limits;
 use crate::gateway::node::Active;
 use crate::gateway::{
     Account, Denial, Node, Prompt, Reason, Refusal, RequestMetadata, Route,
-    quota::{self, Charge},
+    quota::{self, Ask, Charge, Profile},
 };
 
 use super::attempts::Attempts;
@@ -24,6 +25,13 @@
 /// Time reserved for the response to travel back to the caller before the caller's timeout.
 const RESPONSE_MARGIN: Millis = Millis(10);
 
+/// Part of the time left, as its inverse, after which a caller sends a refused request again at the latest.
+const CALLER_WAIT_FRACTION: u64 = 3;
+
+/// Part of a route's target latency, as its inverse, by which a refused request has to be back to be
+/// answered on target.
+const RETURN_FRACTION: u64 = 2;
+
 /// `Retry-After` of a node that has no configuration or too many requests in flight.
 const OVERLOAD_RETRY_AFTER: Millis = Millis(400);
 
@@ -134,7 +142,9 @@
     // Reading the body may have taken long; the configuration in force now decides.
     let admission = resolve(node, metadata, head)?;
     check_departure(node, &admission.route, metadata, arrived)?;
-    let charge = take_quota(node, admission.account.as_ref(), metadata).await?;
+    let due = deadline(&admission.route, metadata, arrived);
+    let profile = || profile(&admission.route, head, &body, due - node.clock.now());
+    let charge = take_quota(node, admission.account.as_ref(), metadata, profile).await?;
     let service = admission.route.pick_service(rand::rng().random());
     let service = service.cloned().ok_or(Refusal::new(Reason::NoEndpoint))?;
     Ok((admission, charge, service, body))
@@ -201,17 +211,38 @@
         .ok_or(Refusal::new(Reason::UnknownKey))
 }
 
+/// Returns what decides on the place of a request among those of its account.
+fn profile(route: &Route, head: &Parts, body: &Bytes, time_left: Millis) -> Profile {
+    let caller_wait = Millis(time_left.0 / CALLER_WAIT_FRACTION);
+    let path = xxh3_64(head.uri.path().as_bytes());
+    let ticket = || xxh3_64_with_seed(body, path);
+    Profile {
+        kind: xxh3_64(route.name.as_bytes()),
+        priority: route.priority,
+        ticket: (!body.is_empty()).then(ticket),
+        patience: caller_wait.min(Millis(route.target_latency.0 / RETURN_FRACTION)),
+    }
+}
+
 /// Takes the cost of a request from the quota of its account, if it has one.
-async fn take_quota(
+async fn take_quota<F>(
     node: &Arc<Node>,
     account: Option<&Arc<Account>>,
     metadata: &RequestMetadata,
-) -> Result<Option<Charge>, Refused> {
+    profile: F,
+) -> Result<Option<Charge>, Refused>
+where
+    F: FnOnce() -> Profile,
+{
     let Some((account, quota)) = account.and_then(|a| Some((a, a.quota.as_ref()?))) else {
         return Ok(None);
     };
     let cost = quota.cost(metadata.prompt.as_ref().map(Prompt::total_tokens));
-    let taken = quota::take(node, account, quota, cost).await;
+    let ask = Ask {
+        units: cost,
+        profile: Some(profile()),
+    };
+    let taken = quota::take(node, account, quota, &ask).await;
     let charge = |decider| Charge {
         units: cost,
         decider,
@@ -243,6 +274,7 @@
             "level" => over.map(|over| over.denial.level as i64),
             "headroom" => over.map(|over| over.denial.headroom as i64),
             "rate" => over.map(|over| over.denial.rate as i64),
+            "promised" => over.map(|over| over.denial.is_promised),
             "decider" => over.map(|over| format!("{:?}", over.decider)),
             "retry_after_ms" => self.refusal.retry_after.map(|delay| delay.0),
             "config" => node.active.load().as_ref().map(|active| active.config.version),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -68,8 +68,8 @@
 pub use self::prefix_cache::PrefixCache;
 pub use self::quarantine::{Crash, Evidence, Finding, Quarantine, Quarantined, Success};
 pub use self::quota::{
-    Consumption, Contacts, Denial, Grant, GrantReport, Level, Partition, Peers, Quotas, Reachability, Run,
-    Slot, Tolerance,
+    Ask, Consumption, Contacts, Denial, Grant, GrantReport, GrantRequest, Level, Partition, Peers,
+    Profile, Quotas, Reachability, Run, Slot, Tolerance,
 };
 pub use self::refusal::{Reason, Refusal};
 pub use self::registration::{Identity, Registration};
--- a/src/gateway/quota/bucket.rs
+++ b/src/gateway/quota/bucket.rs
@@ -2,10 +2,11 @@
 
 use crate::clock::Millis;
 
+use super::ask::Ask;
+use super::contention::Contention;
 use super::history::Slot;
-
-/// Longest retry delay that a denial states.
-const MAX_RETRY_AFTER: Millis = Millis(10_000);
+use super::room::Room;
+use super::trailing::or_default;
 
 /// Refill rate and bounds of a bucket.
 #[derive(Clone, Copy, Debug)]
@@ -29,21 +30,24 @@
     pub headroom: f64,
     /// Units per second that refill it.
     pub rate: f64,
+    /// Whether room is kept for the request after that time. Earlier releases neither send it nor read
+    /// it.
+    #[serde(deserialize_with = "or_default")]
+    pub is_promised: bool,
 }
 
 /// A token bucket that may be overdrawn.
 ///
 /// A request of any size is granted while the bucket is overdrawn by less than the allowance, so
 /// that large requests wait no longer than small ones.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Bucket {
     level: f64,
     created: Millis,
     updated: Millis,
     /// When a request was last decided.
     used: Option<Millis>,
-    /// Units of denied requests whose retry delay has not passed yet.
-    reserved: f64,
+    contention: Contention,
 }
 
 impl Bucket {
@@ -53,7 +57,7 @@
             created: now,
             updated: now,
             used: None,
-            reserved: 0.0,
+            contention: Contention::default(),
         }
     }
 
@@ -63,25 +67,26 @@
         &mut self,
         limit: &Limit,
         headroom: f64,
-        cost: f64,
+        ask: &Ask,
         now: Millis,
     ) -> Result<(), Denial> {
         self.refill(limit, now);
         self.used = Some(now);
-        let missing = (-limit.allowance - self.level).max(-headroom);
-        if missing < 0.0 {
-            self.level -= cost;
-            return Ok(());
-        }
-        // Requests that were denied earlier retry first.
-        let wait = (missing + self.reserved) / limit.rate * 1_000.0;
-        self.reserved += cost;
-        Err(Denial {
-            retry_after: Millis(wait as u64 + 1).min(MAX_RETRY_AFTER),
+        let room = Room {
+            units: (self.level + limit.allowance).min(headroom),
+            rate: limit.rate,
+            allowance: limit.allowance,
+        };
+        let decided = self.contention.decide(ask, &room, now);
+        decided.map_err(|delay| Denial {
+            retry_after: delay.time,
             level: self.level,
             headroom,
             rate: limit.rate,
-        })
+            is_promised: delay.is_promised,
+        })?;
+        self.level -= ask.units;
+        Ok(())
     }
 
     /// Deducts units that other nodes granted since the level was first known.
@@ -117,7 +122,6 @@
     fn refill(&mut self, limit: &Limit, now: Millis) {
         let added = limit.rate * (now - self.updated).as_f64() / 1_000.0;
         self.level = (self.level + added).min(limit.burst);
-        self.reserved = (self.reserved - added).max(0.0);
         self.updated = now;
     }
 }
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -5,23 +5,30 @@
 //! agree. A static share of the quota at each node would not do: with 80 nodes and requests that
 //! each cost a fraction of a second's quota, no node's share would admit a single request.
 
+mod ask;
 mod askers;
 mod bucket;
 mod contacts;
+mod contention;
+mod delay;
 mod history;
+mod kinds;
 mod ownership;
 mod partition;
 mod quotas;
+mod returns;
+mod room;
 mod tolerance;
+mod trailing;
 mod window_limit;
 
+pub use self::ask::{Ask, Profile};
 pub use self::bucket::Denial;
 pub use self::contacts::Contacts;
 pub use self::history::{Grant, Run, Slot};
+pub use self::ownership::GrantRequest;
 pub use self::partition::{Consumption, Partition, Peers};
 pub use self::quotas::{GrantReport, Level, Quotas, Reachability};
 pub use self::tolerance::Tolerance;
 
-pub(super) use self::ownership::{
-    Charge, Decider, GrantRequest, OwnerBackoff, Succession, respond, take,
-};
+pub(super) use self::ownership::{Charge, Decider, OwnerBackoff, Succession, respond, take};
--- a/src/gateway/quota/ownership.rs
+++ b/src/gateway/quota/ownership.rs
@@ -13,6 +13,9 @@
 use crate::gateway::{Account, Denial, Node, Quota};
 use crate::peer::{Handle, Method};
 
+use super::ask::{Ask, Profile};
+use super::trailing::or_default;
+
 /// Timeout of asking an owner: a few times the round trip between failure domains plus a decision.
 const DECISION_TIMEOUT: Millis = Millis(60);
 
@@ -27,12 +30,26 @@
 const MAX_ASKING_TIME: Millis = Millis(100);
 
 /// A request to the owner of an account's bucket to grant units.
-#[derive(Debug, Serialize, Deserialize)]
-pub(in crate::gateway) struct GrantRequest {
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GrantRequest {
     /// Name of the node that asks.
-    node: Arc<str>,
-    account: Arc<str>,
-    units: f64,
+    pub node: Arc<str>,
+    /// The account.
+    pub account: Arc<str>,
+    /// Quota units that the request costs.
+    pub units: f64,
+    /// Which request it is. Earlier releases neither send it nor read it.
+    #[serde(deserialize_with = "or_default")]
+    pub profile: Option<Profile>,
+}
+
+impl GrantRequest {
+    fn ask(&self) -> Ask {
+        Ask {
+            units: self.units,
+            profile: self.profile,
+        }
+    }
 }
 
 /// Why a node is asked for a decision.
@@ -102,7 +119,7 @@
     node: &Node,
     account: &Account,
     quota: &Quota,
-    cost: f64,
+    ask: &Ask,
 ) -> Result<Decider, (Denial, Decider)> {
     if quota.rate <= 0.0 {
         return Ok(Decider::Own);
@@ -119,10 +136,10 @@
             continue;
         }
         let Some(owner) = owner else {
-            let taken = decide(node, &account.name, quota, cost, succession);
+            let taken = decide(node, &account.name, quota, ask, succession);
             return decided_by(Decider::Own, taken);
         };
-        match request_decision(node, owner, &account.name, cost, succession).await {
+        match request_decision(node, owner, &account.name, ask, succession).await {
             Some(Decision::Granted) => return Ok(Decider::Owner(owner)),
             Some(Decision::Denied(denial)) => return Err((denial, Decider::Owner(owner))),
             Some(Decision::Unknown) => {}
@@ -135,7 +152,7 @@
     let reachability = state.reachability(now);
     let taken = state
         .quotas
-        .take_local(&account.name, quota, cost, reachability, now);
+        .take_local(&account.name, quota, ask.units, reachability, now);
     decided_by(Decider::Alone, taken)
 }
 
@@ -161,7 +178,7 @@
     node: &Node,
     account: &Arc<str>,
     quota: &Quota,
-    cost: f64,
+    ask: &Ask,
     succession: Succession,
 ) -> Result<(), Denial> {
     let now = node.clock.now();
@@ -178,25 +195,37 @@
     if succession == Succession::AfterLoss {
         reachability.lost_at = Some(now);
     }
-    state.quotas.take(account, quota, cost, reachability, now)?;
+    let taken = state.quotas.take(account, quota, *ask, reachability, now);
+    count_decision(&taken);
+    taken?;
     if state.quotas.has_to_report(account, quota) {
         node.grants_unreported.notify_one();
     }
     Ok(())
 }
 
+fn count_decision(taken: &Result<(), Denial>) {
+    let outcome = match taken {
+        Ok(()) => "granted",
+        Err(denial) if denial.is_promised => "promised",
+        Err(_) => "denied",
+    };
+    metrics::counter!("almondpath_quota_decisions_total", "outcome" => outcome).increment(1);
+}
+
 async fn request_decision(
     node: &Node,
     owner: SocketAddr,
     account: &Arc<str>,
-    units: f64,
+    ask: &Ask,
     succession: Succession,
 ) -> Option<Decision> {
     let handle = node.peer_handle.get()?;
     let request = GrantRequest {
         node: Arc::clone(&node.settings.node),
         account: Arc::clone(account),
-        units,
+        units: ask.units,
+        profile: ask.profile,
     };
     let message = match succession {
         Succession::Preferred => Message::Quota(request),
@@ -237,7 +266,7 @@
             .record_question(&request.account, &request.node, now);
     }
     let quota = account.and_then(|account| account.quota);
-    let decide = |quota| decide(node, &request.account, &quota, request.units, succession);
+    let decide = |quota| decide(node, &request.account, &quota, &request.ask(), succession);
     let decision = match quota.map(decide) {
         None => Decision::Unknown,
         Some(Ok(())) => Decision::Granted,
--- a/src/gateway/quota/quotas.rs
+++ b/src/gateway/quota/quotas.rs
@@ -6,6 +6,7 @@
 use crate::clock::Millis;
 use crate::gateway::Quota;
 
+use super::ask::Ask;
 use super::bucket::{Bucket, Denial, Limit};
 use super::history::{Grant, History, Run, Slot};
 use super::partition::Consumption;
@@ -107,19 +108,23 @@
         }
     }
 
-    /// Grants a request of this cost as the owner of the account's bucket.
+    /// Grants a request as the owner of the account's bucket.
     ///
     /// # Errors
     ///
     /// Fails with the denial when the account is over its quota.
-    pub fn take(
+    pub fn take<A>(
         &mut self,
         account: &Arc<str>,
         quota: &Quota,
-        cost: f64,
+        ask: A,
         reachability: Reachability,
         now: Millis,
-    ) -> Result<(), Denial> {
+    ) -> Result<(), Denial>
+    where
+        A: Into<Ask>,
+    {
+        let ask = ask.into();
         if quota.rate <= 0.0 {
             return Ok(());
         }
@@ -131,8 +136,8 @@
                 .insert(Arc::clone(account), Bucket::new(level, now));
         }
         let bucket = self.owned.get_mut(account).expect("it was inserted");
-        bucket.take(&limit, headroom, cost, now)?;
-        self.record_grant(account, cost, now);
+        bucket.take(&limit, headroom, &ask, now)?;
+        self.record_grant(account, ask.units, now);
         Ok(())
     }
 
@@ -160,7 +165,7 @@
         let headroom = self.headroom(account, quota, now);
         let bucket = self.local.entry(Arc::clone(account));
         let bucket = bucket.or_insert_with(|| Bucket::new(limit.burst * INITIAL_LEVEL_SHARE, now));
-        bucket.take(&limit, headroom, cost, now)?;
+        bucket.take(&limit, headroom, &cost.into(), now)?;
         self.record_grant(account, cost, now);
         Ok(())
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -22,6 +22,8 @@
 mod gateway_outcomes;
 mod gateway_quarantine;
 mod gateway_quota_contacts;
+mod gateway_quota_contention;
+mod gateway_quota_kinds;
 mod gateway_responses;
 mod gateway_restore;
 mod gateway_rollouts;
