--- a/src/gateway/capacity/regression.rs
+++ b/src/gateway/capacity/regression.rs
@@ -75,10 +75,11 @@
             if matrix[pivot][pivot] < MIN_PIVOT {
                 return;
             }
+            let above = matrix[pivot];
             for row in pivot + 1..N {
-                let factor = matrix[row][pivot] / matrix[pivot][pivot];
-                for column in pivot..N {
-                    matrix[row][column] -= factor * matrix[pivot][column];
+                let factor = matrix[row][pivot] / above[pivot];
+                for (cell, above) in matrix[row].iter_mut().zip(above) {
+                    *cell -= factor * above;
                 }
                 values[row] -= factor * values[pivot];
             }
--- a/tests/integration/gateway_balancing.rs
+++ b/tests/integration/gateway_balancing.rs
@@ -8,7 +8,7 @@
 use almondpath::gateway::capacity::{Conditions, Delay, Speeds, Targets};
 use almondpath::gateway::rollout::Versions;
 use almondpath::gateway::{
-    Choice, Fleet, Identity, Load, Prompt, Query, Registration, Segment, choose,
+    Choice, Endpoint, Fleet, Identity, Load, Prompt, Query, Registration, Segment, choose,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -107,6 +107,11 @@
     }
 }
 
+fn number_of(endpoint: &Endpoint) -> usize {
+    let id = &endpoint.registration.identity.id;
+    id[1..].parse().expect("a number")
+}
+
 fn prompt(prefix: u64, unique: u32, id: u64) -> Prompt {
     let segment = |id, tokens| Segment { id, tokens };
     Prompt {
@@ -138,9 +143,7 @@
         fleet.register(registration(number), 400_000, now);
     }
     for (_, endpoint) in fleet.iter_mut() {
-        let number: usize = endpoint.registration.identity.id[1..]
-            .parse()
-            .expect("a number");
+        let number = number_of(endpoint);
         let slowness = 1.0 / SPEEDS[number % SPEEDS.len()];
         endpoint.slowness.record_shared(slowness);
     }
@@ -236,9 +239,7 @@
         let endpoint = fleet.get_mut(choice.key).expect("the endpoint");
         endpoint.record_sent();
         endpoint.pending_tokens += choice.uncached_tokens;
-        let engine: usize = endpoint.registration.identity.id[1..]
-            .parse()
-            .expect("a number");
+        let engine = number_of(endpoint);
         let (first, end) = self.engines[engine].serve(at, prefix, unique, slowdown(engine));
         let request = self.sent.len();
         self.sent.push(Sent {
@@ -267,9 +268,6 @@
             fresh
         };
         self.fleets = self.fleets.iter().map(fresh).collect();
-        for sent in &mut self.sent {
-            sent.choice.uncached_tokens = 0;
-        }
         self.due.clear();
     }
 }
@@ -386,9 +384,8 @@
         let tokens = 500 + number % 9 * 1_000;
         let met = Conditions {
             tokens,
-            backlog_ms: 0.0,
-            outstanding: 0.0,
             scale: 1.0,
+            ..Conditions::default()
         };
         profile.record_first_event(met, Millis(10 + tokens / 50));
     }
@@ -397,7 +394,6 @@
         let prompt = prompt(prefix, 30_000, 1);
         let query = query(&prompt, prefix + 1_000);
         let choice = choose(&fleet, &query, Millis(100)).expect("an endpoint");
-        // Only the fastest third reads it in time.
         late_by_home += u32::from(!choice.keeps_targets);
     }
     assert!(late_by_home <= 20, "{late_by_home} of 200 prompts are late");
