--- a/tests/integration/gateway_evacuation.rs
+++ b/tests/integration/gateway_evacuation.rs
@@ -8,7 +8,7 @@
 use almondpath::gateway::{Era, Evacuation, Evacuations, Fleet, Identity, Registration, Revision};
 
 use crate::harness::eventually;
-use crate::platform::{Behaviour, Deployment, Engine, Faults, Request};
+use crate::platform::{Behaviour, Deployment, Engine, Faults, Gateway, Request};
 
 const DOMAIN: &str = "a";
 
@@ -311,7 +311,16 @@
     deployment.store.remove("keyed.op", &key);
 }
 
-/// Sends requests to all gateways; returns how many the endpoints of `a` and of `b` received.
+/// Sends a request until it is served: a node that has just started may refuse some by quota.
+async fn served(gateway: &Gateway, path: &'static str) {
+    eventually("the request is served", async || {
+        let response = gateway.send(&Request::new(path)).await;
+        response.is_some_and(|response| response.status == 200)
+    })
+    .await;
+}
+
+/// Sends requests to all gateways, many at a time; returns how many the endpoints of `a` and of `b` received.
 async fn spread(deployment: &Deployment) -> [usize; 2] {
     let received = || {
         let engines = &deployment.engines;
@@ -322,15 +331,10 @@
     };
     let before = received();
     for gateway in &deployment.gateways {
-        for _ in 0..REQUESTS {
-            for path in ["/unsafe/x", "/safe/x", "/stream/x"] {
-                // A node that has just started may refuse some by quota.
-                eventually("the request is served", async || {
-                    let response = gateway.send(&Request::new(path)).await;
-                    response.is_some_and(|response| response.status == 200)
-                })
-                .await;
-            }
+        for path in ["/unsafe/x", "/safe/x", "/stream/x"] {
+            // One request at a time may always find the same endpoint idle.
+            let requests = (0..REQUESTS).map(|_| served(gateway, path));
+            futures::future::join_all(requests).await;
         }
     }
     let after = received();
