transport: an answer that ends within its request is never whole

A body without a length is whole when the peer ends its data, and the HTTP client asks neither whether the request was written by then nor whether the connection was reset. It passes on any status from 100 to 999 and undoes the last transfer encoding only.

Change. transport::Stream makes the end of the data an error while a request is being written and after a reset; transport::check_head refuses statuses outside 200 to 599, unknown transfer encodings and a 204 with a body. Both are used by the gateway's connections to endpoints and by the HTTP clients of serve. The verdict is "may have run": another endpoint is asked where the request may run again, else 502.

--- a/src/gateway/limited_stream.rs
+++ b/src/gateway/limited_stream.rs
@@ -5,7 +5,8 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::transport::Stream;
 
 /// Maximum number of bytes that are read before the final head of a response, interim heads included;
 /// more than the HTTP client reads ahead of a body.
@@ -47,13 +48,13 @@
 /// A connection to an endpoint with a [`HeadLimit`].
 #[derive(Debug)]
 pub(super) struct LimitedStream {
-    stream: TcpStream,
+    stream: Stream,
     limit: HeadLimit,
 }
 
 impl LimitedStream {
     /// Wraps a connection, and returns its limit as well.
-    pub(super) fn new(stream: TcpStream) -> (Self, HeadLimit) {
+    pub(super) fn new(stream: Stream) -> (Self, HeadLimit) {
         let limit = HeadLimit::new();
         let limited = Self {
             stream,
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::error::{Error, ErrorKind};
+use crate::transport::{Stream, check_head};
 
 use super::endpoint::Key;
 use super::limited_stream::{HeadLimit, LimitedStream};
@@ -109,7 +110,7 @@
     /// # Errors
     ///
     /// Fails with the verdict `NotRun` when nothing was sent, and with `MayHaveRun` on every later
-    /// failure.
+    /// failure and after a malformed response.
     pub async fn send<F>(
         &self,
         key: Key,
@@ -124,7 +125,7 @@
         while let Some(mut sender) = self.take_idle(key, max_idle) {
             check_may_send(&may_send)?;
             match sender.send(request).await {
-                Ok(response) => return Ok((response, Connection::new(key, sender, true))),
+                Ok(response) => return received(response, Connection::new(key, sender, true)),
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) => request = unsent,
@@ -135,7 +136,7 @@
         let mut sender = connect(address).await?;
         check_may_send(&may_send)?;
         match sender.send(request).await {
-            Ok(response) => Ok((response, Connection::new(key, sender, false))),
+            Ok(response) => received(response, Connection::new(key, sender, false)),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = request_error(address, &error.into_error());
@@ -216,7 +217,7 @@
     // Nagle's algorithm would only delay a request that is written at once. Failing to disable it
     // costs latency only.
     let _ = stream.set_nodelay(true);
-    let (stream, head_limit) = LimitedStream::new(stream);
+    let (stream, head_limit) = LimitedStream::new(Stream::new(stream));
     let (requests, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_AHEAD)
         .handshake(TokioIo::new(stream))
@@ -232,6 +233,15 @@
     })
 }
 
+/// Returns a response whose head has arrived with its connection, unless the head is malformed.
+fn received(
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Result<(Response<Incoming>, Connection), Error> {
+    check_head(&response)?;
+    Ok((response, connection))
+}
+
 fn request_error(address: SocketAddr, error: &hyper::Error) -> Error {
     Error::may_have_run(
         ErrorKind::EndpointFailed,
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -16,6 +16,8 @@
 use crate::error::{Error, ErrorKind};
 
 use super::Connection;
+use super::connector::Connector;
+use super::head::check_head;
 
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
@@ -31,7 +33,7 @@
 /// An HTTP/1.1 client for IP addresses; it does not resolve host names.
 #[derive(Clone, Debug)]
 pub struct Client {
-    pool: legacy::Client<HttpConnector, Full<Bytes>>,
+    pool: legacy::Client<Connector, Full<Bytes>>,
     timeout: Millis,
 }
 
@@ -48,7 +50,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from(POOL_IDLE_TIMEOUT))
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(Connector::new(connector));
         Self { pool, timeout }
     }
 
@@ -66,11 +68,12 @@
     ///
     /// # Errors
     ///
-    /// `NotRun` if no connection could be opened, `MayHaveRun` for every later failure.
+    /// `NotRun` if no connection could be opened, `MayHaveRun` for every later failure and for a
+    /// malformed response.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let target = request.uri().clone();
         match timeout(self.timeout.into(), self.pool.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => check_head(&response).map(|()| response),
             Ok(Err(error)) if error.is_connect() => Err(Error::not_run(
                 ErrorKind::Unavailable,
                 format!("connecting to {target} failed: {error}"),
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -11,6 +11,8 @@
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
 
+use super::{Stream, check_head};
+
 /// A connection that is used for one request.
 #[derive(Debug)]
 pub struct Connection {
@@ -37,9 +39,10 @@
             .map_err(|error| connect_error(error.to_string()))?;
         // Nagle's algorithm only delays a single small request. Failing to disable it does no harm.
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| connect_error(error.to_string()))?;
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(Stream::new(stream)))
+                .await
+                .map_err(|error| connect_error(error.to_string()))?;
         tokio::spawn(connection);
         Ok(Self { address, sender })
     }
@@ -60,9 +63,11 @@
                 format!("request to {} failed: {reason}", self.address),
             )
         };
-        tokio::time::timeout(timeout.into(), self.sender.send_request(request))
+        let response = tokio::time::timeout(timeout.into(), self.sender.send_request(request))
             .await
             .map_err(|_| request_error(format!("no response within {timeout}")))?
-            .map_err(|error| request_error(error.to_string()))
+            .map_err(|error| request_error(error.to_string()))?;
+        check_head(&response)?;
+        Ok(response)
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,11 +7,16 @@
 mod body;
 mod client;
 mod connection;
+mod connector;
 mod event;
+mod head;
 mod server;
+mod stream;
 
 pub use self::body::read_body;
 pub use self::client::Client;
 pub use self::connection::Connection;
 pub use self::event::{Event, Events, events, events_with_idle_timeout};
+pub use self::head::check_head;
 pub use self::server::Server;
+pub use self::stream::Stream;
--- a/tests/integration/platform/engine.rs
+++ b/tests/integration/platform/engine.rs
@@ -65,6 +65,8 @@
 pub(crate) enum End {
     Close,
     Reset,
+    /// The end of the data is sent first, and the connection is closed later.
+    Finish,
 }
 
 /// A request that an engine received.
@@ -393,7 +395,7 @@
 }
 
 /// Makes dropping the connection send a reset instead of closing it regularly.
-fn reset(stream: &TcpStream) {
+pub(super) fn reset(stream: &TcpStream) {
     #[allow(
         deprecated,
         reason = "no time is spent on lingering with a timeout of 0"
@@ -403,7 +405,7 @@
         .expect("an open socket");
 }
 
-async fn read(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+pub(super) async fn read(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
