quarantine: in a large cluster objections have the time that news take

Cause: a segment was quarantined 1 s after the suspicion, while news take up to 3 rounds of 0.6 s from one node to another in a large cluster, and the answer as long.

Small clusters keep 1 s.

Also: a link in a documentation comment to a private item.

--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -30,7 +30,7 @@
 pub use self::roster::Roster;
 pub use self::selector::{Selector, Target, View};
 
-pub(super) use self::gossip::run;
+pub(super) use self::gossip::{answer_time, run};
 pub(super) use self::known_nodes::KnownNodes;
 pub(super) use self::message::{Message, decode, encode};
 pub(super) use self::phase::OWNERSHIP_DELAY;
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -82,7 +82,7 @@
 /// prefilling the prefix again, or lets the caller miss the targets.
 ///
 /// All endpoints are compared if there are few or if the nodes know of each other's requests;
-/// otherwise those of a [`Shortlist`], more of them if the first ones would miss the targets.
+/// otherwise those of a `Shortlist`, more of them if the first ones would miss the targets.
 #[must_use]
 pub fn choose(fleet: &Fleet, query: &Query<'_>, now: Millis) -> Option<Choice> {
     let candidates = candidates(fleet, query);
--- a/src/gateway/node.rs
+++ b/src/gateway/node.rs
@@ -316,7 +316,11 @@
     /// Quarantines the prompt segments that crash endpoints.
     pub(super) fn review_crashes(&self) {
         let wall = self.wall_time();
-        let findings = self.state().quarantine.review(wall);
+        let findings = {
+            let state = &mut *self.state();
+            let objection_time = cluster::answer_time(state.roster.is_small());
+            state.quarantine.review(wall, objection_time)
+        };
         for finding in findings {
             slog::warn!(self.log, "prompt segment quarantined";
                 "segment" => format!("{:x}", finding.segment),
--- a/src/gateway/quarantine/quarantine.rs
+++ b/src/gateway/quarantine/quarantine.rs
@@ -40,9 +40,6 @@
 /// after it: when many endpoints crash at once, segments in wide use are in all of the crashes.
 const SUCCESS_PERIOD: Millis = Millis(2_000);
 
-/// Time for which other nodes can report successes before a segment is quarantined.
-const OBJECTION_PERIOD: Millis = Millis(1_000);
-
 /// Time for which a crash counts.
 const CRASH_RETENTION: Millis = Millis::from_secs(60);
 
@@ -276,12 +273,15 @@
     }
 
     /// Quarantines the segments that crash endpoints, and forgets what is too old to matter.
-    pub fn review(&mut self, now: Millis) -> Vec<Finding> {
+    ///
+    /// A segment stays allowed for `objection_time` after it became suspected, in which the other nodes
+    /// learn of the suspicion and report their successes.
+    pub fn review(&mut self, now: Millis, objection_time: Millis) -> Vec<Finding> {
         self.forget(now);
         let suspects = self.suspects().into_iter();
         let findings: Vec<Finding> = suspects
             .filter(|segment| !self.quarantined.contains_key(segment))
-            .filter_map(|segment| self.judge(segment, now))
+            .filter_map(|segment| self.judge(segment, now, objection_time))
             .collect();
         for finding in &findings {
             if self.quarantined.len() < MAX_QUARANTINED {
@@ -291,15 +291,14 @@
         findings
     }
 
-    fn judge(&self, segment: u64, now: Millis) -> Option<Finding> {
+    fn judge(&self, segment: u64, now: Millis, objection_time: Millis) -> Option<Finding> {
         let involvement = self.involvement(segment)?;
         let Involvement {
             endpoints,
             requests,
             ..
         } = involvement;
-        // Since the suspicion, the other nodes have reported their successes.
-        if involvement.suspected_at? + OBJECTION_PERIOD > now {
+        if involvement.suspected_at? + objection_time > now {
             return None;
         }
         let is_enough = |required: &Required| {
--- a/tests/integration/gateway_quarantine.rs
+++ b/tests/integration/gateway_quarantine.rs
@@ -16,6 +16,9 @@
 /// Time within which nodes learn of each other's evidence.
 const EXCHANGE_MS: u64 = 500;
 
+/// Time that a suspicion and the objections to it take.
+const OBJECTION_TIME: Millis = Millis(1_000);
+
 /// Time after which a caller sends a request again.
 const RETURN_MS: u64 = 100;
 
@@ -214,7 +217,7 @@
         }
         if now.is_multiple_of(REVIEW_MS) {
             for node in &mut self.nodes {
-                node.review(Millis(now));
+                node.review(Millis(now), OBJECTION_TIME);
             }
         }
     }
@@ -409,3 +412,46 @@
     let evidence = node.evidence(now + Millis(200));
     assert!(evidence.successes.iter().any(|s| s.segment == ACCUSED));
 }
+
+/// Guards against refusing a segment in wide use in a large cluster, in which the successes of other
+/// nodes are known only seconds after a few responses were lost.
+#[test]
+fn a_segment_in_wide_use_outlasts_lost_responses_in_a_large_cluster() {
+    const NODES: u64 = 74;
+    const WIDE: u64 = 7;
+    /// Time that news take from one node to another, through two readers.
+    const NEWS_MS: u64 = 1_800;
+    const ROUND_MS: u64 = 200;
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut nodes: Vec<Quarantine> = (0..NODES).map(|_| Quarantine::default()).collect();
+        let mut news: Vec<(u64, Evidence)> = Vec::new();
+        for now in (ROUND_MS..8_000).step_by(ROUND_MS as usize) {
+            // One request in fifteen gets no response, of whichever segment.
+            for request in 0..40 {
+                let node = rng.random_range(0..NODES) as usize;
+                let at = Millis(now);
+                if rng.random_range(0..15) > 0 {
+                    nodes[node].record_success([WIDE], at);
+                } else {
+                    nodes[node].record_crash(Crash {
+                        endpoint: rng.random_range(0..70),
+                        request: now * 1_000 + request,
+                        segments: vec![WIDE],
+                        at,
+                    });
+                }
+            }
+            news.extend(nodes.iter().map(|node| (now, node.evidence(Millis(now)))));
+            for (_, evidence) in news.iter().filter(|(sent, _)| sent + NEWS_MS == now) {
+                for node in &mut nodes {
+                    node.merge(evidence, Millis(now));
+                }
+            }
+            for node in &mut nodes {
+                let found = node.review(Millis(now), Millis(2 * NEWS_MS));
+                assert_eq!(found, [], "seed {seed} at {now} ms");
+            }
+        }
+    }
+}
