--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Millis;
 
-use super::{Health, Load, PrefixCache, Prompt, Registration};
+use super::{Health, Load, PrefixCache, Prompt, Ramp, Registration};
 
 new_key_type! {
     /// Key of an endpoint in a [`Fleet`](super::Fleet).
@@ -68,6 +68,8 @@
     pub cold_until: Millis,
     /// Number of the last turn that this node took while the endpoint was cold.
     last_turn: Option<u64>,
+    /// Its pace after its start or recovery; none if it was known before.
+    pub ramp: Option<Ramp>,
     /// Until when it wants no requests from this node.
     pub declines_until: Millis,
     /// Its health, judged by the outcomes of requests.
@@ -98,6 +100,7 @@
             remote_inflight: 0,
             cold_until: now + registration.cold,
             last_turn: None,
+            ramp: None,
             declines_until: Millis::ZERO,
             health: Health::default(),
             prefixes: PrefixCache::new(memory_tokens),
@@ -117,6 +120,25 @@
     pub fn record_sent(&mut self) {
         self.inflight += 1;
         self.sent_since_load += 1;
+        if let Some(ramp) = &mut self.ramp {
+            ramp.record_sent();
+        }
+    }
+
+    /// Records a response, and whether it reported a failure.
+    pub fn record_response(&mut self, failed: bool, now: Millis) {
+        if self.health.is_unproven() {
+            self.start_ramp(now);
+        }
+        if let Some(ramp) = self.ramp.as_mut().filter(|_| failed) {
+            ramp.record_failure(now);
+        }
+        self.health.record_response(failed, now);
+    }
+
+    /// Lets the pace of requests grow from a low one.
+    pub fn start_ramp(&mut self, now: Millis) {
+        self.ramp = Some(Ramp::new(self.registration.slots, now));
     }
 
     /// Takes a turn for a request, if it needs one; returns whether there was one left.
@@ -131,6 +153,9 @@
     pub fn record_load(&mut self, load: Load, now: Millis) {
         self.load = Some((load, now));
         self.sent_since_load = 0;
+        if let Some(ramp) = &mut self.ramp {
+            ramp.record_answer(load.waiting > 0, now);
+        }
     }
 
     /// Records that the endpoint wants no requests from this node for some time. A shorter time than
--- a/src/gateway/evacuation/apply.rs
+++ b/src/gateway/evacuation/apply.rs
@@ -3,13 +3,30 @@
 
 use slog::warn;
 
-use crate::gateway::{Era, Node, Record, Revision};
+use crate::gateway::{Era, Node, Position, Record, Revision};
 
 use super::{Evacuation, Evacuations};
 
 impl Node {
+    /// Applies the evacuations among records of the operator's topic that lead to a position. They are
+    /// the latest records of all keys, unless they were written just now (`is_fresh`).
+    pub(in crate::gateway) fn apply_evacuations(
+        &self,
+        records: &[Record],
+        at: &Position,
+        is_fresh: bool,
+    ) {
+        if is_fresh {
+            for record in records {
+                self.apply_evacuation_record(record, at.era);
+            }
+        } else if let Some(revision) = at.revision() {
+            self.apply_evacuation_snapshot(records, revision);
+        }
+    }
+
     /// Applies the orders to evacuate among the latest records of the operator's topic.
-    pub(in crate::gateway) fn apply_evacuation_snapshot(&self, records: &[Record], at: Revision) {
+    fn apply_evacuation_snapshot(&self, records: &[Record], at: Revision) {
         let orders: BTreeMap<_, _> = records
             .iter()
             .filter(|record| record.value.is_some())
@@ -19,7 +36,7 @@
     }
 
     /// Applies a record of the operator's topic if it orders an evacuation or removes such an order.
-    pub(in crate::gateway) fn apply_evacuation_record(&self, record: &Record, era: Era) {
+    fn apply_evacuation_record(&self, record: &Record, era: Era) {
         let Some(domain) = self.evacuated_domain(record) else {
             return;
         };
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -14,6 +14,9 @@
 /// Time after the return of the store within which endpoints whose entries expired register again.
 pub(super) const MISSING_TIMEOUT: Millis = Millis(2_500);
 
+/// Time for which an endpoint serves until those that join its service count as new.
+const SETTLE_TIME: Millis = Millis(3_000);
+
 /// A change of an endpoint's lifecycle, as this node sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Transition {
@@ -178,6 +181,7 @@
         now: Millis,
     ) -> RegisterOutcome {
         let inserted = |transition| RegisterOutcome::Changed(Some(transition));
+        let joins = self.has_settled(&registration.service, now);
         let Some(key) = self.find(&registration.identity.id) else {
             return inserted(self.insert(registration, memory_tokens, now));
         };
@@ -221,6 +225,9 @@
             Lifecycle::Ready
         };
         let transition = Self::transition(known, lifecycle, now);
+        if joins && transition.is_some() {
+            known.start_ramp(now);
+        }
         if is_new || transition.is_some() {
             RegisterOutcome::Changed(transition)
         } else {
@@ -344,6 +351,9 @@
         if leaving {
             endpoint.lifecycle = Lifecycle::Leaving;
         }
+        if self.has_settled(&service, now) {
+            endpoint.start_ramp(now);
+        }
         let lifecycle = endpoint.lifecycle;
         let key = self.endpoints.insert(endpoint);
         self.by_id.insert(Arc::clone(&identity.id), key);
@@ -355,6 +365,16 @@
         }
     }
 
+    /// Returns whether an endpoint of a service has served for some time, so that one that joins it is
+    /// new, and not merely new to this node.
+    fn has_settled(&self, service: &str, now: Millis) -> bool {
+        self.endpoints.values().any(|endpoint| {
+            endpoint.lifecycle == Lifecycle::Ready
+                && endpoint.lifecycle_since + SETTLE_TIME <= now
+                && &*endpoint.registration.service == service
+        })
+    }
+
     fn transition(
         endpoint: &mut Endpoint,
         lifecycle: Lifecycle,
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -262,7 +262,8 @@
         let (batch, at) = follower.next().await;
         let is_fresh = matches!(batch, Batch::Records(_));
         let (Batch::Snapshot(records) | Batch::Records(records)) = batch;
-        apply_evacuations(&node, &records, &at, is_fresh);
+        // They hold from the first request on that a configuration admits.
+        node.apply_evacuations(&records, &at, is_fresh);
         for record in &records {
             apply_operator_record(&node, record, is_fresh);
         }
@@ -273,18 +274,6 @@
     }
 }
 
-/// Applies the evacuations among records of the operator's topic, which hold from the first request
-/// on that a configuration admits.
-fn apply_evacuations(node: &Node, records: &[Record], at: &Position, is_fresh: bool) {
-    if is_fresh {
-        for record in records {
-            node.apply_evacuation_record(record, at.era);
-        }
-    } else if let Some(revision) = at.revision() {
-        node.apply_evacuation_snapshot(records, revision);
-    }
-}
-
 /// Applies a record of the operator's topic. `is_fresh` is whether it was written just now.
 fn apply_operator_record(node: &Node, record: &Record, is_fresh: bool) {
     let (Some(key), Some(value)) = (&record.key, &record.value) else {
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -129,12 +129,13 @@
 }
 
 /// Returns the cost of an endpoint beyond its expected time to the first event, in milliseconds:
-/// for another failure domain, for recent failures, and for a cold start.
+/// for another failure domain, for recent failures, for its pace, and for a cold start.
 fn penalty_ms(endpoint: &Endpoint, query: &Query<'_>, now: Millis) -> f64 {
     let far = f64::from(u8::from(&*endpoint.registration.domain != query.domain))
         * CROSS_DOMAIN_PENALTY_MS;
     let failing = endpoint.health.failure_ratio(now) * FAILURE_PENALTY_MS;
-    far + failing + endpoint.cold_left(now).as_f64() * 0.1
+    let ramp = query.pacing.ramp_penalty_ms(endpoint, now);
+    far + failing + ramp + endpoint.cold_left(now).as_f64() * 0.1
 }
 
 /// Returns the home endpoint of a prefix by rendezvous hashing: when the fleet changes, only the
--- a/src/gateway/forward/dispatch.rs
+++ b/src/gateway/forward/dispatch.rs
@@ -12,9 +12,7 @@
 use crate::gateway::endpoint::Key;
 use crate::gateway::state::State;
 use crate::gateway::upstream::Connection;
-use crate::gateway::{
-    ColdLimit, ForwardMetadata, Node, Pacing, Place, ResponseMetadata, RetryPolicy,
-};
+use crate::gateway::{ColdLimit, ForwardMetadata, Node, Pacing, ResponseMetadata, RetryPolicy};
 use crate::verdict::Verdict;
 
 use super::admit::LEAVING_RETRY_AFTER;
@@ -191,7 +189,7 @@
     let limit = limit.and_then(|(service, tolerance)| ColdLimit::new(service.cold_rate, tolerance));
     Pacing {
         limit,
-        place: limit.map_or(Place::ALONE, |_| state.place(settings)),
+        place: state.place(settings),
         wall,
     }
 }
--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -208,7 +208,7 @@
         self.silent = false;
         let now = self.node.clock.now();
         if let Some(endpoint) = self.node.state().fleet.get_mut(self.key) {
-            endpoint.health.record_response(failed, now);
+            endpoint.record_response(failed, now);
             endpoint.last_received = now;
             if let Some(load) = load {
                 endpoint.record_load(load, now);
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -55,12 +55,18 @@
     /// each failure extends the block.
     #[must_use]
     pub fn is_blocked(&self, now: Millis, inflight: u32) -> bool {
-        if self.consecutive_failures < FAILURES_TO_BLOCK {
+        if !self.is_unproven() {
             return false;
         }
         now < self.blocked_until || inflight > 0
     }
 
+    /// Returns whether the endpoint was blocked, and has not responded since.
+    #[must_use]
+    pub fn is_unproven(&self) -> bool {
+        self.consecutive_failures >= FAILURES_TO_BLOCK
+    }
+
     /// Returns the fraction of recent requests that failed, from 0 to 1.
     #[must_use]
     pub fn failure_ratio(&self, now: Millis) -> f64 {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -68,7 +68,7 @@
 pub use self::lease::{Committed, DutyEntry, DutyRecord, Lease, Terms, Totals};
 pub use self::load::Load;
 pub use self::node::{Adapters, Node};
-pub use self::pace::{ColdLimit, ColdTolerance, Pacing, Place, Turns};
+pub use self::pace::{ColdLimit, ColdTolerance, Pacing, Place, Ramp, Turns};
 pub use self::prefix_cache::PrefixCache;
 pub use self::quarantine::{Crash, Evidence, Finding, Quarantine, Quarantined, Success};
 pub use self::quota::{
--- a/src/gateway/pace/pacing.rs
+++ b/src/gateway/pace/pacing.rs
@@ -7,7 +7,11 @@
 
 use super::{ColdLimit, Place, Turns};
 
-/// What the turns of a node at the cold endpoints of a service depend on.
+/// Time that a request waits elsewhere at most in place of exceeding the pace of an endpoint, in
+/// milliseconds.
+const MAX_DETOUR_MS: f64 = 500.0;
+
+/// What the share of a node in the pace of a service's endpoints depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Pacing {
     /// Limit of the service's endpoints; none if they need none.
@@ -35,12 +39,24 @@
         self.turns(endpoint, now)?.open(self.wall)
     }
 
+    /// Returns the cost of a request of this node to an endpoint that has just started or recovered,
+    /// in milliseconds: it goes there if no other endpoint serves it much earlier.
+    #[must_use]
+    pub fn ramp_penalty_ms(&self, endpoint: &Endpoint, now: Millis) -> f64 {
+        let admitted = endpoint
+            .ramp
+            .is_none_or(|ramp| ramp.admits(self.place, offset(endpoint), now));
+        if admitted { 0.0 } else { MAX_DETOUR_MS }
+    }
+
     fn turns(&self, endpoint: &Endpoint, now: Millis) -> Option<Turns> {
         let limit = self.limit?;
         let is_cold = endpoint.cold_left(now) > Millis::ZERO;
-        is_cold.then(|| {
-            let offset = xxh3_64(endpoint.registration.identity.id.as_bytes());
-            Turns::new(limit, self.place, offset)
-        })
+        is_cold.then(|| Turns::new(limit, self.place, offset(endpoint)))
     }
 }
+
+/// Returns by how much the order of the nodes is shifted at an endpoint.
+fn offset(endpoint: &Endpoint) -> u64 {
+    xxh3_64(endpoint.registration.identity.id.as_bytes())
+}
