--- a/src/gateway/scaler/plan.rs
+++ b/src/gateway/scaler/plan.rs
@@ -4,17 +4,10 @@
 
 use super::capacity::{Capacity, steady, total};
 
-/// Target utilization of a few endpoints together; the rest is headroom for bursts and the loss of a
+/// Target utilization of all endpoints together; the rest is headroom for bursts and the loss of a
 /// domain.
 const TARGET_UTILIZATION: f64 = 0.42;
 
-/// Target utilization of many endpoints, whose load varies less.
-const MAX_TARGET_UTILIZATION: f64 = 0.55;
-
-/// Headroom of a service in standard deviations of its load, which is taken as the sum of independent
-/// requests.
-const HEADROOM_DEVIATIONS: f64 = 2.2;
-
 /// Utilization at which the steady endpoints could carry the demand alone, until replacements for
 /// reclaimed endpoints serve.
 const STEADY_UTILIZATION: f64 = 0.7;
@@ -81,23 +74,19 @@
 
 /// Returns the required number of endpoints, and how many of them must be steady.
 fn required(busy: f64, need: Need) -> (u32, u32) {
-    let by_slots =
-        |utilization: f64| need.occupied / SLOT_UTILIZATION * (TARGET_UTILIZATION / utilization);
-    let steady_utilization = if need.spot_refused {
+    let endpoints = |utilization: f64| {
+        (busy / utilization)
+            .max(need.occupied / SLOT_UTILIZATION * (TARGET_UTILIZATION / utilization))
+    };
+    let floor = endpoints(if need.spot_refused {
         STEADY_UTILIZATION_WITHOUT_SPOT
     } else {
         STEADY_UTILIZATION
-    };
-    let total = with_headroom(busy).max(by_slots(TARGET_UTILIZATION));
-    let floor = (busy / steady_utilization).max(by_slots(steady_utilization));
-    (total.max(floor).ceil() as u32, floor.ceil() as u32)
-}
-
-/// Returns the number of endpoints for this many busy ones.
-fn with_headroom(busy: f64) -> f64 {
-    let least = busy / MAX_TARGET_UTILIZATION;
-    let most = busy / TARGET_UTILIZATION;
-    (busy + HEADROOM_DEVIATIONS * busy.sqrt()).clamp(least, most)
+    });
+    (
+        endpoints(TARGET_UTILIZATION).ceil() as u32,
+        floor.ceil() as u32,
+    )
 }
 
 /// Adds steady endpoints in the cheapest domains, or removes them from the most expensive ones. A
