--- a/src/gateway/cluster/mod.rs
+++ b/src/gateway/cluster/mod.rs
@@ -20,6 +20,7 @@
 mod readers;
 mod responder;
 mod roster;
+mod rounds;
 mod selector;
 mod speeds;
 
@@ -30,8 +31,9 @@
 pub use self::roster::Roster;
 pub use self::selector::{Selector, Target, View};
 
-pub(super) use self::gossip::{answer_time, run};
+pub(super) use self::gossip::run;
 pub(super) use self::known_nodes::KnownNodes;
 pub(super) use self::message::{Message, decode, encode};
 pub(super) use self::phase::OWNERSHIP_DELAY;
 pub(super) use self::responder::Responder;
+pub(super) use self::rounds::answer_time;
