pace: a pace that has ended is forgotten

Cause: the growing pace of an endpoint that joined or recovered was kept for ever. Each later response with a failure restarted it, at half of the rate each time, and reports of a queue moved it back, so that such an endpoint got less than its share for good. Change: a pace that is not limited any more is dropped before a response is recorded.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -59,7 +59,7 @@
     pub cold_until: Millis,
     /// Number of the last turn that this node took while the endpoint was cold.
     last_turn: Option<u64>,
-    /// Its pace after its start or recovery; none if it was known before.
+    /// Its pace after its start or recovery, while it is limited.
     pub ramp: Option<Ramp>,
     /// Until when it wants no requests from this node.
     pub declines_until: Millis,
@@ -122,6 +122,7 @@
 
     /// Records a response, and whether it reported a failure.
     pub fn record_response(&mut self, failed: bool, now: Millis) {
+        self.end_ramp(now);
         if self.health.is_unproven() {
             self.start_ramp(now);
         }
@@ -133,9 +134,15 @@
 
     /// Lets the pace of requests grow from a low one.
     pub fn start_ramp(&mut self, now: Millis) {
+        metrics::counter!("almondpath_endpoint_paces_total").increment(1);
         self.ramp = Some(Ramp::new(self.registration.slots, now));
     }
 
+    /// Forgets a pace that is not limited any more: later responses must not limit it again.
+    fn end_ramp(&mut self, now: Millis) {
+        self.ramp = self.ramp.filter(|ramp| !ramp.has_ended(now));
+    }
+
     /// Takes a turn for a request, if it needs one; returns whether there was one left.
     pub fn take_turn(&mut self, turn: Option<u64>) -> bool {
         let Some(turn) = turn else { return true };
@@ -151,6 +158,7 @@
         self.contention = load
             .contention()
             .map(|factor| Contention { factor, at: now });
+        self.end_ramp(now);
         if let Some(ramp) = &mut self.ramp {
             ramp.record_answer(load.waiting > 0, now);
         }
--- a/src/gateway/pace/ramp.rs
+++ b/src/gateway/pace/ramp.rs
@@ -74,14 +74,20 @@
 
 /// Decisions.
 impl Ramp {
+    /// Returns whether the pace is not limited any more.
+    #[must_use]
+    pub fn has_ended(&self, now: Millis) -> bool {
+        (now - self.began).0 >= DOUBLING_TIME.0 * DOUBLINGS
+    }
+
     /// Returns whether the node at this place may send a request. `offset` shifts the order of the
     /// nodes, which begin at different endpoints.
     #[must_use]
     pub fn admits(&self, place: Place, offset: u64, now: Millis) -> bool {
-        let passed = now - self.began;
-        if passed.0 >= DOUBLING_TIME.0 * DOUBLINGS {
+        if self.has_ended(now) {
             return true;
         }
+        let passed = now - self.began;
         let nodes = place.nodes.max(1) as u64;
         let rank = (place.index as u64 + offset % nodes) % nodes;
         // The nodes begin one after the other, the last one in the order at once.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -31,6 +31,7 @@
 mod gateway_quota_contacts;
 mod gateway_quota_contention;
 mod gateway_quota_kinds;
+mod gateway_ramp;
 mod gateway_responses;
 mod gateway_restore;
 mod gateway_rollouts;
