pace: turns are told apart by when they began

Cause: a node kept the number of the last turn that it took, which counts by the rate. After a configuration that lowers the rate, all new numbers are lower, and the node had no turn at the endpoint as long as it was cold, or when it became cold again. Change: the beginning of the turn on the wall clock is kept. Result: gateway_pace::a_lowered_rate_leaves_turns failed before (no request in two seconds) and passes.

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -57,8 +57,8 @@
     pub remote_inflight: u32,
     /// Until when it is slow after its start, or has become so again.
     pub cold_until: Millis,
-    /// Number of the last turn that this node took while the endpoint was cold.
-    last_turn: Option<u64>,
+    /// When the last turn began, on the wall clock, that this node took while the endpoint was cold.
+    last_turn: Option<Millis>,
     /// Its pace after its start or recovery, while it is limited.
     pub ramp: Option<Ramp>,
     /// Until when it wants no requests from this node.
@@ -144,7 +144,7 @@
     }
 
     /// Takes a turn for a request, if it needs one; returns whether there was one left.
-    pub fn take_turn(&mut self, turn: Option<u64>) -> bool {
+    pub fn take_turn(&mut self, turn: Option<Millis>) -> bool {
         let Some(turn) = turn else { return true };
         let is_left = self.has_turn(turn);
         self.last_turn = self.last_turn.max(Some(turn));
@@ -212,9 +212,9 @@
         self.cold_until - now
     }
 
-    /// Returns whether this node has a turn left, by the number of the turn.
+    /// Returns whether this node has a turn left, by when the turn began.
     #[must_use]
-    pub fn has_turn(&self, turn: u64) -> bool {
+    pub fn has_turn(&self, turn: Millis) -> bool {
         self.last_turn.is_none_or(|last| last < turn)
     }
 
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -68,8 +68,8 @@
     pub uncached_tokens: u64,
     /// Prompt tokens in the segment that no other request shares.
     pub unique_tokens: u64,
-    /// The turn that the request takes at a cold endpoint.
-    pub turn: Option<u64>,
+    /// The turn that the request takes at a cold endpoint, by its beginning on the wall clock.
+    pub turn: Option<Millis>,
     /// What the request meets at the endpoint.
     pub met: Conditions,
 }
--- a/src/gateway/pace/pacing.rs
+++ b/src/gateway/pace/pacing.rs
@@ -40,9 +40,10 @@
         })
     }
 
-    /// Returns the turn that a request to an endpoint takes; none if the endpoint is not limited.
+    /// Returns the turn that a request to an endpoint takes, by its beginning on the wall clock; none if the
+    /// endpoint is not limited.
     #[must_use]
-    pub fn turn(&self, endpoint: &Endpoint, now: Millis) -> Option<u64> {
+    pub fn turn(&self, endpoint: &Endpoint, now: Millis) -> Option<Millis> {
         self.turns(endpoint, now)?.open(self.wall)
     }
 
--- a/src/gateway/pace/turns.rs
+++ b/src/gateway/pace/turns.rs
@@ -28,16 +28,16 @@
         }
     }
 
-    /// Returns the number of the node's turn that a request may take at the wall time `wall`; none if
-    /// it is the turn of another node.
+    /// Returns when the node's turn began that a request may take at the wall time `wall`; none if it is
+    /// the turn of another node.
     #[must_use]
-    pub fn open(&self, wall: Millis) -> Option<u64> {
+    pub fn open(&self, wall: Millis) -> Option<Millis> {
         let current = (wall.as_f64() * self.limit.rate / 1_000.0) as u64;
         let nodes = self.place.nodes.max(1) as u64;
         let owner = (current % nodes + self.offset % nodes) % nodes;
         let since_own = (owner + nodes - self.place.index as u64 % nodes) % nodes;
         let own = current.checked_sub(since_own)?;
         let began = Millis((own as f64 * 1_000.0 / self.limit.rate).ceil() as u64);
-        (own == current || wall <= began + MAX_LATENESS).then_some(own)
+        (own == current || wall <= began + MAX_LATENESS).then_some(began)
     }
 }
--- a/tests/integration/gateway_pace.rs
+++ b/tests/integration/gateway_pace.rs
@@ -308,3 +308,28 @@
     indices.sort_unstable();
     assert_eq!(indices, (0..names.len()).collect::<Vec<_>>());
 }
+
+/// Guards against a cold endpoint that gets nothing any more, because its rate was lowered after this node
+/// had taken a turn.
+#[test]
+fn a_lowered_rate_leaves_turns() {
+    let mut fleet = Fleet::default();
+    fleet.register(endpoint("e0", COLD, 1), 0, Millis(0));
+    let mut send = |rate, now| {
+        let pacing = Pacing {
+            limit: ColdLimit::new(rate, ColdTolerance::default()),
+            place: Place::ALONE,
+            wall: Millis(WALL) + now,
+        };
+        let choice = choose(&fleet, &query(pacing), now);
+        choice.is_some_and(|choice| {
+            let endpoint = fleet.get_mut(choice.key).expect("an endpoint");
+            endpoint.take_turn(choice.turn)
+        })
+    };
+    let sent = |from: u64, until: u64, rate, send: &mut dyn FnMut(f64, Millis) -> bool| {
+        (from..until).filter(|at| send(rate, Millis(*at))).count()
+    };
+    assert!(sent(0, 1_000, 20.0, &mut send) > 0);
+    assert!(sent(1_000, 3_000, 4.0, &mut send) > 0);
+}
