pace: long turns are not taken late either

Cause: at rates below 4 a second, a turn could be taken until the next one began, and the next one at once, while the limit assumes that turns are taken at most 250 ms late. Change: the lateness binds all turns. Result: gateway_pace::turns_at_low_rates_stay_within_the_bound failed before (two requests where one is allowed, at 0.5 a second) and passes.

--- a/src/gateway/pace/turns.rs
+++ b/src/gateway/pace/turns.rs
@@ -4,8 +4,8 @@
 
 use super::{ColdLimit, Place};
 
-/// Longest time after the beginning of a turn at which a request may take it, in turns that are
-/// shorter. A node seldom has a request at the very moment.
+/// Longest time after the beginning of a turn at which a request may take it. A node seldom has a request
+/// at the very moment.
 pub(super) const MAX_LATENESS: Millis = Millis(250);
 
 /// The turns of one node at one endpoint.
@@ -38,6 +38,6 @@
         let since_own = (owner + nodes - self.place.index as u64 % nodes) % nodes;
         let own = current.checked_sub(since_own)?;
         let began = Millis((own as f64 * 1_000.0 / self.limit.rate).ceil() as u64);
-        (own == current || wall <= began + MAX_LATENESS).then_some(began)
+        (wall <= began + MAX_LATENESS).then_some(began)
     }
 }
--- a/tests/integration/gateway_pace.rs
+++ b/tests/integration/gateway_pace.rs
@@ -333,3 +333,21 @@
     assert!(sent(0, 1_000, 20.0, &mut send) > 0);
     assert!(sent(1_000, 3_000, 4.0, &mut send) > 0);
 }
+
+/// Guards against one request too many where a node takes a turn late and the next one on time.
+#[test]
+fn turns_at_low_rates_stay_within_the_bound() {
+    // The tolerance is the least one in which the whole rate is in force.
+    for rate in [0.5, 1.2, 1.9, 2.1, 3.1] {
+        let tolerance = ColdTolerance {
+            overage: 1.25,
+            slack: 1.0,
+        };
+        for first in (0..2_000).step_by(7).map(Millis) {
+            let mut cluster = Cluster::new(1, ColdLimit::new(rate, tolerance));
+            let most = most_in_a_second(&cluster.run(first));
+            let allowed = bound(rate, tolerance);
+            assert!(most <= allowed, "{rate} from {first}: {most} of {allowed}");
+        }
+    }
+}
