fleet: an entry that is known does not make an endpoint cold again

Cause: an entry of the same sequence, as in a list or from another node, restarted the time for which its endpoint is cold. Change: only a later entry sets the time. Result: gateway_pace::an_entry_that_is_known_does_not_make_an_endpoint_cold_again failed before (4,000 ms left where 1,000 are) and passes.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -222,7 +222,9 @@
             // Its entry had expired.
             known.deregistered = tokio_util::sync::CancellationToken::new();
         }
-        known.cold_until = now + registration.cold;
+        if is_heartbeat {
+            known.cold_until = now + registration.cold;
+        }
         known.registration = registration;
         let lifecycle = if leaving {
             Lifecycle::Leaving
--- a/tests/integration/gateway_pace.rs
+++ b/tests/integration/gateway_pace.rs
@@ -351,3 +351,14 @@
         }
     }
 }
+
+/// Guards against an endpoint that stays cold because its entry is learned once more.
+#[test]
+fn an_entry_that_is_known_does_not_make_an_endpoint_cold_again() {
+    let mut fleet = Fleet::default();
+    fleet.register(endpoint("e0", COLD, 1), 0, Millis(0));
+    fleet.register(endpoint("e0", COLD, 1), 0, Millis(3_000));
+    let key = fleet.find("e0").expect("the endpoint");
+    let known = fleet.get(key).expect("the endpoint");
+    assert_eq!(known.cold_left(Millis(3_000)), Millis(1_000));
+}
