gateway: the last fields of messages are read by one function

Cause: the function that reads a last field, which earlier releases do not send, stood twice. Change: it has a file of its own below gateway. A comment says at which nodes the home of a prefix is the same.

--- a/src/gateway/cluster/message.rs
+++ b/src/gateway/cluster/message.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
 use crate::error::{Error, ErrorKind};
@@ -10,6 +10,7 @@
 use crate::gateway::quota::{GrantReport, GrantRequest};
 use crate::gateway::rollout;
 use crate::gateway::scaler::Demand;
+use crate::gateway::trailing::or_default;
 use crate::gateway::usage::Counts;
 use crate::gateway::{Committed, Era, Evacuation};
 
@@ -54,7 +55,7 @@
     /// The sender's own claims on whether other nodes are alive.
     pub(super) claims: Vec<MemberUpdate>,
     /// What the sender knows of evacuations.
-    #[serde(deserialize_with = "optional_tail")]
+    #[serde(deserialize_with = "or_default")]
     pub(super) evacuations: Vec<Evacuation>,
 }
 
@@ -66,19 +67,10 @@
     /// The configuration document, if the requester has an older version.
     pub(super) document: Option<Vec<u8>>,
     /// What the sender knows of evacuations.
-    #[serde(deserialize_with = "optional_tail")]
+    #[serde(deserialize_with = "or_default")]
     pub(super) evacuations: Vec<Evacuation>,
 }
 
-/// Deserializes the last field of a message, which earlier releases do not send.
-fn optional_tail<'de, D, T>(deserializer: D) -> Result<T, D::Error>
-where
-    D: Deserializer<'de>,
-    T: Deserialize<'de> + Default,
-{
-    Ok(T::deserialize(deserializer).unwrap_or_default())
-}
-
 /// Versions of a node's state up to which another node has received it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Versions {
--- a/src/gateway/forward/choose.rs
+++ b/src/gateway/forward/choose.rs
@@ -77,8 +77,8 @@
 /// Returns the endpoint with the lowest expected cost, or `None` if no endpoint accepts the
 /// request.
 ///
-/// Requests with the same shared prefix have a home endpoint, the same on all nodes, whose cache
-/// holds the prefix. They go elsewhere when queueing at the home endpoint costs more than
+/// Requests with the same shared prefix have a home endpoint, the same at nodes with the same speeds,
+/// whose cache holds the prefix. They go elsewhere when queueing at the home endpoint costs more than
 /// prefilling the prefix again, or lets the caller miss the targets.
 ///
 /// All endpoints are compared if there are few or if the nodes know of each other's requests;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 mod settings;
 mod state;
 mod store;
+mod trailing;
 mod upstream;
 mod usage;
 
--- a/src/gateway/quota/bucket.rs
+++ b/src/gateway/quota/bucket.rs
@@ -1,12 +1,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Millis;
+use crate::gateway::trailing::or_default;
 
 use super::ask::Ask;
 use super::contention::Contention;
 use super::history::Slot;
 use super::room::Room;
-use super::trailing::or_default;
 
 /// Refill rate and bounds of a bucket.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/quota/mod.rs
+++ b/src/gateway/quota/mod.rs
@@ -19,7 +19,6 @@
 mod returns;
 mod room;
 mod tolerance;
-mod trailing;
 mod window_limit;
 
 pub use self::ask::{Ask, Profile};
--- a/src/gateway/quota/ownership.rs
+++ b/src/gateway/quota/ownership.rs
@@ -10,11 +10,11 @@
 use crate::clock::Millis;
 use crate::error::Error;
 use crate::gateway::cluster::{Message, decode, encode};
+use crate::gateway::trailing::or_default;
 use crate::gateway::{Account, Denial, Node, Quota};
 use crate::peer::{Handle, Method};
 
 use super::ask::{Ask, Profile};
-use super::trailing::or_default;
 
 /// Timeout of asking an owner: a few times the round trip between failure domains plus a decision.
 const DECISION_TIMEOUT: Millis = Millis(60);
