server: an idle connection is checked twice before it closes

Change: a connection that is found idle for too long is checked again after 20 ms, in which the data becomes known.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -30,6 +30,10 @@
 /// Least time for which a connection to an address that serves a page may stay idle.
 const PAGE_IDLE_TIMEOUT: Millis = Millis(60_000);
 
+/// Time after which a connection that was found idle for too long is checked again. A process that was
+/// frozen finds timeouts that passed before it learns of data that arrived.
+const RECHECK_INTERVAL: Millis = Millis(20);
+
 /// Interval at which a leaving node checks whether its requests have ended.
 const DRAIN_POLL_INTERVAL: Millis = Millis(50);
 
@@ -155,8 +159,11 @@
     let yielded = activity.connection().yielded();
     let mut has_yielded = false;
     let mut is_closing = false;
+    let mut was_expired = false;
     loop {
-        let pause = if is_closing {
+        let pause = if was_expired {
+            RECHECK_INTERVAL
+        } else if is_closing {
             MAX_CHECK_INTERVAL
         } else {
             activity.next_check()
@@ -185,9 +192,12 @@
                     node.intake.report_stalled(activity.connection());
                     return;
                 }
-                if !activity.is_expired() {
+                let is_expired = activity.is_expired();
+                if !is_expired || !was_expired {
+                    was_expired = is_expired;
                     continue;
                 }
+                was_expired = false;
                 if !is_closing {
                     is_closing = true;
                     serving.as_mut().graceful_shutdown();
