--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -302,6 +302,8 @@
     pub at: Instant,
     pub from_event: u64,
     pub finished: bool,
+    /// When the engine answered with a failure.
+    pub failed: Option<Instant>,
     pub body_hash: u64,
     pub tenant: String,
 }
@@ -318,9 +320,28 @@
     pub garble: AtomicU64,
     /// 500 instead of an answer, in one of a thousand.
     pub fails: AtomicU64,
+    /// As `fails`, on the route `unsafe` only.
+    pub fails_unsafe: AtomicU64,
+    /// Requests within a second above which half of the answers are failures; none if 0.
+    pub overload: AtomicU64,
+    pub arrivals: Mutex<std::collections::VecDeque<Instant>>,
     pub busy: AtomicU64,
 }
 
+impl Engine {
+    /// Counts a request; returns whether the last second had more than `overload`.
+    fn is_overloaded(&self) -> bool {
+        let now = Instant::now();
+        let mut arrivals = self.arrivals.lock().unwrap();
+        arrivals.push_back(now);
+        while arrivals.front().is_some_and(|at| now.duration_since(*at) > Duration::from_secs(1)) {
+            arrivals.pop_front();
+        }
+        let limit = self.overload.load(SeqCst);
+        limit > 0 && arrivals.len() as u64 > limit
+    }
+}
+
 pub struct World {
     pub store: Store,
     pub duties: Mutex<Vec<Duty>>,
@@ -405,6 +426,9 @@
             gone: AtomicBool::new(false),
             garble: AtomicU64::new(0),
             fails: AtomicU64::new(0),
+            fails_unsafe: AtomicU64::new(0),
+            overload: AtomicU64::new(0),
+            arrivals: Mutex::default(),
             busy: AtomicU64::new(0),
         });
         self.engines.lock().unwrap().push(Arc::clone(&engine));
@@ -452,6 +476,7 @@
                 continue;
             }
             let is_stream = head.start.contains("/stream/") || head.start.contains("/once/");
+            let is_unsafe = head.start.contains("/unsafe/");
             let after: u64 = head.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
             let body_hash = hash(&String::from_utf8_lossy(&body));
             let index = {
@@ -463,13 +488,15 @@
                     at: Instant::now(),
                     from_event: after,
                     finished: false,
+                    failed: None,
                     body_hash,
                     tenant: head.get("x-almondpath-tenant").unwrap_or("").to_owned(),
                 });
                 all.len() - 1
             };
+            self.record(&format!("{id} runs at {} {}", e.id, e.version));
             e.busy.fetch_add(1, SeqCst);
-            let done = self.run(e, &mut c, &mut rng, &id, &own, is_stream, after, body_hash);
+            let done = self.run(e, &mut c, &mut rng, &id, &own, is_stream, is_unsafe, after, body_hash, index);
             e.busy.fetch_sub(1, SeqCst);
             let keep = done?;
             self.runs.lock().unwrap().get_mut(&id).unwrap()[index].finished = true;
@@ -480,8 +507,11 @@
         Ok(())
     }
     #[allow(clippy::too_many_arguments)]
-    fn run(&self, e: &Engine, c: &mut Conn, rng: &mut Rng, id: &str, own: &str, is_stream: bool, after: u64, body_hash: u64) -> io::Result<bool> {
-        if rng.chance(e.fails.load(SeqCst)) {
+    fn run(&self, e: &Engine, c: &mut Conn, rng: &mut Rng, id: &str, own: &str, is_stream: bool, is_unsafe: bool, after: u64, body_hash: u64, index: usize) -> io::Result<bool> {
+        let of_route = if is_unsafe { e.fails_unsafe.load(SeqCst) } else { 0 };
+        let of_load = if e.is_overloaded() { 500 } else { 0 };
+        if rng.chance(e.fails.load(SeqCst).max(of_route).max(of_load)) {
+            self.runs.lock().unwrap().get_mut(id).unwrap()[index].failed = Some(Instant::now());
             thread::sleep(Duration::from_millis(10));
             respond(&mut c.s, "500 Internal Server Error", own, b"failed")?;
             return Ok(true);
@@ -521,8 +551,6 @@
     pub front: SocketAddr,
     pub file: String,
     pub child: Option<Child>,
-    /// When SIGTERM was sent, and when the process ended.
-    pub terms: Vec<(Instant, Option<Instant>)>,
 }
 
 pub fn free_ports(ip: &str, n: usize) -> Vec<u16> {
@@ -530,10 +558,6 @@
     all.iter().map(|l| l.local_addr().unwrap().port()).collect()
 }
 
-pub fn signal(child: &Child, name: &str) {
-    let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
-}
-
 impl Node {
     pub fn start(&mut self, dir: &str) {
         let out = fs::OpenOptions::new().create(true).append(true).open(format!("{dir}/{}.log", self.name)).unwrap();
@@ -555,6 +579,12 @@
     }
 }
 
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 /// Writes the settings files of `n` nodes in three zones.
 pub fn nodes(dir: &str, n: usize, store: SocketAddr, cloud: SocketAddr) -> Vec<Node> {
     const ZONES: [&str; 3] = ["za", "zb", "zc"];
@@ -659,7 +689,6 @@
                 front: format!("{ip}:{}", p[0]).parse().unwrap(),
                 file,
                 child: None,
-                terms: Vec::new(),
             }
         })
         .collect()
