gateway/rollout: the choice of exposed requests in steps of its own

Cause: Exposure::admits did two jobs, and each request of a rollout counted the endpoints of its version, also where it could not go there. Change: one function for each; the endpoints are counted only for requests that may try the version. Tests of the steps' order and of the sample.

--- a/src/gateway/rollout/exposure.rs
+++ b/src/gateway/rollout/exposure.rs
@@ -105,25 +105,35 @@
         draw: f64,
         wall: Millis,
     ) -> bool {
-        let requests = f64::from(self.requests);
-        let is_within = |part| self.is_within(limit, part, requests);
-        let early_draw = (limit.share * MAX_EARLY_DRAW).min(sample.early_share);
-        let load_draw = sample.load_share;
         if sample.endpoints == 0 {
             return false;
         }
         if schedule.phase(wall) == Phase::Early {
+            let early_draw = (limit.share * MAX_EARLY_DRAW).min(sample.early_share);
+            let requests = f64::from(self.requests);
             let expected = requests + EXPECTED_AT_ONCE * self.expected_later(schedule, wall);
             return draw < early_draw && self.is_within(limit, EARLY, expected);
         }
+        self.admits_from_load_on(limit, schedule, sample, draw, wall)
+    }
+
+    /// As [`Exposure::admits`], from the time on at which the version is put under load.
+    fn admits_from_load_on(
+        &mut self,
+        limit: &ExposureLimit,
+        schedule: &Schedule,
+        sample: &Sample,
+        draw: f64,
+        wall: Millis,
+    ) -> bool {
+        let is_within = |part| self.is_within(limit, part, f64::from(self.requests));
         let loaded_since = self.loaded_since.unwrap_or(wall);
-        let is_loaded = wall < loaded_since + schedule.load_time();
-        let admits = if is_loaded {
-            draw < load_draw && is_within(LOADED)
+        let admits = if wall < loaded_since + schedule.load_time() {
+            draw < sample.load_share && is_within(LOADED)
         } else {
             let watched = Part::between(EARLY, WATCHED, schedule.load_progress(wall));
             let is_watched = draw < limit.share * WATCH_DRAW && is_within(LOADED);
-            is_watched || (draw < load_draw && is_within(watched))
+            is_watched || (draw < sample.load_share && is_within(watched))
         };
         self.loaded_since = Some(loaded_since);
         admits
--- a/src/gateway/rollout/sample.rs
+++ b/src/gateway/rollout/sample.rs
@@ -11,16 +11,16 @@
 
 impl Work {
     /// Returns the share of a version's endpoints that get requests before it is promoted.
-    const fn sampled(self) -> f64 {
+    const fn sampled_share(self) -> f64 {
         match self {
             Self::Plain => 1.0 / 12.0,
             Self::Prompts => 1.0 / 4.0,
         }
     }
 
-    /// Returns the requests of a sampled endpoint that load it as much as the mean in general use,
-    /// relative to those in general use. Its prompts are cached at the endpoints of the other versions.
-    const fn usual(self) -> f64 {
+    /// Returns how many requests load a sampled endpoint as much as the mean in general use, relative to
+    /// those in general use. A prompt costs it more, as it has not cached any part of it.
+    const fn requests_for_usual_load(self) -> f64 {
         match self {
             Self::Plain => 1.0,
             Self::Prompts => 0.4,
@@ -47,8 +47,8 @@
     /// Returns the sample of a version with this many endpoints.
     #[must_use]
     pub fn of(endpoints: usize, work: Work) -> Self {
-        let sampled = endpoints_in_use(work.sampled(), endpoints);
-        let share = work.usual() * sampled as f64 / endpoints.max(1) as f64;
+        let sampled = endpoints_in_use(work.sampled_share(), endpoints);
+        let share = work.requests_for_usual_load() * sampled as f64 / endpoints.max(1) as f64;
         Self {
             endpoints: sampled,
             early_share: share,
--- a/src/gateway/rollout/trial.rs
+++ b/src/gateway/rollout/trial.rs
@@ -109,14 +109,13 @@
                 }
             }
             Stage::Trial | Stage::Promoted => {
-                let sample = sample(&target);
-                let admits = is_first
-                    && wall < schedule.switch_at()
-                    && self.exposure.admits(limit, &schedule, &sample, draw, wall);
-                if admits {
-                    Preference::sample(target, &sample)
-                } else {
-                    Preference::others(target)
+                let may_try = is_first && wall < schedule.switch_at();
+                let sample = may_try.then(|| sample(&target));
+                let admitted = sample
+                    .filter(|sample| self.exposure.admits(limit, &schedule, sample, draw, wall));
+                match admitted {
+                    Some(sample) => Preference::sample(target, &sample),
+                    None => Preference::others(target),
                 }
             }
         }
--- a/tests/integration/gateway_rollout_faults.rs
+++ b/tests/integration/gateway_rollout_faults.rs
@@ -6,7 +6,7 @@
 
 use almondpath::clock::Millis;
 use almondpath::gateway::rollout::{
-    ExposureLimit, Order, Progress, Rollouts, Sample, Stage, Versions, Work,
+    ExposureLimit, Order, Progress, Rollouts, Sample, Schedule, Stage, Versions, Work,
 };
 use almondpath::gateway::{Era, Key};
 use almondpath::rollout::Outcome;
@@ -415,3 +415,62 @@
         assert!(completed >= 38, "{setup:?}: {completed} of 40");
     }
 }
+
+/// Guards against steps that overlap in a short rollout, so that a version is completed unproved.
+#[test]
+fn the_steps_of_a_rollout_keep_their_order_at_any_duration() {
+    for duration in [100, 1_000, 4_000, 8_000, 12_000, 20_000, 3_600_000] {
+        let schedule = Schedule::new(ORDERED, Millis(duration));
+        let steps = [
+            schedule.started(),
+            schedule.load_from(),
+            schedule.load_from() + schedule.load_time(),
+            schedule.promote_from(),
+            schedule.switch_at(),
+            schedule.complete_at(),
+            schedule.give_up_at(),
+            schedule.deadline(),
+        ];
+        assert!(steps.is_sorted_by(|a, b| a < b), "{duration} ms: {steps:?}");
+    }
+}
+
+/// Endpoints of a version, and how many of them get which share of the requests.
+struct SampleCase {
+    endpoints: usize,
+    sampled: usize,
+    load_share: f64,
+}
+
+const fn sample(endpoints: usize, sampled: usize, load_share: f64) -> SampleCase {
+    SampleCase {
+        endpoints,
+        sampled,
+        load_share,
+    }
+}
+
+/// Guards against sampled endpoints that get less than in general use, so that a fault under load does not
+/// show, and against many endpoints or none.
+#[test]
+fn sampled_endpoints_get_more_than_their_part_in_general_use() {
+    let cases = [
+        sample(0, 0, 0.0),
+        sample(1, 1, 1.0),
+        sample(2, 1, 0.75),
+        sample(3, 1, 0.5),
+        sample(12, 1, 0.125),
+        sample(13, 2, 3.0 / 13.0),
+        sample(600, 50, 0.125),
+    ];
+    for case in cases {
+        let sample = Sample::of(case.endpoints, Work::Plain);
+        let found = (sample.endpoints, sample.load_share);
+        assert_eq!(
+            found,
+            (case.sampled, case.load_share),
+            "{} endpoints",
+            case.endpoints
+        );
+    }
+}
