gateway/rollout: cold prompts do not make a good version look slow

Cause, by the log line `version found worse` (64 requests, 9 slow, to the first token): the new endpoints prefill all shared prompts, and several times at once, as the nodes of a large cluster don't know each other's requests. The time that prompts take was left out of the response times and of the thresholds alike, so that these fell with it. Change: thresholds come from whole response times again; evidence leaves the prompts' time out (`Attempt`). Endpoints with prompts get half of the requests before the version is put under load. A try with a twentieth of all services' requests: the process test of a version that does not respond failed, so that plain services keep theirs. The ten tests of gateway_rollouts and gateway_rollout_faults pass.

--- a/src/gateway/forward/reservation.rs
+++ b/src/gateway/forward/reservation.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::gateway::capacity::{Conditions, Pauses};
 use crate::gateway::endpoint::Key;
+use crate::gateway::rollout::Attempt;
 use crate::gateway::scaler::Prefill;
 use crate::gateway::{Fleet, Load, Node};
 use crate::rollout::{Outcome, Timing};
@@ -281,9 +282,8 @@
 }
 
 impl Reservation {
-    /// Returns what the request says of the version of its endpoint. `queued` is the time for which it
-    /// waited there for the work that prompts cause.
-    fn outcome(&self, now: Millis, queued: Millis) -> Outcome {
+    /// Returns what the request says of the version of its endpoint.
+    fn outcome(&self, now: Millis) -> Outcome {
         if let Some(failure) = self.failure {
             return failure;
         }
@@ -294,14 +294,12 @@
             return Outcome::Inconclusive;
         }
         if self.timing.has_started() {
-            return self.timing.answered().without(queued);
+            return self.timing.answered();
         }
-        Outcome::Waited(self.timing.elapsed(now) - queued)
+        Outcome::Waited(self.timing.elapsed(now))
     }
 
-    /// Returns the time that prefilling the prompts ahead of this one, and the shared segments of its own,
-    /// takes at an endpoint of usual speed. It says nothing about a version: the few endpoints of one on
-    /// trial get prompts that are cached elsewhere.
+    /// Returns the time for which the request waits for prompts; see [`Attempt::queued`].
     fn queued(&self, fleet: &Fleet) -> Millis {
         let Some(endpoint) = fleet.get(self.key) else {
             return Millis::ZERO;
@@ -316,7 +314,11 @@
     fn drop(&mut self) {
         let now = self.node.clock.now();
         let state = &mut *self.node.state();
-        let outcome = self.outcome(now, self.queued(&state.fleet));
+        let attempt = Attempt {
+            endpoint: self.key,
+            outcome: self.outcome(now),
+            queued: self.queued(&state.fleet),
+        };
         if self.failure.is_none() {
             state.record_pauses(self.key, self.met, self.pauses);
         }
@@ -326,8 +328,7 @@
                 &registration.service,
                 &registration.version,
                 &self.route,
-                self.key,
-                outcome,
+                attempt,
                 now,
             );
         }
--- a/src/gateway/rollout/mod.rs
+++ b/src/gateway/rollout/mod.rs
@@ -10,6 +10,7 @@
 //! node at once. Without the record the rollout is reverted at its deadline. [`Schedule`] has the
 //! times of these steps.
 
+mod attempt;
 mod control;
 mod evidence;
 mod exposure;
@@ -22,6 +23,7 @@
 mod trial;
 mod versions;
 
+pub use self::attempt::Attempt;
 pub use self::evidence::{Evidence, Report};
 pub use self::exposure::{Exposure, ExposureLimit};
 pub use self::order::Order;
--- a/src/gateway/rollout/rollouts.rs
+++ b/src/gateway/rollout/rollouts.rs
@@ -7,7 +7,8 @@
 
 use super::trial::Step;
 use super::{
-    Exposure, ExposureLimit, Preference, Progress, Report, Sample, Summary, Trial, Versions,
+    Attempt, Exposure, ExposureLimit, Preference, Progress, Report, Sample, Summary, Trial,
+    Versions,
 };
 
 /// Factor on the upper quartile of the response times before a rollout, above which a response
@@ -206,25 +207,26 @@
         service: &Arc<str>,
         version: &str,
         route: &Arc<str>,
-        endpoint: Key,
-        outcome: Outcome,
+        attempt: Attempt,
         now: Millis,
     ) {
         let trial = self.trials.get(service);
         let trial = trial.filter(|trial| trial.is_open());
         let arm = trial.map(|trial| trial.arm(version));
         if arm != Some(Arm::New) {
-            self.sample(service, route, outcome);
+            self.sample(service, route, attempt.outcome);
         }
         let (Some(arm), Some(trial)) = (arm, self.trials.get_mut(service)) else {
             return;
         };
-        if outcome == Outcome::Unreachable {
-            trial.evidence.record_unanswered(route, arm, endpoint, now);
+        if attempt.outcome == Outcome::Unreachable {
+            let evidence = &mut trial.evidence;
+            evidence.record_unanswered(route, arm, attempt.endpoint, now);
             return;
         }
         let samples = self.samples.get(service);
         let thresholds = |route: &str| thresholds(samples, route);
+        let outcome = attempt.evidence();
         trial.evidence.record(route, arm, outcome, thresholds);
     }
 
--- a/src/gateway/rollout/sample.rs
+++ b/src/gateway/rollout/sample.rs
@@ -28,6 +28,10 @@
     }
 }
 
+/// Load of a sampled endpoint with prompts before it is put under load, relative to the mean in general use:
+/// its first prompts come while nothing is cached.
+const EARLY_PROMPT_LOAD: f64 = 0.5;
+
 /// Load of a sampled endpoint, relative to the mean in general use, in which endpoints differ by about as
 /// much.
 const LOAD_FACTOR: f64 = 1.5;
@@ -37,7 +41,7 @@
 pub struct Sample {
     /// Number of endpoints that get requests.
     pub endpoints: usize,
-    /// Share of the service's requests with which they are loaded as the mean in general use.
+    /// Largest share of the service's requests that they get before they are put under load.
     pub early_share: f64,
     /// Share with which they are loaded as the busiest endpoints in general use.
     pub load_share: f64,
@@ -51,7 +55,10 @@
         let share = work.requests_for_usual_load() * sampled as f64 / endpoints.max(1) as f64;
         Self {
             endpoints: sampled,
-            early_share: share,
+            early_share: match work {
+                Work::Plain => share,
+                Work::Prompts => share * EARLY_PROMPT_LOAD,
+            },
             load_share: (share * LOAD_FACTOR).min(1.0),
         }
     }
--- a/src/rollout/outcome.rs
+++ b/src/rollout/outcome.rs
@@ -26,7 +26,7 @@
 }
 
 impl Outcome {
-    /// Returns the outcome as if the first token had come this much sooner.
+    /// Returns the outcome as if the endpoint had begun this much sooner.
     #[must_use]
     pub fn without(self, time: Millis) -> Self {
         match self {
@@ -34,7 +34,8 @@
                 first: first - time,
                 gap_us,
             },
-            other => other,
+            Self::Waited(elapsed) => Self::Waited(elapsed - time),
+            Self::Failed | Self::Unreachable | Self::Inconclusive => self,
         }
     }
 }
--- a/tests/integration/gateway_rollout_faults.rs
+++ b/tests/integration/gateway_rollout_faults.rs
@@ -6,7 +6,7 @@
 
 use almondpath::clock::Millis;
 use almondpath::gateway::rollout::{
-    ExposureLimit, Order, Progress, Rollouts, Sample, Schedule, Stage, Versions, Work,
+    Attempt, ExposureLimit, Order, Progress, Rollouts, Sample, Schedule, Stage, Versions, Work,
 };
 use almondpath::gateway::{Era, Key};
 use almondpath::rollout::Outcome;
@@ -250,7 +250,12 @@
             }
         };
         let route: Arc<str> = ROUTES[route].into();
-        self.nodes[node].record(&service, version, &route, Key::default(), outcome, now);
+        let attempt = Attempt {
+            endpoint: Key::default(),
+            outcome,
+            queued: Millis::ZERO,
+        };
+        self.nodes[node].record(&service, version, &route, attempt, now);
         if endpoint.is_some() {
             self.count_exposed(active.is_some() && (failed || slow), now);
         }
